--- /dev/null
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/FairQueue.java
@@ -0,0 +1,183 @@
+package io.mustardusher.admission;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import io.mustardusher.catalogue.ServiceClass;
+
+/**
+ * Waiting calls by class and owner. The highest class goes first; within it the owner with the fewest calls running.
+ * Not safe for threads.
+ */
+final class FairQueue {
+
+    /** Waiting calls by class and owner, in order of arrival. */
+    private final Map<ServiceClass, Map<String, Deque<Ticket>>> waiting = new EnumMap<>(ServiceClass.class);
+
+    /** Running calls by owner. */
+    private final Map<String, Integer> running = new HashMap<>();
+
+    /** Number of waiting calls. */
+    private int size;
+
+    /** Creates an empty queue. */
+    FairQueue() {
+        for (ServiceClass serviceClass : ServiceClass.values()) {
+            waiting.put(serviceClass, new LinkedHashMap<>());
+        }
+    }
+
+    /**
+     * Returns the number of waiting calls.
+     *
+     * @return the number
+     */
+    int size() {
+        return size;
+    }
+
+    /**
+     * Counts the waiting calls that go before a class, and those of the class.
+     *
+     * @param serviceClass the class
+     * @return the number
+     */
+    int ahead(ServiceClass serviceClass) {
+        int count = 0;
+        for (Map.Entry<ServiceClass, Map<String, Deque<Ticket>>> entry : waiting.entrySet()) {
+            if (entry.getKey().compareTo(serviceClass) <= 0) {
+                count +=
+                        entry.getValue().values().stream().mapToInt(Deque::size).sum();
+            }
+        }
+        return count;
+    }
+
+    /**
+     * Adds a call.
+     *
+     * @param ticket the call
+     */
+    void add(Ticket ticket) {
+        waiting.get(ticket.serviceClass)
+                .computeIfAbsent(ticket.owner, owner -> new ArrayDeque<>())
+                .addLast(ticket);
+        size++;
+    }
+
+    /**
+     * Removes a call, wherever it waits.
+     *
+     * @param ticket the call
+     * @return {@code false} if it does not wait
+     */
+    boolean remove(Ticket ticket) {
+        Deque<Ticket> queue = waiting.get(ticket.serviceClass).get(ticket.owner);
+        if (queue == null || !queue.remove(ticket)) {
+            return false;
+        }
+        drop(ticket, queue);
+        return true;
+    }
+
+    /**
+     * Takes the call that goes next.
+     *
+     * @return the call, or {@code null} if none waits
+     */
+    Ticket next() {
+        for (Map<String, Deque<Ticket>> owners : waiting.values()) {
+            Deque<Ticket> best = null;
+            int fewest = Integer.MAX_VALUE;
+            for (Map.Entry<String, Deque<Ticket>> entry : owners.entrySet()) {
+                int count = running.getOrDefault(entry.getKey(), 0);
+                if (count < fewest) {
+                    fewest = count;
+                    best = entry.getValue();
+                }
+            }
+            if (best != null) {
+                Ticket ticket = best.removeFirst();
+                drop(ticket, best);
+                return ticket;
+            }
+        }
+        return null;
+    }
+
+    /**
+     * Finds the call to give up for a newcomer: the last of the owner with the most waiting calls in the lowest class.
+     *
+     * @param newcomer the newcomer
+     * @return the call, or {@code null} if the newcomer itself has the weakest claim
+     */
+    Ticket victimFor(Ticket newcomer) {
+        ServiceClass[] classes = ServiceClass.values();
+        for (int i = classes.length - 1; i >= newcomer.serviceClass.ordinal(); i--) {
+            Deque<Ticket> longest = longest(waiting.get(classes[i]));
+            if (longest == null) {
+                continue;
+            }
+            if (classes[i] != newcomer.serviceClass) {
+                return longest.peekLast();
+            }
+            Deque<Ticket> own = waiting.get(classes[i]).get(newcomer.owner);
+            int ownSize = own == null ? 0 : own.size();
+            return longest.size() > ownSize + 1 ? longest.peekLast() : null;
+        }
+        return null;
+    }
+
+    /**
+     * Counts a call of an owner as running.
+     *
+     * @param owner the owner
+     */
+    void started(String owner) {
+        running.merge(owner, 1, Integer::sum);
+    }
+
+    /**
+     * Counts a call of an owner as ended.
+     *
+     * @param owner the owner
+     */
+    void ended(String owner) {
+        running.computeIfPresent(owner, (key, count) -> count == 1 ? null : count - 1);
+    }
+
+    /**
+     * Finds the longest queue.
+     *
+     * @param owners queues by owner
+     * @return the queue, or {@code null} if there is none
+     */
+    private static Deque<Ticket> longest(Map<String, Deque<Ticket>> owners) {
+        Deque<Ticket> longest = null;
+        for (Deque<Ticket> queue : owners.values()) {
+            if (longest == null || queue.size() > longest.size()) {
+                longest = queue;
+            }
+        }
+        return longest;
+    }
+
+    /**
+     * Accounts for a call that left its queue, and moves its owner behind the others of its class.
+     *
+     * @param ticket the call
+     * @param queue  the queue it left
+     */
+    private void drop(Ticket ticket, Deque<Ticket> queue) {
+        size--;
+        Map<String, Deque<Ticket>> owners = waiting.get(ticket.serviceClass);
+        owners.remove(ticket.owner);
+        if (!queue.isEmpty()) {
+            owners.put(ticket.owner, queue);
+        }
+    }
+}
--- /dev/null
+++ b/mustardusher-core/src/main/java/io/mustardusher/catalogue/package-info.java
@@ -0,0 +1,2 @@
+/** The catalogue: its entries, their revisions, and how copies of it are merged. */
+package io.mustardusher.catalogue;
--- /dev/null
+++ b/mustardusher-core/src/main/java/io/mustardusher/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Which nodes there are: gossip records, their precedence, suspicion and refutation. */
+package io.mustardusher.membership;
--- /dev/null
+++ b/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
@@ -0,0 +1,218 @@
+package io.mustardusher.result;
+
+import java.util.Optional;
+
+/** Numbered results of calls and of operators' requests. */
+public enum ResultCode {
+    /** The call ran. */
+    OK(0, 200, Outcome.RAN, "The call ran.", "Nothing."),
+
+    /** The call names no service. */
+    SERVICE_MISSING(1001, 400, Outcome.NOT_RUN, "The call names no service.", "Send the mustardusher-service header."),
+
+    /** The catalogue has no entry for the service. */
+    SERVICE_UNKNOWN(1002, 404, Outcome.NOT_RUN, "The catalogue has no such service.", "Check the name with musherctl."),
+
+    /** A header of the call is malformed. */
+    HEADER_MALFORMED(1003, 400, Outcome.NOT_RUN, "A header is malformed.", "Correct the header named in the detail."),
+
+    /** The deadline had passed on arrival. */
+    DEADLINE_EXPIRED(1004, 408, Outcome.NOT_RUN, "The deadline had passed on arrival.", "Send a later deadline."),
+
+    /** The key was sent before with another call. */
+    KEY_REUSED(1005, 422, Outcome.NOT_RUN, "The key belongs to another call.", "Use a new key for a new call."),
+
+    /** The service takes such calls only with a key. */
+    KEY_REQUIRED(1006, 400, Outcome.NOT_RUN, "The service asks for an Idempotency-Key.", "Send a key (UUIDv7)."),
+
+    /** The body is too large for a call with a key. */
+    BODY_TOO_LARGE(1007, 413, Outcome.NOT_RUN, "The body is too large for a call with a key.", "Send less than 1 MiB."),
+
+    /** The chain of calls is too deep. */
+    DEPTH_EXCEEDED(1008, 400, Outcome.NOT_RUN, "The chain of calls is too deep.", "Look for a loop between services."),
+
+    /** The request is malformed. */
+    REQUEST_MALFORMED(1009, 400, Outcome.NOT_RUN, "The request is malformed.", "Correct the request."),
+
+    /** No backend server of the service takes calls. */
+    NO_SERVER(2001, 503, Outcome.NOT_RUN, "No backend server takes calls.", "Come back after Retry-After."),
+
+    /** The queue of the gate is full. */
+    OVERLOADED(2002, 503, Outcome.NOT_RUN, "The queue is full.", "Come back after Retry-After."),
+
+    /** The call could not be answered by its deadline. */
+    DEADLINE_UNREACHABLE(2003, 503, Outcome.NOT_RUN, "The deadline cannot be met.", "Come back after Retry-After."),
+
+    /** The backend server is leaving. */
+    DRAINING(2004, 503, Outcome.NOT_RUN, "The backend server is leaving.", "Come back after Retry-After."),
+
+    /** The call is suspected of crashing backend servers. */
+    SUSPECT_REFUSED(2005, 422, Outcome.NOT_RUN, "The call crashed backend servers.", "Do not send this call again."),
+
+    /** The node has no catalogue yet. */
+    NODE_STARTING(2006, 503, Outcome.NOT_RUN, "The node has no catalogue yet.", "Come back after Retry-After."),
+
+    /** The node is stopping. */
+    NODE_STOPPING(2007, 503, Outcome.NOT_RUN, "The node is stopping.", "Use another node."),
+
+    /** The service's limit is reached. */
+    LIMIT_REACHED(2008, 429, Outcome.NOT_RUN, "The limit of the service is reached.", "Come back after Retry-After."),
+
+    /** The backend server refused the call before running it. */
+    SERVER_REFUSED(2009, 503, Outcome.NOT_RUN, "The backend server shed the call.", "Come back after Retry-After."),
+
+    /** The backend server could not be reached. */
+    SERVER_UNREACHABLE(
+            2010, 503, Outcome.NOT_RUN, "The backend server is unreachable.", "Come back after Retry-After."),
+
+    /** The call was cancelled before it was dispatched. */
+    CANCELLED(2011, 503, Outcome.NOT_RUN, "The call was cancelled before dispatch.", "Nothing."),
+
+    /** The connection was lost after dispatch. */
+    CONNECTION_LOST(3001, 502, Outcome.UNKNOWN, "The connection was lost after dispatch.", "Resend with the same key."),
+
+    /** The deadline passed after dispatch. */
+    DEADLINE_PASSED(3002, 504, Outcome.UNKNOWN, "The deadline passed after dispatch.", "Resend with the same key."),
+
+    /** An earlier send of the key may have run. */
+    KEY_OUTCOME_UNKNOWN(3003, 409, Outcome.UNKNOWN, "An earlier send may have run.", "Look up what the service did."),
+
+    /** The key is older than the memory of its keepers. */
+    KEY_TOO_OLD(
+            3004, 409, Outcome.UNKNOWN, "The key is older than its keepers' memory.", "Look up what the service did."),
+
+    /** The keepers of the key do not answer; this send started nothing. */
+    KEEPER_UNAVAILABLE(
+            3005, 503, Outcome.UNKNOWN, "This send started nothing; an earlier may have.", "Resend with the same key."),
+
+    /** The call ran; its answer is no longer kept. */
+    ANSWER_EXPIRED(
+            3006, 409, Outcome.RAN, "The call ran; its answer is no longer kept.", "Look up what the service did."),
+
+    /** The backend server crashed while it had the call. */
+    SERVER_CRASHED(3008, 502, Outcome.UNKNOWN, "The backend server crashed.", "Resend with the same key."),
+
+    /** A further attempt was refused after an earlier one may have run. */
+    RETRY_REFUSED(
+            3009, 503, Outcome.UNKNOWN, "A retry was refused; an earlier attempt may have run.", "Come back later."),
+
+    /** The key claims to be made in the future; this send started nothing. */
+    KEY_FROM_FUTURE(
+            3007, 400, Outcome.UNKNOWN, "The key's time lies in the future.", "Correct the clock that makes keys."),
+
+    /** The entry does not fit the schema. */
+    ENTRY_INVALID(4001, 422, Outcome.NOT_RUN, "The entry is invalid.", "Correct what the detail names."),
+
+    /** Another change came first. */
+    VERSION_CONFLICT(4002, 409, Outcome.NOT_RUN, "Another change came first.", "Read the entry and decide again."),
+
+    /** The store does not answer and the change was not taken. */
+    STORE_UNAVAILABLE(4003, 503, Outcome.NOT_RUN, "The store does not answer.", "Try again later."),
+
+    /** The store did not say whether the change was taken. */
+    CHANGE_UNRESOLVED(4004, 504, Outcome.UNKNOWN, "The change may be in force.", "Ask for its status by change id."),
+
+    /** No change of this id was accepted. */
+    CHANGE_NOT_FOUND(4005, 404, Outcome.NOT_RUN, "No change of this id was accepted.", "Check the id."),
+
+    /** The catalogue has no such entry. */
+    ENTRY_NOT_FOUND(4006, 404, Outcome.NOT_RUN, "The catalogue has no such entry.", "Check the name."),
+
+    /** The credential is missing or wrong. */
+    UNAUTHORIZED(4007, 401, Outcome.NOT_RUN, "The credential is missing or wrong.", "Send the shared credential."),
+
+    /** The settings are invalid. */
+    SETTINGS_INVALID(4008, 400, Outcome.NOT_RUN, "The settings are invalid.", "Correct what the detail names.");
+
+    /** Number of the code. */
+    private final int number;
+
+    /** HTTP status that carries the code. */
+    private final int status;
+
+    /** What the code says about the call. */
+    private final Outcome outcome;
+
+    /** Meaning in one sentence. */
+    private final String title;
+
+    /** What the receiver can do. */
+    private final String advice;
+
+    /**
+     * Creates a code.
+     *
+     * @param number  number of the code
+     * @param status  HTTP status
+     * @param outcome what it says about the call
+     * @param title   meaning in one sentence
+     * @param advice  what the receiver can do
+     */
+    ResultCode(int number, int status, Outcome outcome, String title, String advice) {
+        this.number = number;
+        this.status = status;
+        this.outcome = outcome;
+        this.title = title;
+        this.advice = advice;
+    }
+
+    /**
+     * Returns the number.
+     *
+     * @return the number
+     */
+    public int number() {
+        return number;
+    }
+
+    /**
+     * Returns the HTTP status.
+     *
+     * @return the status
+     */
+    public int status() {
+        return status;
+    }
+
+    /**
+     * Returns what the code says about the call.
+     *
+     * @return the outcome
+     */
+    public Outcome outcome() {
+        return outcome;
+    }
+
+    /**
+     * Returns the meaning.
+     *
+     * @return one sentence
+     */
+    public String title() {
+        return title;
+    }
+
+    /**
+     * Returns what the receiver can do.
+     *
+     * @return one sentence
+     */
+    public String advice() {
+        return advice;
+    }
+
+    /**
+     * Finds a code by its number.
+     *
+     * @param text decimal number, or {@code null}
+     * @return the code, or empty for any other text
+     */
+    public static Optional<ResultCode> of(String text) {
+        for (ResultCode code : values()) {
+            if (Integer.toString(code.number).equals(text)) {
+                return Optional.of(code);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/RoutingPolicy.java
@@ -0,0 +1,143 @@
+package io.mustardusher.routing;
+
+import java.util.random.RandomGenerator;
+
+/** Rule by which an entry chooses one of the backend servers of a service. */
+public enum RoutingPolicy {
+    /** Each server in turn. */
+    ROUND_ROBIN("round-robin") {
+        @Override
+        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+            return pool.firstServing(pool.nextTurn(), exclusion);
+        }
+    },
+
+    /** Any server. */
+    RANDOM("random") {
+        @Override
+        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+            return pool.firstServing(random.nextInt(pool.size()), exclusion);
+        }
+    },
+
+    /** Of two random servers the one with fewer calls of this entry in flight. */
+    LEAST_IN_FLIGHT_OF_TWO("least-in-flight-of-two") {
+        @Override
+        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+            int first = pool.firstServing(random.nextInt(pool.size()), exclusion);
+            if (first < 0 || pool.size() == 1) {
+                return first;
+            }
+            int second = pool.firstServing((first + 1 + random.nextInt(pool.size() - 1)) % pool.size(), exclusion);
+            return pool.get(second).inFlight() < pool.get(first).inFlight() ? second : first;
+        }
+    },
+
+    /** Of a few random servers the one with the shortest estimated time to an answer; failing servers are left out. */
+    MUSTARDUSHER("mustardusher") {
+        @Override
+        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+            int trial = pool.findTrial(random.nextInt(pool.size()), exclusion, now);
+            if (trial >= 0) {
+                return trial;
+            }
+            int best = pickByScore(pool, exclusion, random, now);
+            return best >= 0 ? best : pool.firstServing(random.nextInt(pool.size()), exclusion);
+        }
+    };
+
+    /** Servers compared by score in one decision. */
+    static final int SAMPLE = 3;
+
+    /** Name in documents. */
+    private final String token;
+
+    /**
+     * Creates a policy.
+     *
+     * @param token name in documents
+     */
+    RoutingPolicy(String token) {
+        this.token = token;
+    }
+
+    /**
+     * Returns the name in documents.
+     *
+     * @return the token
+     */
+    public String token() {
+        return token;
+    }
+
+    /**
+     * Finds the policy of a name.
+     *
+     * @param token name in documents
+     * @return the policy
+     */
+    public static RoutingPolicy of(String token) {
+        for (RoutingPolicy candidate : values()) {
+            if (candidate.token.equals(token)) {
+                return candidate;
+            }
+        }
+        throw new IllegalArgumentException("unknown policy: " + token);
+    }
+
+    /**
+     * Chooses a server. Allocates nothing.
+     *
+     * @param pool      servers of the service
+     * @param exclusion servers that were tried
+     * @param random    source of random choice
+     * @param now       present time, in nanoseconds
+     * @return the server, or {@code null} if none takes calls
+     */
+    public ServerLoad choose(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+        if (pool.size() == 0) {
+            return null;
+        }
+        int index = pick(pool, exclusion, random, now);
+        return index < 0 ? null : pool.get(index);
+    }
+
+    /**
+     * Chooses the index of a server.
+     *
+     * @param pool      servers of the service, at least one
+     * @param exclusion servers that were tried
+     * @param random    source of random choice
+     * @param now       present time, in nanoseconds
+     * @return the index, or a negative number if none takes calls
+     */
+    abstract int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now);
+
+    /**
+     * Chooses the server of the lowest score in a random sample.
+     *
+     * @param pool      servers of the service, at least one
+     * @param exclusion servers that were tried
+     * @param random    source of random choice
+     * @param now       present time, in nanoseconds
+     * @return the index, or a negative number if every server is left out
+     */
+    private static int pickByScore(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+        int best = -1;
+        double bestScore = Double.MAX_VALUE;
+        int start = random.nextInt(pool.size());
+        int stride = pool.size() <= SAMPLE ? 1 : 1 + random.nextInt(pool.size() - 1);
+        for (int i = 0; i < SAMPLE; i++) {
+            int index = pool.firstHealthy((start + i * stride) % pool.size(), exclusion, now);
+            if (index < 0) {
+                return best;
+            }
+            double score = pool.get(index).score(now);
+            if (score < bestScore) {
+                bestScore = score;
+                best = index;
+            }
+        }
+        return best;
+    }
+}
--- /dev/null
+++ b/mustardusher-core/src/main/java/io/mustardusher/time/package-info.java
@@ -0,0 +1,2 @@
+/** Time as the rest of the code sees it, so that tests can stop and advance it. */
+package io.mustardusher.time;
--- /dev/null
+++ b/mustardusher-ctl/src/main/java/io/mustardusher/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package io.mustardusher.ctl;
--- /dev/null
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeProcess.java
@@ -0,0 +1,295 @@
+package io.mustardusher.lab.cluster;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.linecorp.armeria.client.WebClient;
+import io.mustardusher.schema.Schema;
+
+/** A node as a process of its own. */
+public final class NodeProcess {
+
+    /** Flags of the virtual machine with which {@code musherd} ships. */
+    public static final List<String> JVM_FLAGS = List.of(
+            "-Xmx64m",
+            "-Xss512k",
+            "-XX:+UseSerialGC",
+            "-XX:MaxDirectMemorySize=48m",
+            "-XX:ReservedCodeCacheSize=48m",
+            "-XX:TieredStopAtLevel=4",
+            "-XX:CICompilerCount=2",
+            "-Dio.netty.allocator.numDirectArenas=2",
+            "-Dio.netty.allocator.numHeapArenas=1",
+            "-Dcom.linecorp.armeria.transportType=epoll",
+            "-Dlogback.statusListenerClass=ch.qos.logback.core.status.NopStatusListener",
+            "-Dorg.jboss.logging.provider=slf4j");
+
+    /** Time between two looks for readiness, in milliseconds. */
+    private static final long READY_POLL_MILLIS = 50;
+
+    /** Time allowed to become ready, in milliseconds. */
+    private static final long READY_MILLIS = 30_000;
+
+    /** Name of the node. */
+    private final String name;
+
+    /** Its ports. */
+    private final Ports ports;
+
+    /** Its settings file. */
+    private final Path settings;
+
+    /** Its log file. */
+    private final Path log;
+
+    /** Shared secret. */
+    private final String credential;
+
+    /** The process; {@code null} before the start. */
+    private Process process;
+
+    /**
+     * Creates a node that is not started.
+     *
+     * @param name       name of the node
+     * @param ports      its ports
+     * @param settings   its settings file
+     * @param log        its log file
+     * @param credential shared secret
+     */
+    NodeProcess(String name, Ports ports, Path settings, Path log, String credential) {
+        this.name = name;
+        this.ports = ports;
+        this.settings = settings;
+        this.log = log;
+        this.credential = credential;
+    }
+
+    /**
+     * Writes the settings of a node.
+     *
+     * @param upstream    the upstream beside which it runs
+     * @param deployment  the deployment
+     * @param ports       its ports
+     * @param platformUrl base URL of the platform
+     * @param credential  shared secret
+     * @param decisions   whether decisions are logged
+     * @return the settings
+     */
+    static ObjectNode settings(
+            Deployment.Upstream upstream,
+            Deployment deployment,
+            Ports ports,
+            String platformUrl,
+            String credential,
+            boolean decisions) {
+        ObjectNode settings = Schema.mapper().createObjectNode();
+        settings.put("id", upstream.name());
+        settings.put("region", deployment.region());
+        settings.put("failureDomain", upstream.domain());
+        settings.put("host", "127.0.0.1");
+        settings.put("credential", credential);
+        settings.withObjectProperty("ports")
+                .put("caller", ports.caller())
+                .put("gate", ports.gate())
+                .put("frame", ports.frame())
+                .put("admin", ports.admin());
+        settings.withObjectProperty("platform").put("url", platformUrl);
+        settings.withObjectProperty("regionDistancesMicros").put("sameRegion", deployment.oneWayMicros());
+        settings.withObjectProperty("log").put("decisions", decisions);
+        return settings;
+    }
+
+    /**
+     * Returns the name.
+     *
+     * @return the name
+     */
+    public String name() {
+        return name;
+    }
+
+    /**
+     * Returns the ports.
+     *
+     * @return the ports
+     */
+    public Ports ports() {
+        return ports;
+    }
+
+    /**
+     * Returns the base URL of the admin listener.
+     *
+     * @return the URL
+     */
+    public String adminUrl() {
+        return "http://127.0.0.1:" + ports.admin();
+    }
+
+    /** Starts the process. */
+    public synchronized void start() {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(JVM_FLAGS);
+        command.add("-cp");
+        command.add(System.getProperty("java.class.path"));
+        command.add("io.mustardusher.node.Musherd");
+        command.add("--config");
+        command.add(settings.toString());
+        try {
+            process = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                    .start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Waits until the node takes calls. */
+    public void awaitReady() {
+        WebClient client =
+                WebClient.builder(adminUrl()).responseTimeoutMillis(1_000).build();
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
+        while (System.nanoTime() - end < 0) {
+            boolean ready = client.get("/ready")
+                    .aggregate()
+                    .handle((answer, failure) ->
+                            failure == null && answer.status().isSuccess())
+                    .join();
+            if (ready) {
+                return;
+            }
+            if (!process.isAlive()) {
+                break;
+            }
+            sleep(READY_POLL_MILLIS);
+        }
+        throw new IllegalStateException("node " + name + " did not become ready; see " + log);
+    }
+
+    /**
+     * Stops the node gracefully.
+     *
+     * @param limitMillis time allowed, in milliseconds
+     * @return exit code; negative if the time ended
+     */
+    public int stop(long limitMillis) {
+        Process running = process;
+        if (running == null || !running.isAlive()) {
+            return 0;
+        }
+        running.destroy();
+        try {
+            if (running.waitFor(limitMillis, TimeUnit.MILLISECONDS)) {
+                return running.exitValue();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        kill();
+        return -1;
+    }
+
+    /** Ends the process at once. */
+    public void kill() {
+        Process running = process;
+        if (running != null) {
+            running.destroyForcibly();
+        }
+    }
+
+    /** Freezes the process. */
+    public void pause() {
+        signal("-STOP");
+    }
+
+    /** Lets a frozen process go on. */
+    public void resume() {
+        signal("-CONT");
+    }
+
+    /**
+     * Returns the resident memory.
+     *
+     * @return kilobytes; 0 if unknown
+     */
+    public long residentKilobytes() {
+        try {
+            for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+                if (line.startsWith("VmRSS:")) {
+                    return Long.parseLong(line.replaceAll("\\D", ""));
+                }
+            }
+        } catch (IOException e) {
+            // the process has ended
+        }
+        return 0;
+    }
+
+    /**
+     * Returns the processor time used.
+     *
+     * @return milliseconds
+     */
+    public long processorMillis() {
+        return process.info()
+                .totalCpuDuration()
+                .map(java.time.Duration::toMillis)
+                .orElse(0L);
+    }
+
+    /**
+     * Asks the admin listener.
+     *
+     * @param path the path
+     * @return the answer; empty if there is none
+     */
+    public String admin(String path) {
+        return WebClient.builder(adminUrl())
+                .responseTimeoutMillis(2_000)
+                .build()
+                .execute(com.linecorp.armeria.common.RequestHeaders.of(
+                        com.linecorp.armeria.common.HttpMethod.GET, path, "authorization", "Bearer " + credential))
+                .aggregate()
+                .handle((answer, failure) -> failure == null ? answer.contentUtf8() : "")
+                .join();
+    }
+
+    /**
+     * Sends a signal to the process.
+     *
+     * @param signal the signal
+     */
+    private void signal(String signal) {
+        try {
+            new ProcessBuilder("kill", signal, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Waits.
+     *
+     * @param millis time in milliseconds
+     */
+    private static void sleep(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load, and what became of each call. */
+package io.mustardusher.lab.load;
--- /dev/null
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/package-info.java
@@ -0,0 +1,2 @@
+/** The laboratory's command line. */
+package io.mustardusher.lab;
--- /dev/null
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/report/package-info.java
@@ -0,0 +1,2 @@
+/** Reports and plots. */
+package io.mustardusher.lab.report;
--- /dev/null
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/Action.java
@@ -0,0 +1,238 @@
+package io.mustardusher.lab.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+import io.mustardusher.lab.cluster.Cluster;
+import io.mustardusher.lab.cluster.Deployment;
+import io.mustardusher.lab.load.Entries;
+import io.mustardusher.lab.standin.BackendServer;
+import io.mustardusher.lab.standin.StoreFault;
+
+/** What a scenario can do to a deployment. */
+public enum Action {
+    /** {@code slow SERVER xN}: the server takes N times as long. */
+    SLOW(2) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            BackendServer backend = cluster.backend(words.get(0));
+            double factor = Double.parseDouble(words.get(1).substring(1));
+            backend.behave(backend.behaviour().withSlowFactor(factor));
+            return "";
+        }
+    },
+
+    /** {@code noise SERVER TIME}: a neighbour triples the service time in every other period. */
+    NOISE(2) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            BackendServer backend = cluster.backend(words.get(0));
+            backend.behave(backend.behaviour().withNoiseMillis(Duration.millis(words.get(1))));
+            return "";
+        }
+    },
+
+    /** {@code fail-fast SERVER}: the server answers 503 at once. */
+    FAIL_FAST(1) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            BackendServer backend = cluster.backend(words.get(0));
+            backend.behave(backend.behaviour().withFailFast(true));
+            return "";
+        }
+    },
+
+    /** {@code shed SERVER N}: the server sheds, with a mark, above N calls. */
+    SHED(2) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            BackendServer backend = cluster.backend(words.get(0));
+            backend.behave(backend.behaviour().withShedAbove(Integer.parseInt(words.get(1))));
+            return "";
+        }
+    },
+
+    /** {@code restore SERVER}: the server behaves as at first. */
+    RESTORE(1) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            BackendServer backend = cluster.backend(words.get(0));
+            backend.behave(backend.behaviour()
+                    .withSlowFactor(1)
+                    .withFailFast(false)
+                    .withShedAbove(0)
+                    .withNoiseMillis(0));
+            return "";
+        }
+    },
+
+    /** {@code drain SERVER}: the server announces that it takes no new work. */
+    DRAIN(1) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            cluster.backend(words.get(0)).drain();
+            return "";
+        }
+    },
+
+    /** {@code resume SERVER}: the server announces that it takes work again. */
+    RESUME(1) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            cluster.backend(words.get(0)).resume();
+            return "";
+        }
+    },
+
+    /** {@code crash SERVER}: the server ends at once; its node stays. */
+    CRASH(1) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            cluster.backend(words.get(0)).crash();
+            return "";
+        }
+    },
+
+    /** {@code start SERVER}: a crashed server starts again. */
+    START(1) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            cluster.backend(words.get(0)).start();
+            return "";
+        }
+    },
+
+    /** {@code stop-node NODE}: graceful shutdown of node and server. */
+    STOP_NODE(1) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            entries.remove(cluster.node(words.get(0)).ports().caller());
+            return "exit " + cluster.stopNode(words.get(0));
+        }
+    },
+
+    /** {@code start-node NODE}: a stopped or killed node starts again with its server. */
+    START_NODE(1) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            cluster.startNode(words.get(0));
+            entries.add(cluster.node(words.get(0)).ports().caller());
+            return "";
+        }
+    },
+
+    /** {@code replace-node NODE}: graceful shutdown, then a new process. */
+    REPLACE_NODE(1) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) throws InterruptedException {
+            return STOP_NODE.run(cluster, entries, words) + START_NODE.run(cluster, entries, words);
+        }
+    },
+
+    /** {@code kill-node NODE}: the VM vanishes. */
+    KILL_NODE(1) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            entries.killed(cluster.node(words.get(0)).ports().caller());
+            cluster.killNode(words.get(0));
+            return "";
+        }
+    },
+
+    /** {@code pause-node NODE TIME}: the node's process is frozen for a while. */
+    PAUSE_NODE(2) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) throws InterruptedException {
+            entries.remove(cluster.node(words.get(0)).ports().caller());
+            cluster.node(words.get(0)).pause();
+            TimeUnit.MILLISECONDS.sleep(Duration.millis(words.get(1)));
+            cluster.node(words.get(0)).resume();
+            entries.add(cluster.node(words.get(0)).ports().caller());
+            return "";
+        }
+    },
+
+    /** {@code platform FAULT}: the table service is none, down, silent, slow or loses answers. */
+    PLATFORM(1) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            String fault = words.get(0).toUpperCase(Locale.ROOT).replace('-', '_');
+            cluster.platform().fault(StoreFault.valueOf(fault));
+            return "";
+        }
+    },
+
+    /** {@code change SERVICE PATH=VALUE}: an operator changes the entry. */
+    CHANGE(2) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) {
+            Deployment.ServiceSize service = cluster.deployment().service(words.get(0));
+            String[] change = words.get(1).split("=", 2);
+            Cluster.CommandResult result = cluster.put(service.entryWith(change[0], change[1]));
+            return "exit " + result.exit() + " " + result.text().strip().replace('\n', ' ');
+        }
+    },
+
+    /** {@code race SERVICE N}: N operators change the entry at once; exactly one must win. */
+    RACE(2) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) throws InterruptedException {
+            Deployment.ServiceSize service = cluster.deployment().service(words.get(0));
+            int operators = Integer.parseInt(words.get(1));
+            List<Thread> threads = new ArrayList<>();
+            List<Integer> exits = java.util.Collections.synchronizedList(new ArrayList<>());
+            for (int i = 0; i < operators; i++) {
+                String deadline = Integer.toString(1000 + i);
+                Thread operator = new Thread(() -> exits.add(cluster.put(service.entryWith("deadlineMillis", deadline))
+                        .exit()));
+                threads.add(operator);
+                operator.start();
+            }
+            for (Thread operator : threads) {
+                operator.join();
+            }
+            long winners = exits.stream().filter(exit -> exit == 0).count();
+            return winners + " accepted of " + operators;
+        }
+    };
+
+    /** Number of words behind the name. */
+    private final int words;
+
+    /**
+     * Creates an action.
+     *
+     * @param words number of words behind the name
+     */
+    Action(int words) {
+        this.words = words;
+    }
+
+    /**
+     * Finds an action.
+     *
+     * @param name  name as scenarios write it
+     * @param count number of words behind it
+     * @return the action
+     */
+    static Action of(String name, int count) {
+        Action action = valueOf(name.toUpperCase(Locale.ROOT).replace('-', '_'));
+        if (action.words != count) {
+            throw new IllegalArgumentException(name + " takes " + action.words + " words");
+        }
+        return action;
+    }
+
+    /**
+     * Acts.
+     *
+     * @param cluster the deployment
+     * @param entries entries that callers know
+     * @param words   words behind the name
+     * @return what was seen
+     * @throws InterruptedException if a wait is interrupted
+     */
+    abstract String run(Cluster cluster, Entries entries, List<String> words) throws InterruptedException;
+}
--- /dev/null
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform and for backend servers. */
+package io.mustardusher.lab.standin;
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -0,0 +1,106 @@
+package io.mustardusher.call;
+
+import java.util.List;
+
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import io.netty.util.AsciiString;
+
+/** Names of the headers that the system reads and writes. */
+public final class CallHeaders {
+
+    /** Service that is called. */
+    public static final AsciiString SERVICE = AsciiString.cached("mustardusher-service");
+
+    /** Owner on whose behalf the call comes. */
+    public static final AsciiString OWNER = AsciiString.cached("mustardusher-owner");
+
+    /** Number of services that the chain of calls has passed. */
+    public static final AsciiString DEPTH = AsciiString.cached("mustardusher-depth");
+
+    /** Number of the send. */
+    public static final AsciiString ATTEMPT = AsciiString.cached("mustardusher-attempt");
+
+    /** Time left for the call, in the form of gRPC. */
+    public static final AsciiString TIMEOUT = AsciiString.cached("grpc-timeout");
+
+    /** Key of a call that must not run twice, after the IETF draft of that name. */
+    public static final AsciiString IDEMPOTENCY_KEY = AsciiString.cached("idempotency-key");
+
+    /** Urgency of the call, RFC 9218. */
+    public static final AsciiString PRIORITY = AsciiString.cached("priority");
+
+    /** What became of the call. */
+    public static final AsciiString OUTCOME = AsciiString.cached("mustardusher-outcome");
+
+    /** Number of the result code. */
+    public static final AsciiString CODE = AsciiString.cached("mustardusher-code");
+
+    /** Load of the answering gate. */
+    public static final AsciiString LOAD = AsciiString.cached("mustardusher-load");
+
+    /** Hash over service, method, path and body; between nodes. */
+    public static final AsciiString FINGERPRINT = AsciiString.cached("mustardusher-fingerprint");
+
+    /** Number of the crash in which the call was in flight; between nodes. */
+    public static final AsciiString CRASH = AsciiString.cached("mustardusher-crash");
+
+    /** Role in which the receiving node is addressed; between nodes. */
+    public static final AsciiString ROLE = AsciiString.cached("mustardusher-role");
+
+    /** Class of the call; between nodes. */
+    public static final AsciiString CLASS = AsciiString.cached("mustardusher-class");
+
+    /** Role of the home of a key. */
+    public static final String ROLE_HOME = "home";
+
+    /** Headers that concern one connection, RFC 9110, section 7.6.1. */
+    private static final List<AsciiString> HOP_BY_HOP = List.of(
+            HttpHeaderNames.CONNECTION,
+            AsciiString.cached("keep-alive"),
+            AsciiString.cached("proxy-connection"),
+            HttpHeaderNames.TE,
+            HttpHeaderNames.TRANSFER_ENCODING,
+            HttpHeaderNames.UPGRADE,
+            AsciiString.cached("http2-settings"),
+            HttpHeaderNames.EXPECT);
+
+    /** Headers that only nodes may set on requests. */
+    private static final List<AsciiString> BETWEEN_NODES =
+            List.of(FINGERPRINT, CRASH, ROLE, CLASS, HttpHeaderNames.AUTHORIZATION);
+
+    /** Headers of answers that only nodes may set. */
+    private static final List<AsciiString> OF_ANSWERS = List.of(OUTCOME, CODE, LOAD, CRASH);
+
+    /** Not instantiated. */
+    private CallHeaders() {}
+
+    /**
+     * Removes what concerns the last connection from a request.
+     *
+     * @param headers the headers
+     */
+    static void stripHop(RequestHeadersBuilder headers) {
+        HOP_BY_HOP.forEach(headers::remove);
+    }
+
+    /**
+     * Removes what only nodes may set from a request.
+     *
+     * @param headers the headers
+     */
+    static void stripBetweenNodes(RequestHeadersBuilder headers) {
+        BETWEEN_NODES.forEach(headers::remove);
+    }
+
+    /**
+     * Removes what concerns the last connection, and what only nodes may set, from an answer.
+     *
+     * @param headers the headers
+     */
+    public static void stripAnswer(ResponseHeadersBuilder headers) {
+        HOP_BY_HOP.forEach(headers::remove);
+        OF_ANSWERS.forEach(headers::remove);
+    }
+}
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
@@ -0,0 +1,170 @@
+package io.mustardusher.call;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+
+import com.linecorp.armeria.client.ClientRequestContext;
+import com.linecorp.armeria.client.ClientRequestContextCaptor;
+import com.linecorp.armeria.client.Clients;
+import com.linecorp.armeria.client.RequestOptions;
+import com.linecorp.armeria.client.ResponseTimeoutException;
+import com.linecorp.armeria.client.UnprocessedRequestException;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.SplitHttpResponse;
+import io.mustardusher.result.MustardusherException;
+import io.mustardusher.result.ResultCode;
+import io.mustardusher.time.Clock;
+
+/** One request to the next hop: its answer's headers, and its body as a stream. */
+public final class Exchange {
+
+    /** The answer. */
+    private final HttpResponse response;
+
+    /** The answer in two parts. */
+    private final SplitHttpResponse split;
+
+    /** Context of the request; {@code null} if no connection is used. */
+    private final ClientRequestContext context;
+
+    /**
+     * Creates an exchange.
+     *
+     * @param response the answer
+     * @param context  context of the request, or {@code null}
+     */
+    private Exchange(HttpResponse response, ClientRequestContext context) {
+        this.response = response;
+        this.split = response.split();
+        this.context = context;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param client    client of the next hop
+     * @param request   the request
+     * @param leftNanos time until the answer must begin, in nanoseconds
+     * @return the exchange
+     */
+    public static Exchange send(WebClient client, HttpRequest request, long leftNanos) {
+        RequestOptions options = RequestOptions.builder()
+                .responseTimeoutMillis(Math.max(1, leftNanos / Clock.NANOS_PER_MILLI))
+                .maxResponseLength(0)
+                .build();
+        try (ClientRequestContextCaptor captor = Clients.newContextCaptor()) {
+            HttpResponse response = client.execute(request, options);
+            return new Exchange(response, captor.getOrNull());
+        }
+    }
+
+    /**
+     * Wraps an answer that comes from this process.
+     *
+     * @param response the answer
+     * @return the exchange
+     */
+    public static Exchange within(HttpResponse response) {
+        return new Exchange(response, null);
+    }
+
+    /**
+     * Returns the headers once they come. The time limit ends with them.
+     *
+     * @return the headers; fails with a {@link MustardusherException}
+     */
+    public CompletableFuture<ResponseHeaders> headers() {
+        return split.headers().handle((headers, failure) -> {
+            if (failure != null) {
+                throw new MustardusherException(codeOf(failure), describe(failure));
+            }
+            if (headers.status().equals(HttpStatus.UNKNOWN)) {
+                throw new MustardusherException(ResultCode.CONNECTION_LOST, "no headers");
+            }
+            if (context != null) {
+                context.clearResponseTimeout();
+            }
+            return headers;
+        });
+    }
+
+    /**
+     * Passes the answer on under other headers.
+     *
+     * @param headers the headers
+     * @return the answer
+     */
+    public HttpResponse answer(ResponseHeaders headers) {
+        return HttpResponse.of(headers, split.body());
+    }
+
+    /**
+     * Returns the end of the answer.
+     *
+     * @return completes with the last byte, fails if the answer is cut short
+     */
+    public CompletableFuture<Void> whenComplete() {
+        return split.body().whenComplete();
+    }
+
+    /** Drops the rest of the answer. */
+    public void discard() {
+        split.body().abort();
+    }
+
+    /** Gives up the request. */
+    public void abort() {
+        response.abort();
+    }
+
+    /**
+     * Gives up the request when a stage completes.
+     *
+     * @param cancelled the stage
+     */
+    public void abortOn(CompletionStage<?> cancelled) {
+        cancelled.thenRun(this::abort);
+    }
+
+    /**
+     * Maps a failure before the headers. Only a request that never left this process is proven not to have run.
+     *
+     * @param failure the failure
+     * @return the code
+     */
+    static ResultCode codeOf(Throwable failure) {
+        Throwable cause = unwrap(failure);
+        if (cause instanceof MustardusherException coded) {
+            return coded.code();
+        }
+        if (cause instanceof UnprocessedRequestException) {
+            return ResultCode.SERVER_UNREACHABLE;
+        }
+        return cause instanceof ResponseTimeoutException ? ResultCode.DEADLINE_PASSED : ResultCode.CONNECTION_LOST;
+    }
+
+    /**
+     * Describes a failure for callers, without addresses.
+     *
+     * @param failure the failure
+     * @return the name of its class
+     */
+    private static String describe(Throwable failure) {
+        return unwrap(failure).getClass().getSimpleName();
+    }
+
+    /**
+     * Finds the cause of a failed stage.
+     *
+     * @param failure the failure
+     * @return the cause
+     */
+    private static Throwable unwrap(Throwable failure) {
+        return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+    }
+}
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -0,0 +1,244 @@
+package io.mustardusher.entry;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.server.HttpService;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import io.mustardusher.call.Call;
+import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.Problem;
+import io.mustardusher.catalogue.Catalogue;
+import io.mustardusher.result.MustardusherException;
+import io.mustardusher.result.ResultCode;
+import io.mustardusher.time.Clock;
+
+/** The callers' listener. */
+public final class Entry implements HttpService {
+
+    /** Largest body that is held whole, in bytes. */
+    private static final long WHOLE_BYTES = 64L << 10;
+
+    /** Largest body of a call with a key, in bytes. */
+    private static final long KEYED_BYTES = 1L << 20;
+
+    /** Brings calls to gates. */
+    private final Router router;
+
+    /** Brings calls with keys to their homes. */
+    private final HomeRouter homes;
+
+    /** The catalogue in force; {@code null} before the first. */
+    private final Supplier<Catalogue> catalogue;
+
+    /** Renews load reports; told of each call. */
+    private final Prober prober;
+
+    /** Source of time. */
+    private final Clock clock;
+
+    /** Calls whose answer has not ended. */
+    private final AtomicInteger inside = new AtomicInteger();
+
+    /** Time until the answer begins. */
+    private final Timer served;
+
+    /** Whether the node is stopping. */
+    private volatile boolean stopping;
+
+    /**
+     * Creates an entry.
+     *
+     * @param router    brings calls to gates
+     * @param homes     brings calls with keys to their homes
+     * @param catalogue the catalogue in force; {@code null} before the first
+     * @param prober    renews load reports; told of each call
+     * @param clock     source of time
+     * @param metrics   registry of metrics
+     */
+    public Entry(
+            Router router,
+            HomeRouter homes,
+            Supplier<Catalogue> catalogue,
+            Prober prober,
+            Clock clock,
+            MetricRegistry metrics) {
+        this.router = router;
+        this.homes = homes;
+        this.catalogue = catalogue;
+        this.prober = prober;
+        this.clock = clock;
+        this.served = metrics.timer("entry.served");
+    }
+
+    /** Refuses further calls. */
+    public void stop() {
+        stopping = true;
+    }
+
+    /**
+     * Returns the calls whose answer has not ended.
+     *
+     * @return number of calls
+     */
+    public int inside() {
+        return inside.get();
+    }
+
+    @Override
+    public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
+        long begun = clock.nanoTime();
+        inside.incrementAndGet();
+        HttpResponse response;
+        try {
+            response = accept(context, request);
+        } catch (MustardusherException e) {
+            response = Problem.response(e);
+        }
+        response.whenComplete().whenComplete((done, failure) -> {
+            inside.decrementAndGet();
+            served.update(clock.nanoTime() - begun, TimeUnit.NANOSECONDS);
+        });
+        return response;
+    }
+
+    /**
+     * Handles a call that another entry brings to this node as the home of its key.
+     *
+     * @param request the request, with the headers that nodes set
+     * @return the answer
+     */
+    public HttpResponse serveAsHome(HttpRequest request) {
+        Catalogue present = catalogue.get();
+        if (present == null) {
+            return Problem.response(ResultCode.KEEPER_UNAVAILABLE, "this node has no catalogue yet");
+        }
+        try {
+            Call call = Call.read(request.headers(), present, clock.nanoTime());
+            return HttpResponse.of(request.aggregate()
+                    .thenCompose(aggregated -> homes.handleAsHome(call, body(aggregated)))
+                    .exceptionally(Problem::response));
+        } catch (MustardusherException e) {
+            return Problem.response(e);
+        }
+    }
+
+    /**
+     * Accepts a call.
+     *
+     * @param context context of the request
+     * @param request the request
+     * @return the answer
+     */
+    private HttpResponse accept(ServiceRequestContext context, HttpRequest request) {
+        Catalogue present = catalogue.get();
+        if (stopping) {
+            throw refusal(request, ResultCode.NODE_STOPPING, "this node is stopping");
+        }
+        if (present == null) {
+            throw refusal(request, ResultCode.NODE_STARTING, "neither the table service nor peers answer");
+        }
+        Call call = Call.read(request.headers(), present, clock.nanoTime());
+        prober.called(call.entry());
+        boolean idempotent = call.isIdempotent();
+        boolean keyed = !idempotent && call.key().isPresent();
+        if (!idempotent && !keyed && call.entry().keyRequired()) {
+            throw new MustardusherException(ResultCode.KEY_REQUIRED, "the service takes no such call without a key");
+        }
+        CompletableFuture<?> cancelled = context.whenRequestCancelling();
+        long length = request.isEmpty() ? 0 : request.headers().getLong("content-length", Long.MAX_VALUE);
+        if (keyed) {
+            return acceptKeyed(context, call, request, length, cancelled);
+        }
+        if (length == 0) {
+            request.abort();
+            return router.route(call, CallBody.Whole.EMPTY, idempotent, cancelled);
+        }
+        if (length > WHOLE_BYTES) {
+            return router.route(call, new CallBody.Streamed(request), idempotent, cancelled);
+        }
+        return HttpResponse.of(whole(context, call, request)
+                .thenApply(body -> router.route(call, body, idempotent, cancelled))
+                .exceptionally(Problem::response));
+    }
+
+    /**
+     * Refuses a request before its home was asked. Of a request with a key this node cannot say that it was not run, for
+     * an earlier send may have run.
+     *
+     * @param request the request
+     * @param code    why
+     * @param detail  what happened
+     * @return the exception
+     */
+    private static MustardusherException refusal(HttpRequest request, ResultCode code, String detail) {
+        boolean keyed = request.headers().contains(CallHeaders.IDEMPOTENCY_KEY);
+        return new MustardusherException(keyed ? ResultCode.KEEPER_UNAVAILABLE : code, detail);
+    }
+
+    /**
+     * Accepts a call with a key.
+     *
+     * @param context   context of the request
+     * @param call      the call
+     * @param request   the request
+     * @param length    length of the body, in bytes
+     * @param cancelled completes when the caller has given up
+     * @return the answer
+     */
+    private HttpResponse acceptKeyed(
+            ServiceRequestContext context,
+            Call call,
+            HttpRequest request,
+            long length,
+            CompletableFuture<?> cancelled) {
+        if (length > KEYED_BYTES) {
+            throw new MustardusherException(ResultCode.BODY_TOO_LARGE, "a body of known length, at most 1 MiB");
+        }
+        return HttpResponse.of(whole(context, call, request)
+                .thenCompose(body -> homes.route(call, body, cancelled))
+                .exceptionally(Problem::response));
+    }
+
+    /**
+     * Waits for the whole body, until the deadline.
+     *
+     * @param context context of the request
+     * @param call    the call
+     * @param request the request
+     * @return the body
+     */
+    private CompletableFuture<CallBody.Whole> whole(ServiceRequestContext context, Call call, HttpRequest request) {
+        MustardusherException late = new MustardusherException(ResultCode.DEADLINE_EXPIRED, "the body came too late");
+        ScheduledFuture<?> limit = context.eventLoop()
+                .schedule(() -> request.abort(late), call.deadlineNanos() - clock.nanoTime(), TimeUnit.NANOSECONDS);
+        return request.aggregate().handle((aggregated, failure) -> {
+            limit.cancel(false);
+            if (failure != null) {
+                boolean expired = failure.getCause() == late || failure == late;
+                throw expired
+                        ? late
+                        : new MustardusherException(ResultCode.REQUEST_MALFORMED, "the body was cut short");
+            }
+            return body(aggregated);
+        });
+    }
+
+    /**
+     * Takes the body of a request.
+     *
+     * @param request the request
+     * @return the body
+     */
+    private static CallBody.Whole body(AggregatedHttpRequest request) {
+        return new CallBody.Whole(request.content(), request.trailers());
+    }
+}
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -0,0 +1,307 @@
+package io.mustardusher.entry;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ThreadLocalRandom;
+
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import io.mustardusher.call.Call;
+import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.Exchange;
+import io.mustardusher.call.Fingerprint;
+import io.mustardusher.call.Problem;
+import io.mustardusher.log.NodeLog;
+import io.mustardusher.result.MustardusherException;
+import io.mustardusher.result.Outcome;
+import io.mustardusher.result.ResultCode;
+import io.mustardusher.retry.Attempt;
+import io.mustardusher.retry.RetryPolicy;
+import io.mustardusher.routing.Exclusion;
+import io.mustardusher.routing.LoadReport;
+import io.mustardusher.routing.ServerLoad;
+import io.mustardusher.routing.ServerPool;
+import io.mustardusher.time.Clock;
+
+/** One call at the entry, from the first choice to the answer that is passed on. */
+final class RoutedCall {
+
+    /** The router. */
+    private final Router router;
+
+    /** The call. */
+    private final Call call;
+
+    /** Its body. */
+    private final CallBody body;
+
+    /** Whether it may run more than once. */
+    private final boolean idempotent;
+
+    /** Decides on further sends. */
+    private final RetryPolicy retries;
+
+    /** Completes when the caller has given up. */
+    private final CompletionStage<?> cancelled;
+
+    /** Hash over service, method, path and body. */
+    private final long fingerprint;
+
+    /** Servers tried. */
+    private final Exclusion exclusion = new Exclusion();
+
+    /** The answer. */
+    private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+
+    /** Number of the present send, from 1. */
+    private int attempt;
+
+    /** Whether an earlier send may have run. */
+    private boolean mayHaveRun;
+
+    /**
+     * Creates a call.
+     *
+     * @param router     the router
+     * @param call       the call
+     * @param body       its body
+     * @param idempotent whether it may run more than once
+     * @param retries    decides on further sends
+     * @param cancelled  completes when the caller has given up
+     */
+    RoutedCall(
+            Router router,
+            Call call,
+            CallBody body,
+            boolean idempotent,
+            RetryPolicy retries,
+            CompletionStage<?> cancelled) {
+        this.router = router;
+        this.call = call;
+        this.body = body;
+        this.idempotent = idempotent;
+        this.retries = retries;
+        this.cancelled = cancelled;
+        this.fingerprint = Fingerprint.of(call.service().value(), call.headers(), body.forFingerprint());
+    }
+
+    /**
+     * Starts the first send.
+     *
+     * @return the answer
+     */
+    HttpResponse start() {
+        send();
+        return HttpResponse.of(answer);
+    }
+
+    /** Chooses a server and sends the call. */
+    private void send() {
+        attempt++;
+        ResultCode refusal = router.refusal(fingerprint);
+        if (refusal != null) {
+            refuse(refusal, "the call was in flight in two crashes");
+            return;
+        }
+        long now = router.clock().nanoTime();
+        ServerPool pool = router.directory().pool(call.service());
+        ServerLoad server = call.entry().policy().choose(pool, exclusion, ThreadLocalRandom.current(), now);
+        Optional<GateLink> link =
+                server == null ? Optional.empty() : router.directory().link(server);
+        if (link.isEmpty()) {
+            refuse(ResultCode.NO_SERVER, "no server left to try");
+            return;
+        }
+        logChoice(server, pool, now);
+        exclusion.add(server);
+        sendTo(server, link.get(), now);
+    }
+
+    /**
+     * Sends the call to the gate beside a server.
+     *
+     * @param server the server
+     * @param link   way to the gate
+     * @param now    present time, in nanoseconds
+     */
+    private void sendTo(ServerLoad server, GateLink link, long now) {
+        long left = call.deadlineNanos() - now;
+        if (server.ejection().isOnTrial(now)) {
+            server.ejection().trialSent();
+        }
+        server.sent();
+        Exchange exchange =
+                link.send(body.toRequest(call.toNode(attempt, left, fingerprint).build()), left, cancelled);
+        exchange.headers().whenComplete((headers, failure) -> {
+            if (failure != null) {
+                server.ended();
+                lost(server, failure);
+            } else {
+                answered(server, exchange, headers);
+            }
+        });
+    }
+
+    /**
+     * Judges the headers of an answer.
+     *
+     * @param server   the server
+     * @param exchange the exchange
+     * @param headers  the headers
+     */
+    private void answered(ServerLoad server, Exchange exchange, ResponseHeaders headers) {
+        long now = router.clock().nanoTime();
+        LoadReport.parse(headers.get(CallHeaders.LOAD)).ifPresent(load -> server.report(load, now));
+        exchange.whenComplete().whenComplete((done, failure) -> server.ended());
+        Outcome outcome = Outcome.of(headers.get(CallHeaders.OUTCOME)).orElse(Outcome.UNKNOWN);
+        if (outcome == Outcome.RAN) {
+            ran(server, exchange, headers, now);
+            return;
+        }
+        ResultCode code = ResultCode.of(headers.get(CallHeaders.CODE)).orElse(ResultCode.CONNECTION_LOST);
+        boolean healthy = code.outcome() == Outcome.NOT_RUN && code != ResultCode.SERVER_UNREACHABLE;
+        if (!healthy) {
+            server.ejection().ended(false, now);
+        }
+        if (code == ResultCode.SERVER_CRASHED) {
+            router.suspect(fingerprint, headers.getLong(CallHeaders.CRASH, 0));
+        }
+        if (mayRetry(code, now)) {
+            exchange.discard();
+            resend(code);
+        } else if (mayHaveRun && code.outcome() == Outcome.NOT_RUN) {
+            exchange.discard();
+            refuse(code, "refused by the gate");
+        } else {
+            NodeLog.DECISIONS.notRouted(call.service().value(), code.number(), attempt);
+            answer.complete(exchange.answer(forCaller(headers)));
+        }
+    }
+
+    /**
+     * Passes on the answer of a server that ran the call, unless it failed and may be sent elsewhere.
+     *
+     * @param server   the server
+     * @param exchange the exchange
+     * @param headers  headers of the answer
+     * @param now      present time, in nanoseconds
+     */
+    private void ran(ServerLoad server, Exchange exchange, ResponseHeaders headers, long now) {
+        boolean failed = isGatewayFailure(headers.status());
+        server.ejection().ended(!headers.status().isServerError(), now);
+        if (failed && idempotent && mayRetry(ResultCode.CONNECTION_LOST, now)) {
+            exchange.discard();
+            resend(ResultCode.CONNECTION_LOST);
+            return;
+        }
+        answer.complete(exchange.answer(forCaller(headers)));
+    }
+
+    /**
+     * Judges a send that brought no answer.
+     *
+     * @param server  the server
+     * @param failure why
+     */
+    private void lost(ServerLoad server, Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        MustardusherException coded = (MustardusherException) cause;
+        long now = router.clock().nanoTime();
+        if (!cancelled.toCompletableFuture().isDone()) {
+            server.ejection().ended(false, now);
+        }
+        if (mayRetry(coded.code(), now)) {
+            resend(coded.code());
+        } else {
+            refuse(coded.code(), coded.getMessage());
+        }
+    }
+
+    /**
+     * Decides on a further send.
+     *
+     * @param code how the present send ended
+     * @param now  present time, in nanoseconds
+     * @return {@code true} to send again
+     */
+    private boolean mayRetry(ResultCode code, long now) {
+        if (cancelled.toCompletableFuture().isDone()) {
+            return false;
+        }
+        return retries.mayRetry(
+                new Attempt(attempt, code, idempotent, body.isReplayable(), call.resent(), call.deadlineNanos() - now));
+    }
+
+    /**
+     * Sends the call again.
+     *
+     * @param code how the present send ended
+     */
+    private void resend(ResultCode code) {
+        mayHaveRun |= code.outcome() != Outcome.NOT_RUN;
+        router.countResend();
+        send();
+    }
+
+    /**
+     * Ends the call without an answer of a server. A refusal is not passed on as "not run" if an earlier send may have
+     * run.
+     *
+     * @param code   why
+     * @param detail what happened
+     */
+    private void refuse(ResultCode code, String detail) {
+        boolean proven = !mayHaveRun || code.outcome() != Outcome.NOT_RUN;
+        ResultCode told = proven ? code : ResultCode.RETRY_REFUSED;
+        NodeLog.DECISIONS.notRouted(call.service().value(), told.number(), attempt);
+        answer.complete(Problem.response(told, detail));
+    }
+
+    /**
+     * Writes the headers of an answer for the caller.
+     *
+     * @param headers headers as they came from the gate
+     * @return the headers
+     */
+    private static ResponseHeaders forCaller(ResponseHeaders headers) {
+        ResponseHeadersBuilder passed = headers.toBuilder();
+        passed.remove(CallHeaders.LOAD);
+        passed.remove(CallHeaders.CRASH);
+        if (!passed.contains(CallHeaders.CODE)) {
+            passed.set(CallHeaders.CODE, Integer.toString(ResultCode.OK.number()));
+        }
+        return passed.build();
+    }
+
+    /**
+     * Tells whether a status says that the server could not serve.
+     *
+     * @param status the status
+     * @return {@code true} for 502, 503 and 504
+     */
+    private static boolean isGatewayFailure(HttpStatus status) {
+        return status.equals(HttpStatus.BAD_GATEWAY)
+                || status.equals(HttpStatus.SERVICE_UNAVAILABLE)
+                || status.equals(HttpStatus.GATEWAY_TIMEOUT);
+    }
+
+    /**
+     * Logs a choice.
+     *
+     * @param server the server
+     * @param pool   servers to choose from
+     * @param now    present time, in nanoseconds
+     */
+    private void logChoice(ServerLoad server, ServerPool pool, long now) {
+        if (!NodeLog.DECISIONS.isInfoEnabled()) {
+            return;
+        }
+        long micros = (long) (server.score(now) / Clock.NANOS_PER_MICRO);
+        String policy = call.entry().policy().token();
+        NodeLog.DECISIONS.routed(call.service().value(), server.node().value(), policy, attempt, micros, pool.size());
+    }
+}
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
@@ -0,0 +1,125 @@
+package io.mustardusher.entry;
+
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.common.HttpResponse;
+import io.mustardusher.budget.RatioBudget;
+import io.mustardusher.call.Call;
+import io.mustardusher.catalogue.ServiceName;
+import io.mustardusher.health.SuspectTable;
+import io.mustardusher.result.ResultCode;
+import io.mustardusher.retry.RetryPolicy;
+import io.mustardusher.time.Clock;
+
+/** Brings calls to gates: chooses, sends, and sends again where that is safe. */
+public final class Router {
+
+    /** Servers and ways to their gates. */
+    private final Directory directory;
+
+    /** Calls suspected of crashing servers. */
+    private final SuspectTable suspects;
+
+    /** Told of each new suspect. */
+    private final Consumer<SuspectTable.Sighting> sightings;
+
+    /** Source of time. */
+    private final Clock clock;
+
+    /** Retry policies by service. */
+    private final Map<ServiceName, RetryPolicy> retries = new ConcurrentHashMap<>();
+
+    /** Fresh calls. */
+    private final Meter calls;
+
+    /** Further sends. */
+    private final Meter resends;
+
+    /**
+     * Creates a router.
+     *
+     * @param directory servers and ways to their gates
+     * @param suspects  calls suspected of crashing servers
+     * @param sightings told of each new suspect
+     * @param clock     source of time
+     * @param metrics   registry of metrics
+     */
+    public Router(
+            Directory directory,
+            SuspectTable suspects,
+            Consumer<SuspectTable.Sighting> sightings,
+            Clock clock,
+            MetricRegistry metrics) {
+        this.directory = directory;
+        this.suspects = suspects;
+        this.sightings = sightings;
+        this.clock = clock;
+        this.calls = metrics.meter("entry.calls");
+        this.resends = metrics.meter("entry.resends");
+    }
+
+    /**
+     * Brings a call to a gate.
+     *
+     * @param call       the call
+     * @param body       its body
+     * @param idempotent whether it may run more than once
+     * @param cancelled  completes when the caller has given up
+     * @return the answer
+     */
+    HttpResponse route(Call call, CallBody body, boolean idempotent, CompletionStage<?> cancelled) {
+        calls.mark();
+        RetryPolicy policy = retries.computeIfAbsent(call.service(), name -> new RetryPolicy(new RatioBudget()));
+        policy.budget().earn(call.entry().retryPercent());
+        return new RoutedCall(this, call, body, idempotent, policy, cancelled).start();
+    }
+
+    /**
+     * Returns the servers and the ways to their gates.
+     *
+     * @return the directory
+     */
+    Directory directory() {
+        return directory;
+    }
+
+    /**
+     * Returns the source of time.
+     *
+     * @return the clock
+     */
+    Clock clock() {
+        return clock;
+    }
+
+    /** Counts a further send. */
+    void countResend() {
+        resends.mark();
+    }
+
+    /**
+     * Notes that a call was in flight in a crash.
+     *
+     * @param fingerprint fingerprint of the call
+     * @param crash       number of the crash
+     */
+    void suspect(long fingerprint, long crash) {
+        sightings.accept(new SuspectTable.Sighting(fingerprint, crash));
+    }
+
+    /**
+     * Tells whether a call is refused for the crashes it was seen in.
+     *
+     * @param fingerprint fingerprint of the call
+     * @return {@link ResultCode#SUSPECT_REFUSED}, or {@code null}
+     */
+    ResultCode refusal(long fingerprint) {
+        boolean refused = suspects.judge(fingerprint) == SuspectTable.Judgement.REFUSE;
+        return refused ? ResultCode.SUSPECT_REFUSED : null;
+    }
+}
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameClient.java
@@ -0,0 +1,183 @@
+package io.mustardusher.frame;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+
+/** Asks other nodes over one connection for each, opened when first needed and closed when idle. */
+public final class FrameClient implements AutoCloseable {
+
+    /** Time allowed to open a connection, in milliseconds. */
+    private static final int CONNECT_MILLIS = 500;
+
+    /** Most connections held open. */
+    private static final int MAX_CONNECTIONS = 256;
+
+    /** Opens connections. */
+    private final Bootstrap bootstrap;
+
+    /** Event loops, for timeouts. */
+    private final EventLoopGroup group;
+
+    /** Shared secret. */
+    private final Credential credential;
+
+    /** Connections by address. */
+    private final Map<InetSocketAddress, ChannelFuture> connections = new ConcurrentHashMap<>();
+
+    /** Questions without an answer, by number. */
+    private final Map<Integer, CompletableFuture<Object>> waiting = new ConcurrentHashMap<>();
+
+    /** Number of the last question. */
+    private final AtomicInteger lastNumber = new AtomicInteger();
+
+    /**
+     * Creates a client.
+     *
+     * @param group      event loops
+     * @param type       type of channels
+     * @param credential shared secret
+     * @param traffic    counts bytes
+     */
+    public FrameClient(
+            EventLoopGroup group, Class<? extends Channel> type, Credential credential, FrameTraffic traffic) {
+        this.group = group;
+        this.credential = credential;
+        this.bootstrap = new Bootstrap()
+                .group(group)
+                .channel(type)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel opened) {
+                        opened.pipeline().addLast(traffic, new FrameCodec(), new Receiving());
+                    }
+                });
+    }
+
+    /**
+     * Asks a node.
+     *
+     * @param address       its address for frames
+     * @param kind          kind of the question
+     * @param question      the question
+     * @param timeoutMillis time allowed for the answer, in milliseconds
+     * @param <A>           type of the answer
+     * @return the answer; fails if none comes in time
+     */
+    @SuppressWarnings("unchecked")
+    public <A> CompletableFuture<A> ask(
+            InetSocketAddress address, FrameKind kind, Object question, long timeoutMillis) {
+        int number = lastNumber.incrementAndGet();
+        CompletableFuture<Object> answer = new CompletableFuture<>();
+        waiting.put(number, answer);
+        group.next()
+                .schedule(() -> fail(number, new TimeoutException("no answer")), timeoutMillis, TimeUnit.MILLISECONDS);
+        connection(address).addListener((ChannelFuture opened) -> {
+            if (!opened.isSuccess()) {
+                fail(number, opened.cause());
+                return;
+            }
+            opened.channel()
+                    .writeAndFlush(new Frame(kind, false, number, question))
+                    .addListener(written -> {
+                        if (!written.isSuccess()) {
+                            fail(number, written.cause());
+                        }
+                    });
+        });
+        return (CompletableFuture<A>) answer;
+    }
+
+    @Override
+    public void close() {
+        connections.values().forEach(opened -> opened.channel().close());
+    }
+
+    /**
+     * Finds or opens the connection to a node.
+     *
+     * @param address its address
+     * @return the connection, perhaps still being opened
+     */
+    private ChannelFuture connection(InetSocketAddress address) {
+        ChannelFuture present = connections.get(address);
+        if (present != null) {
+            return present;
+        }
+        closeSome();
+        return connections.computeIfAbsent(address, this::open);
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @param address address of the node
+     * @return the connection being opened
+     */
+    private ChannelFuture open(InetSocketAddress address) {
+        ChannelFuture opening = bootstrap.connect(address);
+        opening.addListener((ChannelFuture opened) -> {
+            if (opened.isSuccess()) {
+                opened.channel().write(credential.greeting());
+                opened.channel().closeFuture().addListener(closed -> connections.remove(address, opening));
+            } else {
+                group.next().execute(() -> connections.remove(address, opening));
+            }
+        });
+        return opening;
+    }
+
+    /** Closes a connection if too many are open. */
+    private void closeSome() {
+        if (connections.size() < MAX_CONNECTIONS) {
+            return;
+        }
+        connections.values().stream().filter(ChannelFuture::isSuccess).findAny().ifPresent(opened -> opened.channel()
+                .close());
+    }
+
+    /**
+     * Fails a question.
+     *
+     * @param number its number
+     * @param cause  why
+     */
+    private void fail(int number, Throwable cause) {
+        CompletableFuture<Object> answer = waiting.remove(number);
+        if (answer != null) {
+            answer.completeExceptionally(cause);
+        }
+    }
+
+    /** Receives the answers of one connection. */
+    private final class Receiving extends SimpleChannelInboundHandler<Frame> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+            CompletableFuture<Object> answer = frame.reply() ? waiting.remove(frame.number()) : null;
+            if (answer != null) {
+                answer.complete(frame.message());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -0,0 +1,310 @@
+package io.mustardusher.gate;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.Endpoint;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.SessionProtocol;
+import io.mustardusher.admission.Admission;
+import io.mustardusher.admission.Ticket;
+import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.Problem;
+import io.mustardusher.call.Timeout;
+import io.mustardusher.catalogue.ServiceClass;
+import io.mustardusher.generated.Announcement;
+import io.mustardusher.health.SuspectTable;
+import io.mustardusher.log.NodeLog;
+import io.mustardusher.result.ResultCode;
+import io.mustardusher.routing.LoadReport;
+import io.mustardusher.time.Clock;
+
+/** Admits calls to the backend server beside the node, or refuses them before anything ran. */
+public final class Gate {
+
+    /** Class assumed where the header is absent. */
+    private static final String DEFAULT_CLASS = "standard";
+
+    /** Source of time. */
+    private final Clock clock;
+
+    /** Exact count of calls. */
+    private final Admission admission;
+
+    /** Calls suspected of crashing servers. */
+    private final SuspectTable suspects;
+
+    /** Connections to the backend server. */
+    private final ClientFactory connections;
+
+    /** Runs timers. */
+    private final ScheduledExecutorService timers;
+
+    /** Detects crashes. */
+    private final CrashDetector crashes;
+
+    /** Time of calls at the gate. */
+    private final Timer served;
+
+    /** The backend server; {@code null} before its first announcement. */
+    private volatile Target target;
+
+    /**
+     * Creates a gate without a backend server.
+     *
+     * @param clock       source of time
+     * @param suspects    calls suspected of crashing servers
+     * @param connections connections to the backend server
+     * @param timers      runs timers
+     * @param crashes     detects crashes
+     * @param metrics     registry of metrics
+     */
+    public Gate(
+            Clock clock,
+            SuspectTable suspects,
+            ClientFactory connections,
+            ScheduledExecutorService timers,
+            CrashDetector crashes,
+            MetricRegistry metrics) {
+        this.clock = clock;
+        this.suspects = suspects;
+        this.connections = connections;
+        this.timers = timers;
+        this.crashes = crashes;
+        this.admission = new Admission(clock);
+        this.served = metrics.timer("gate.calls");
+        metrics.gauge("gate.busy", () -> () -> load().busy());
+        metrics.gauge("gate.queued", () -> () -> load().queued());
+        metrics.gauge("gate.limit", () -> () -> load().limit());
+    }
+
+    /**
+     * Takes over an announcement.
+     *
+     * @param announced the announcement
+     */
+    public void announced(Announcement announced) {
+        Target present = target;
+        if (present == null || !present.isSame(announced)) {
+            Endpoint endpoint = Endpoint.of(announced.getHost(), (int) announced.getPort());
+            WebClient client = WebClient.builder(SessionProtocol.H1C, endpoint)
+                    .factory(connections)
+                    .build();
+            target = new Target(announced, client);
+        } else {
+            target = new Target(announced, present.client());
+        }
+        if (announced.getState() == Announcement.State.SERVING) {
+            crashes.recovered();
+            admission.open();
+        } else {
+            admission.close();
+        }
+    }
+
+    /**
+     * Takes over the limits of the catalogue.
+     *
+     * @param queuePerSlot calls that may wait for each slot
+     * @param share        share of the service's limit; 0 for none
+     */
+    public void limits(int queuePerSlot, int share) {
+        Target present = target;
+        if (present != null) {
+            admission.configure((int) present.announced().getSlots(), queuePerSlot, share);
+        }
+    }
+
+    /** Refuses new calls. */
+    public void close() {
+        admission.close();
+    }
+
+    /**
+     * Returns the announcement in force.
+     *
+     * @return the announcement, or empty before the first
+     */
+    public Optional<Announcement> announcement() {
+        return Optional.ofNullable(target).map(Target::announced);
+    }
+
+    /**
+     * Returns the load.
+     *
+     * @return the load
+     */
+    public LoadReport load() {
+        return admission.load();
+    }
+
+    /**
+     * Returns the calls inside.
+     *
+     * @return number of calls
+     */
+    public int inside() {
+        return admission.inside();
+    }
+
+    /**
+     * Handles a call.
+     *
+     * @param request   the call, with the headers that nodes set
+     * @param cancelled completes when the caller has given up
+     * @return the answer
+     */
+    public HttpResponse handle(HttpRequest request, CompletionStage<?> cancelled) {
+        Target present = target;
+        String service = request.headers().get(CallHeaders.SERVICE, "");
+        if (present == null || !present.announced().getService().equals(service)) {
+            return Problem.response(ResultCode.NO_SERVER, "no such backend server here");
+        }
+        long fingerprint = Long.parseUnsignedLong(request.headers().get(CallHeaders.FINGERPRINT, "0"), 16);
+        SuspectTable.Judgement judgement = suspects.judge(fingerprint);
+        if (judgement == SuspectTable.Judgement.REFUSE) {
+            return refuse(ResultCode.SUSPECT_REFUSED, service);
+        }
+        long now = clock.nanoTime();
+        long left =
+                Timeout.parse(request.headers().get(CallHeaders.TIMEOUT, "0n")).orElse(0);
+        boolean alone = judgement == SuspectTable.Judgement.RUN_ALONE;
+        CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+        Dispatch dispatch =
+                new Dispatch(this, present.client(), request, now + left, fingerprint, alone, answer, cancelled);
+        Ticket ticket = new Ticket(
+                request.headers().get(CallHeaders.OWNER, ""),
+                ServiceClass.of(request.headers().get(CallHeaders.CLASS, DEFAULT_CLASS)),
+                now + left,
+                alone,
+                dispatch);
+        dispatch.bind(ticket);
+        admission.offer(ticket);
+        if (!answer.isDone() && !dispatch.isStarted()) {
+            awaitTurn(ticket, answer, service, left, cancelled);
+        }
+        return HttpResponse.of(answer);
+    }
+
+    /**
+     * Ends the wait of a call whose caller has given up or whose deadline passes.
+     *
+     * @param ticket    the call
+     * @param answer    its answer
+     * @param service   its service
+     * @param leftNanos time left, in nanoseconds
+     * @param cancelled completes when the caller has given up
+     */
+    private void awaitTurn(
+            Ticket ticket,
+            CompletableFuture<HttpResponse> answer,
+            String service,
+            long leftNanos,
+            CompletionStage<?> cancelled) {
+        cancelled.thenRun(() -> giveUp(ticket, answer, service, ResultCode.CANCELLED));
+        timers.schedule(
+                () -> giveUp(ticket, answer, service, ResultCode.DEADLINE_UNREACHABLE),
+                leftNanos,
+                TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * Gives up a call that still waits.
+     *
+     * @param ticket  the call
+     * @param answer  its answer
+     * @param service its service
+     * @param code    why
+     */
+    private void giveUp(Ticket ticket, CompletableFuture<HttpResponse> answer, String service, ResultCode code) {
+        if (admission.cancel(ticket)) {
+            answer.complete(refuse(code, service));
+        }
+    }
+
+    /**
+     * Refuses a call.
+     *
+     * @param code    why
+     * @param service its service
+     * @return the answer
+     */
+    HttpResponse refuse(ResultCode code, String service) {
+        NodeLog.DECISIONS.gateRefused(service, code.number());
+        return Problem.response(code, "refused by the gate", load().toHeader());
+    }
+
+    /**
+     * Returns the source of time.
+     *
+     * @return the clock
+     */
+    Clock clock() {
+        return clock;
+    }
+
+    /**
+     * Returns the exact count of calls.
+     *
+     * @return the admission
+     */
+    Admission admission() {
+        return admission;
+    }
+
+    /**
+     * Returns the calls suspected of crashing servers.
+     *
+     * @return the table
+     */
+    SuspectTable suspects() {
+        return suspects;
+    }
+
+    /**
+     * Returns the crash detector.
+     *
+     * @return the detector
+     */
+    CrashDetector crashes() {
+        return crashes;
+    }
+
+    /**
+     * Returns the timer of calls.
+     *
+     * @return the timer
+     */
+    Timer served() {
+        return served;
+    }
+
+    /**
+     * A backend server and its client.
+     *
+     * @param announced its announcement
+     * @param client    its client
+     */
+    private record Target(Announcement announced, WebClient client) {
+
+        /**
+         * Tells whether an announcement is of the same server.
+         *
+         * @param other the announcement
+         * @return {@code true} if address and service are the same
+         */
+        boolean isSame(Announcement other) {
+            return announced.getHost().equals(other.getHost())
+                    && announced.getPort() == other.getPort()
+                    && announced.getService().equals(other.getService());
+        }
+    }
+}
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/keys/KeyedCalls.java
@@ -0,0 +1,147 @@
+package io.mustardusher.keys;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpResponse;
+import io.mustardusher.call.Call;
+import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.Problem;
+import io.mustardusher.claim.Begin;
+import io.mustardusher.claim.IdempotencyKey;
+import io.mustardusher.claim.KeyLedger;
+import io.mustardusher.claim.KeyedAnswer;
+import io.mustardusher.generated.WitnessRequest;
+import io.mustardusher.result.ResultCode;
+
+/** This node as the home of calls with keys. */
+public final class KeyedCalls {
+
+    /** Keys and messages of the claim protocol. */
+    private final Keepers keepers;
+
+    /**
+     * Creates a home.
+     *
+     * @param keepers keys and messages of the claim protocol
+     */
+    public KeyedCalls(Keepers keepers) {
+        this.keepers = keepers;
+    }
+
+    /**
+     * Runs a call at most once for its key.
+     *
+     * @param call     the call
+     * @param key      its key
+     * @param body     hash over method, path and body
+     * @param dispatch sends the call to a backend server, at most once
+     * @return the answer
+     */
+    public CompletableFuture<HttpResponse> handle(
+            Call call, IdempotencyKey key, long body, Supplier<HttpResponse> dispatch) {
+        Optional<KeyLedger<AggregatedHttpResponse>> ledger =
+                keepers.ledger(call.service().value());
+        if (ledger.isEmpty()) {
+            return CompletableFuture.completedFuture(
+                    Problem.response(ResultCode.KEEPER_UNAVAILABLE, "this node does not keep keys of the service"));
+        }
+        Begin<AggregatedHttpResponse> begin = ledger.get().begin(key, body);
+        return switch (begin.step()) {
+            case REFUSE -> CompletableFuture.completedFuture(Problem.response(begin.code(), "refused by the home"));
+            case ELSEWHERE -> CompletableFuture.completedFuture(
+                    Problem.response(ResultCode.KEEPER_UNAVAILABLE, "another node is the home"));
+            case JOIN -> begin.answer().thenApply(KeyedCalls::toResponse);
+            case ASK_WITNESS -> claim(ledger.get(), key, begin, dispatch);
+        };
+    }
+
+    /**
+     * Asks the witness, and dispatches the call once it has recorded the claim.
+     *
+     * @param ledger   the keys
+     * @param key      the key
+     * @param begin    the claim
+     * @param dispatch sends the call
+     * @return the answer
+     */
+    private CompletableFuture<HttpResponse> claim(
+            KeyLedger<AggregatedHttpResponse> ledger,
+            IdempotencyKey key,
+            Begin<AggregatedHttpResponse> begin,
+            Supplier<HttpResponse> dispatch) {
+        keepers.ask(begin.keeper(), begin.request()).thenAccept(reply -> {
+            ResultCode code = ledger.witnessReplied(key, begin.attempt(), reply);
+            if (code == ResultCode.OK) {
+                run(ledger, key, begin, dispatch);
+            } else if (code == ResultCode.KEEPER_UNAVAILABLE) {
+                keepers.ask(begin.keeper(), releaseOf(begin.request()));
+            }
+        });
+        return begin.answer().thenApply(KeyedCalls::toResponse);
+    }
+
+    /**
+     * Dispatches a claimed call and records its end.
+     *
+     * @param ledger   the keys
+     * @param key      the key
+     * @param begin    the claim
+     * @param dispatch sends the call
+     */
+    private void run(
+            KeyLedger<AggregatedHttpResponse> ledger,
+            IdempotencyKey key,
+            Begin<AggregatedHttpResponse> begin,
+            Supplier<HttpResponse> dispatch) {
+        dispatch.get().aggregate().handle(KeyedCalls::endOf).thenAccept(end -> ledger.end(key, begin.attempt(), end)
+                .ifPresent(release -> keepers.ask(begin.keeper(), release)));
+    }
+
+    /**
+     * Tells what became of a dispatched call.
+     *
+     * @param answer  its answer, or {@code null}
+     * @param failure why there is none, or {@code null}
+     * @return the end
+     */
+    private static KeyedAnswer<AggregatedHttpResponse> endOf(AggregatedHttpResponse answer, Throwable failure) {
+        if (failure != null) {
+            return new KeyedAnswer<>(ResultCode.CONNECTION_LOST, null);
+        }
+        ResultCode code = ResultCode.of(answer.headers().get(CallHeaders.CODE)).orElse(ResultCode.CONNECTION_LOST);
+        return new KeyedAnswer<>(code, answer);
+    }
+
+    /**
+     * Turns a question into one that gives the claim back.
+     *
+     * @param claim the question
+     * @return the question that releases the claim
+     */
+    private static WitnessRequest releaseOf(WitnessRequest claim) {
+        return new WitnessRequest()
+                .withService(claim.getService())
+                .withKey(claim.getKey())
+                .withEpoch(claim.getEpoch())
+                .withAttempt(claim.getAttempt())
+                .withHome(claim.getHome())
+                .withBody(claim.getBody())
+                .withRelease(true);
+    }
+
+    /**
+     * Writes the answer of a call with a key.
+     *
+     * @param end what became of it
+     * @return the answer
+     */
+    private static HttpResponse toResponse(KeyedAnswer<AggregatedHttpResponse> end) {
+        if (end.answer() == null) {
+            return Problem.response(end.code(), "as the home of the key records it");
+        }
+        return end.answer().toHttpResponse();
+    }
+}
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events and how they are written. */
+package io.mustardusher.log;
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/package-info.java
@@ -0,0 +1,2 @@
+/** The node: its parts put together, started and stopped. */
+package io.mustardusher.node;
