Start nodes from a class archive, with the first compiler only

Cause: 14 node processes spent 7 to 10 s of processor time each on loading and compiling classes, and the demo's calls waited behind that. Conclusion: kept; C2 against C1 on a warm node is still to be measured.

--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -1,5 +1,7 @@
 # Sourced by the scripts of this folder: finds the repository and builds what is missing.
 ROOT="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
+JAVA="${JAVA_HOME:+$JAVA_HOME/bin/}java"
+ARCHIVE="$ROOT/mustardusher-node/target/musherd.jsa"
 
 # Builds the programs unless they are there; nothing is tested.
 build_missing() {
@@ -8,7 +10,7 @@
         return
     fi
     echo "building mustardusher (the first time only)" >&2
-    (cd "$ROOT" && mvn -q -B package -DskipTests >&2)
+    (cd "$ROOT" && mvn -q -B -ntp package -DskipTests >&2)
 }
 
 # Prints the class path of a module.
@@ -16,4 +18,24 @@
     echo "$(ls "$ROOT/$1"/target/"$1"-*.jar | head -n 1):$ROOT/$1/target/lib/*"
 }
 
-JAVA="${JAVA_HOME:+$JAVA_HOME/bin/}java"
+# Runs the laboratory.
+lab() {
+    "$JAVA" -Xmx1500m -Djava.awt.headless=true -Dcom.linecorp.armeria.transportType=epoll \
+        -Dlogback.configurationFile=logback-lab.xml \
+        -Dlogback.statusListenerClass=ch.qos.logback.core.status.NopStatusListener \
+        -Dmustardusher.node.classPath="$(class_path mustardusher-node)" \
+        -Dmustardusher.node.archive="$ARCHIVE" \
+        -cp "$(class_path mustardusher-lab)" io.mustardusher.lab.MusherLab "$@"
+}
+
+# Writes the archive of loaded classes from which nodes start, unless it is newer than the programs. Nodes start without
+# it too, only slower.
+archive_missing() {
+    local jar
+    jar="$(ls "$ROOT"/mustardusher-node/target/mustardusher-node-*.jar | head -n 1)"
+    if [ "$ARCHIVE" -nt "$jar" ]; then
+        return
+    fi
+    rm -f "$ARCHIVE"
+    lab archive --folder "$ROOT/mustardusher-node/target/archive" >&2 || echo "no class archive; going on" >&2
+}
--- a/mustardusher-core/src/main/java/io/mustardusher/schema/Schema.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/schema/Schema.java
@@ -8,8 +8,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.networknt.schema.JsonMetaSchema;
 import com.networknt.schema.JsonSchema;
 import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.NonValidationKeyword;
 import com.networknt.schema.SpecVersion;
 import com.networknt.schema.ValidationMessage;
 import io.mustardusher.generated.Announcement;
@@ -25,6 +27,15 @@
  */
 public final class Schema<T> {
 
+    /** Compiles schemas; the words for the generator of types mean nothing to validation. */
+    private static final JsonSchemaFactory FACTORY = JsonSchemaFactory.builder(
+                    JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012))
+            .metaSchema(JsonMetaSchema.builder(JsonMetaSchema.getV202012())
+                    .keyword(new NonValidationKeyword("javaType"))
+                    .keyword(new NonValidationKeyword("javaName"))
+                    .build())
+            .build();
+
     /** Settings of a node. */
     public static final Schema<NodeSettings> NODE_SETTINGS =
             new Schema<>("node-settings", NodeSettings.class, ResultCode.SETTINGS_INVALID);
@@ -66,8 +77,8 @@
         this.name = name;
         this.type = type;
         this.code = code;
-        this.compiled = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
-                .getSchema(Schema.class.getResourceAsStream("/io/mustardusher/schema/" + name + ".json"));
+        this.compiled =
+                FACTORY.getSchema(Schema.class.getResourceAsStream("/io/mustardusher/schema/" + name + ".json"));
     }
 
     /**
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/MusherLab.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/MusherLab.java
@@ -11,6 +11,8 @@
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.common.SessionProtocol;
 import com.linecorp.armeria.common.util.EventLoopGroups;
+import io.mustardusher.lab.cluster.Cluster;
+import io.mustardusher.lab.cluster.Deployment;
 import io.mustardusher.lab.load.Entries;
 import io.mustardusher.lab.load.LoadGenerator;
 import io.mustardusher.lab.load.LoadSpec;
@@ -109,6 +111,32 @@
         return run(Scenario.read(file), report, decisions);
     }
 
+    /**
+     * Writes the archive of loaded classes from which nodes start.
+     *
+     * @param folder folder for settings and logs
+     * @return the exit code
+     * @throws InterruptedException if a wait is interrupted
+     */
+    @Command(name = "archive", description = "Runs a node with some calls so that it leaves its class archive.")
+    int archive(
+            @Option(names = "--folder", defaultValue = "target/archive", description = "Folder for settings and logs.")
+                    Path folder)
+            throws InterruptedException {
+        Cluster cluster = new Cluster(Deployment.named("single"), folder, true);
+        try {
+            cluster.startForArchive(1);
+            Entries entries = new Entries(ClientFactory.ofDefault(), SessionProtocol.H2C);
+            cluster.nodes().forEach(node -> entries.add(node.ports().caller()));
+            new LoadGenerator(entries, new Tally(), Executors.newScheduledThreadPool(1), 1)
+                    .run(List.of(new LoadSpec("archive", 50, 0.5, 100, MILLIS, 0, MILLIS)));
+            cluster.nodes().forEach(node -> cluster.stopNode(node.name()));
+        } finally {
+            cluster.close();
+        }
+        return CommandLine.ExitCode.OK;
+    }
+
     /**
      * Runs the platform's stand-in.
      *
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/Cluster.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/Cluster.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.linecorp.armeria.common.util.EventLoopGroups;
@@ -95,6 +96,25 @@
      * @param seed seed of service times
      */
     public void start(long seed) {
+        start(seed, NodeProcess::start);
+    }
+
+    /**
+     * Starts everything so that the nodes write the archive of loaded classes when they end.
+     *
+     * @param seed seed of service times
+     */
+    public void startForArchive(long seed) {
+        start(seed, NodeProcess::startForArchive);
+    }
+
+    /**
+     * Starts the platform, the nodes and the backend servers, and loads the catalogue.
+     *
+     * @param seed    seed of service times
+     * @param starter starts a node
+     */
+    private void start(long seed, Consumer<NodeProcess> starter) {
         platformUrl = platform.start();
         try {
             Files.createDirectories(folder);
@@ -104,7 +124,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        nodes.values().forEach(NodeProcess::start);
+        nodes.values().forEach(starter);
         nodes.values().forEach(NodeProcess::awaitReady);
         backends.values().forEach(BackendServer::start);
         deployment.services().forEach(service -> put(service.entry()));
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeProcess.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeProcess.java
@@ -22,14 +22,19 @@
             "-XX:+UseSerialGC",
             "-XX:MaxDirectMemorySize=48m",
             "-XX:ReservedCodeCacheSize=48m",
-            "-XX:TieredStopAtLevel=4",
-            "-XX:CICompilerCount=2",
+            "-XX:TieredStopAtLevel=1",
             "-Dio.netty.allocator.numDirectArenas=2",
             "-Dio.netty.allocator.numHeapArenas=1",
             "-Dcom.linecorp.armeria.transportType=epoll",
             "-Dlogback.statusListenerClass=ch.qos.logback.core.status.NopStatusListener",
             "-Dorg.jboss.logging.provider=slf4j");
 
+    /** System property with the class path of nodes. */
+    private static final String CLASS_PATH_PROPERTY = "mustardusher.node.classPath";
+
+    /** System property with the archive of loaded classes that nodes start from. */
+    private static final String ARCHIVE_PROPERTY = "mustardusher.node.archive";
+
     /** Time between two looks for readiness, in milliseconds. */
     private static final long READY_POLL_MILLIS = 50;
 
@@ -133,13 +138,30 @@
         return "http://127.0.0.1:" + ports.admin();
     }
 
-    /** Starts the process. */
-    public synchronized void start() {
+    /** Starts the process, from the archive of loaded classes if there is one. */
+    public void start() {
+        String archive = System.getProperty(ARCHIVE_PROPERTY, "");
+        boolean present = !archive.isEmpty() && Files.exists(Path.of(archive));
+        start(present ? List.of("-XX:SharedArchiveFile=" + archive) : List.of());
+    }
+
+    /** Starts the process so that it writes the archive of loaded classes when it ends. */
+    void startForArchive() {
+        start(List.of("-XX:ArchiveClassesAtExit=" + System.getProperty(ARCHIVE_PROPERTY)));
+    }
+
+    /**
+     * Starts the process.
+     *
+     * @param flags further flags of the virtual machine
+     */
+    private synchronized void start(List<String> flags) {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(JVM_FLAGS);
+        command.addAll(flags);
         command.add("-cp");
-        command.add(System.getProperty("java.class.path"));
+        command.add(System.getProperty(CLASS_PATH_PROPERTY, System.getProperty("java.class.path")));
         command.add("io.mustardusher.node.Musherd");
         command.add("--config");
         command.add(settings.toString());
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Listeners.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Listeners.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpRequest;
@@ -35,7 +36,7 @@
     private static final long IDLE_MILLIS = 60_000;
 
     /** Time for which a stopping listener waits for what is left, in milliseconds. */
-    private static final long CLOSE_MILLIS = 2_000;
+    private static final long CLOSE_MILLIS = 500;
 
     /** The listeners. */
     private final List<Server> servers;
@@ -96,7 +97,8 @@
 
     /** Stops the listeners. */
     void stop() {
-        servers.forEach(server -> server.stop().join());
+        CompletableFuture<?>[] stops = servers.stream().map(Server::stop).toArray(CompletableFuture<?>[]::new);
+        CompletableFuture.allOf(stops).join();
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Musherd.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Musherd.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 
+import io.mustardusher.generated.LogSettings;
 import io.mustardusher.generated.NodeSettings;
 import io.mustardusher.log.LogOutput;
 import io.mustardusher.result.MustardusherException;
@@ -64,6 +65,7 @@
 
     @Override
     public Integer call() throws InterruptedException {
+        LogOutput.configure(new LogSettings());
         NodeSettings settings;
         try {
             settings = SettingsFile.read(config, System.getenv(), flags);
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
@@ -77,7 +77,10 @@
     private static final long KEEPER_MILLIS = 700;
 
     /** Time between two rounds of probes, in milliseconds. */
-    private static final long PROBE_MILLIS = 10;
+    private static final long PROBE_MILLIS = 25;
+
+    /** Time between two looks whether the member table has changed, in milliseconds. */
+    private static final long REFRESH_MILLIS = 50;
 
     /** Time between two tries to meet other nodes, in milliseconds. */
     private static final long MEET_MILLIS = 2_000;
@@ -220,7 +223,7 @@
         long gossip = settings.getGossipIntervalMillis();
         repeat(this::meetIfAlone, MEET_MILLIS / 2, MEET_MILLIS);
         repeat(gossiper::tick, gossip, gossip);
-        repeat(directory::refresh, PROBE_MILLIS, PROBE_MILLIS);
+        repeat(directory::refresh, REFRESH_MILLIS, REFRESH_MILLIS);
         repeat(catalogue::tick, gossip, gossip);
         repeat(prober::tick, PROBE_MILLIS, PROBE_MILLIS);
         repeat(keepers::tick, KEEPER_MILLIS, KEEPER_MILLIS);
