--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/MusherLab.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/MusherLab.java
@@ -11,6 +11,7 @@
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.common.SessionProtocol;
 import com.linecorp.armeria.common.util.EventLoopGroups;
+import io.mustardusher.lab.bench.AddedLatency;
 import io.mustardusher.lab.cluster.Cluster;
 import io.mustardusher.lab.cluster.Deployment;
 import io.mustardusher.lab.load.Entries;
@@ -197,6 +198,27 @@
         return CommandLine.ExitCode.OK;
     }
 
+    /**
+     * Measures the latency that entry and gate add.
+     *
+     * @param rates     calls a second
+     * @param folder    folder for settings and logs
+     * @param decisions whether nodes log decisions
+     * @return the exit code
+     * @throws InterruptedException if a wait is interrupted
+     */
+    @Command(name = "bench-latency", description = "Measures what entry and gate add to a call, side by side.")
+    int benchLatency(
+            @Option(names = "--rates", defaultValue = "500,2000,10000", split = ",", description = "Calls a second.")
+                    List<Integer> rates,
+            @Option(names = "--folder", defaultValue = "target/bench", description = "Folder for settings and logs.")
+                    Path folder,
+            @Option(names = "--decisions", description = "Nodes log their decisions.") boolean decisions)
+            throws InterruptedException {
+        new AddedLatency(rates, folder, decisions, System.out).run();
+        return CommandLine.ExitCode.OK;
+    }
+
     /**
      * Sends load.
      *
--- /dev/null
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks. */
+package io.mustardusher.lab.bench;
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/load/CallRun.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/load/CallRun.java
@@ -122,7 +122,8 @@
     private void answered(AggregatedHttpResponse answer) {
         String code = answer.headers().get(CallHeaders.CODE, "none");
         load.tally().code(code);
-        Outcome outcome = Outcome.of(answer.headers().get(CallHeaders.OUTCOME)).orElse(Outcome.UNKNOWN);
+        Outcome outcome = Outcome.of(answer.headers().get(CallHeaders.OUTCOME))
+                .orElse(load.entries().unmarked());
         if (outcome == Outcome.RAN) {
             end(ran(answer));
         } else if (key != null && sends < MAX_SENDS) {
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/load/Entries.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/load/Entries.java
@@ -10,6 +10,7 @@
 import com.linecorp.armeria.client.Endpoint;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.SessionProtocol;
+import io.mustardusher.result.Outcome;
 
 /** The entries that callers know. */
 public final class Entries {
@@ -26,6 +27,9 @@
     /** Protocol of the callers. */
     private final SessionProtocol protocol;
 
+    /** Whether callers call backend servers themselves, whose answers say nothing of an outcome. */
+    private final boolean direct;
+
     /**
      * Creates an empty list.
      *
@@ -33,8 +37,29 @@
      * @param protocol    protocol of the callers
      */
     public Entries(ClientFactory connections, SessionProtocol protocol) {
+        this(connections, protocol, false);
+    }
+
+    /**
+     * Creates an empty list.
+     *
+     * @param connections connections
+     * @param protocol    protocol of the callers
+     * @param direct      whether callers call backend servers themselves
+     */
+    public Entries(ClientFactory connections, SessionProtocol protocol, boolean direct) {
         this.connections = connections;
         this.protocol = protocol;
+        this.direct = direct;
+    }
+
+    /**
+     * Returns the outcome that an answer without a word on it has.
+     *
+     * @return {@link Outcome#RAN} of a backend server, otherwise {@link Outcome#UNKNOWN}
+     */
+    Outcome unmarked() {
+        return direct ? Outcome.RAN : Outcome.UNKNOWN;
     }
 
     /**
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/ScenarioRunner.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/ScenarioRunner.java
@@ -100,6 +100,8 @@
         ExecutorService steps = Executors.newCachedThreadPool();
         Entries entries = new Entries(connections, SessionProtocol.H2C);
         cluster.nodes().forEach(node -> entries.add(node.ports().caller()));
+        Tally warm = new Tally();
+        new LoadGenerator(entries, warm, timers, scenario.seed() + 1).run(scenario.warmLoads());
         Tally tally = new Tally();
         Usage before = Usage.of(cluster);
         long begun = System.nanoTime();
@@ -119,12 +121,40 @@
         double seconds = (System.nanoTime() - begun) / 1e9;
         Map<String, Object> measures = measures(cluster, tally, before, seconds);
         measures.put("startMillis", startMillis);
+        addWarmUp(cluster, warm, measures);
         timers.shutdownNow();
         steps.shutdownNow();
         connections.close();
         return new ScenarioResult(scenario, measures, tally, List.copyOf(seen));
     }
 
+    /**
+     * Adds what went wrong in the warm-up to the measures of what must not happen.
+     *
+     * @param cluster  the deployment
+     * @param warm     counts of the calls of the warm-up
+     * @param measures measures by name
+     */
+    private static void addWarmUp(Cluster cluster, Tally warm, Map<String, Object> measures) {
+        measures.put("warmUpCalls", warm.calls());
+        measures.merge("doubled", warm.doubled(cluster.executions()), ScenarioRunner::sum);
+        measures.merge("wrongAnswer", warm.count(CallResult.WRONG_ANSWER), ScenarioRunner::sum);
+        measures.merge("cutOff", warm.count(CallResult.CUT_OFF), ScenarioRunner::sum);
+        measures.merge("falseNotRun", warm.falseNotRun(cluster.executions()), ScenarioRunner::sum);
+        measures.merge("unanswered", warm.calls() - warm.ended(), ScenarioRunner::sum);
+    }
+
+    /**
+     * Adds two counts.
+     *
+     * @param a a count
+     * @param b another count
+     * @return their sum
+     */
+    private static Object sum(Object a, Object b) {
+        return ((Number) a).longValue() + ((Number) b).longValue();
+    }
+
     /**
      * Performs a step.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/log/LogOutput.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/LogOutput.java
@@ -16,6 +16,9 @@
     /** Events that wait to be written; further ones are dropped rather than hold up a call. */
     private static final int QUEUE_SIZE = 8_192;
 
+    /** Logger of decisions. */
+    private static final String DECISIONS = "io.mustardusher.decision";
+
     /** Not instantiated. */
     private LogOutput() {}
 
@@ -48,7 +51,23 @@
         context.getLogger("io.mustardusher")
                 .setLevel(Level.toLevel(settings.getLevel().value()));
         Level decisions = settings.isDecisions() ? null : Level.OFF;
-        context.getLogger("io.mustardusher.decision").setLevel(decisions);
+        context.getLogger(DECISIONS).setLevel(decisions);
+    }
+
+    /**
+     * Runs work of which no decision is logged.
+     *
+     * @param work the work
+     */
+    public static void withoutDecisions(Runnable work) {
+        Logger logger = ((LoggerContext) LoggerFactory.getILoggerFactory()).getLogger(DECISIONS);
+        Level before = logger.getLevel();
+        logger.setLevel(Level.OFF);
+        try {
+            work.run();
+        } finally {
+            logger.setLevel(before);
+        }
     }
 
     /** Writes what waits and stops logging. */
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Listeners.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Listeners.java
@@ -109,7 +109,7 @@
      * @param group event loops
      * @return a builder
      */
-    private static ServerBuilder base(String host, int port, EventLoopGroup group) {
+    static ServerBuilder base(String host, int port, EventLoopGroup group) {
         return Server.builder()
                 .http(new InetSocketAddress(host, port))
                 .workerGroup(group, false)
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
@@ -48,6 +48,7 @@
 import io.mustardusher.keys.KeeperStore;
 import io.mustardusher.keys.Keepers;
 import io.mustardusher.keys.KeyedCalls;
+import io.mustardusher.log.LogOutput;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
@@ -157,6 +158,9 @@
     /** HTTP listeners. */
     private final Listeners listeners;
 
+    /** Whether the node is warm. */
+    private volatile boolean warm;
+
     /** Whether the node is stopping. */
     private volatile boolean stopping;
 
@@ -220,6 +224,8 @@
                 group,
                 TransportType.serverChannelType(group));
         listeners.start();
+        LogOutput.withoutDecisions(() -> new Warmup(group, connections, timers, clock).run(settings.getWarmUpMillis()));
+        warm = true;
         long gossip = settings.getGossipIntervalMillis();
         repeat(this::meetIfAlone, MEET_MILLIS / 2, MEET_MILLIS);
         repeat(gossiper::tick, gossip, gossip);
@@ -271,7 +277,7 @@
      * @return {@code true} if it does
      */
     public boolean isReady() {
-        return !stopping && catalogue.current() != null;
+        return warm && !stopping && catalogue.current() != null;
     }
 
     /**
@@ -280,7 +286,7 @@
      * @param announced the announcement
      */
     public void announced(Announcement announced) {
-        if (stopping) {
+        if (stopping || !warm) {
             return;
         }
         Announcement before = gate.announcement().orElse(null);
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Warmup.java
@@ -0,0 +1,218 @@
+package io.mustardusher.node;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.server.HttpService;
+import com.linecorp.armeria.server.Server;
+import io.mustardusher.call.CallHeaders;
+import io.mustardusher.catalogue.Catalogue;
+import io.mustardusher.entry.Directory;
+import io.mustardusher.entry.Entry;
+import io.mustardusher.entry.Prober;
+import io.mustardusher.entry.Router;
+import io.mustardusher.frame.Credential;
+import io.mustardusher.gate.CrashDetector;
+import io.mustardusher.gate.Gate;
+import io.mustardusher.generated.Announcement;
+import io.mustardusher.generated.CatalogueDelta;
+import io.mustardusher.generated.DistanceSettings;
+import io.mustardusher.generated.EntryDocument;
+import io.mustardusher.generated.MemberRecord;
+import io.mustardusher.generated.RevisedEntry;
+import io.mustardusher.health.SuspectTable;
+import io.mustardusher.membership.MemberState;
+import io.mustardusher.membership.MemberTable;
+import io.mustardusher.time.Clock;
+import io.netty.channel.EventLoopGroup;
+
+/**
+ * Sends calls through an entry, a gate and an empty backend server of its own before the node takes callers' calls, so
+ * that the first callers do not wait for code to be loaded and compiled. Nothing of it is seen outside the process.
+ */
+final class Warmup {
+
+    /** Service of the calls. */
+    private static final String SERVICE = "warm-up";
+
+    /** Address of all listeners. */
+    private static final String LOOPBACK = "127.0.0.1";
+
+    /** Calls under way at the same time. */
+    private static final int PARALLEL = 8;
+
+    /** Event loops. */
+    private final EventLoopGroup group;
+
+    /** Connections. */
+    private final ClientFactory connections;
+
+    /** Runs timers. */
+    private final ScheduledExecutorService timers;
+
+    /** Source of time. */
+    private final Clock clock;
+
+    /**
+     * Creates a warm-up.
+     *
+     * @param group       event loops
+     * @param connections connections
+     * @param timers      runs timers
+     * @param clock       source of time
+     */
+    Warmup(EventLoopGroup group, ClientFactory connections, ScheduledExecutorService timers, Clock clock) {
+        this.group = group;
+        this.connections = connections;
+        this.timers = timers;
+        this.clock = clock;
+    }
+
+    /**
+     * Sends calls.
+     *
+     * @param millis for how long, in milliseconds
+     */
+    void run(long millis) {
+        if (millis == 0) {
+            return;
+        }
+        MetricRegistry metrics = new MetricRegistry();
+        SuspectTable suspects = new SuspectTable(clock);
+        CrashDetector crashes =
+                new CrashDetector(0, () -> new InetSocketAddress(LOOPBACK, 0), timers, seen -> {}, () -> {});
+        Gate gate = new Gate(clock, suspects, connections, timers, crashes, metrics);
+        Server backend = listen((context, request) -> HttpResponse.of("warm"));
+        Server gates = listen((context, request) -> gate.handle(request, context.whenRequestCancelling()));
+        gate.announced(announcement(backend.activeLocalPort()));
+        gate.limits(1, 0);
+        MemberTable members = new MemberTable(member("warm-entry", 0, null), clock, new Random());
+        members.merge(List.of(member("warm-gate", gates.activeLocalPort(), SERVICE)));
+        Directory directory =
+                new Directory(members, gate, new DistanceSettings(), connections, new Credential(SERVICE), clock);
+        directory.refresh();
+        Router router = new Router(directory, suspects, seen -> {}, clock, metrics);
+        Catalogue catalogue = catalogue();
+        Prober prober = new Prober(directory, gate, () -> catalogue, server -> Optional.empty(), null, clock, metrics);
+        Entry entry = new Entry(router, null, () -> catalogue, prober, clock, metrics);
+        Server callers = listen(entry);
+        send(callers.activeLocalPort(), clock.nanoTime() + millis * Clock.NANOS_PER_MILLI);
+        CompletableFuture.allOf(callers.stop(), gates.stop(), backend.stop()).join();
+    }
+
+    /**
+     * Sends calls until a time.
+     *
+     * @param port     port of the entry
+     * @param endNanos the time, in nanoseconds
+     */
+    private void send(int port, long endNanos) {
+        WebClient client = WebClient.builder("h2c://" + LOOPBACK + ":" + port)
+                .factory(connections)
+                .responseTimeoutMillis(TimeUnit.SECONDS.toMillis(5))
+                .build();
+        CompletableFuture<?>[] streams = new CompletableFuture<?>[PARALLEL];
+        for (int i = 0; i < PARALLEL; i++) {
+            streams[i] = new CompletableFuture<Void>();
+            sendNext(client, endNanos, streams[i]);
+        }
+        CompletableFuture.allOf(streams).join();
+    }
+
+    /**
+     * Sends one call, and the next when it was answered.
+     *
+     * @param client   client of the entry
+     * @param endNanos time of the last call, in nanoseconds
+     * @param done     completes after the last call
+     */
+    private void sendNext(WebClient client, long endNanos, CompletableFuture<?> done) {
+        if (clock.nanoTime() - endNanos >= 0) {
+            done.complete(null);
+            return;
+        }
+        RequestHeaders headers = RequestHeaders.builder()
+                .method(com.linecorp.armeria.common.HttpMethod.GET)
+                .path("/")
+                .set(CallHeaders.SERVICE, SERVICE)
+                .build();
+        client.execute(headers).aggregate().whenComplete((answer, failure) -> sendNext(client, endNanos, done));
+    }
+
+    /**
+     * Starts a listener on a free port.
+     *
+     * @param service what it serves
+     * @return the listener
+     */
+    private Server listen(HttpService service) {
+        Server server =
+                Listeners.base(LOOPBACK, 0, group).serviceUnder("/", service).build();
+        server.start().join();
+        return server;
+    }
+
+    /**
+     * Returns the announcement of the empty backend server.
+     *
+     * @param port its port
+     * @return the announcement
+     */
+    private static Announcement announcement(int port) {
+        return new Announcement()
+                .withService(SERVICE)
+                .withHost(LOOPBACK)
+                .withPort(port)
+                .withSlots(PARALLEL)
+                .withConnections(PARALLEL)
+                .withState(Announcement.State.SERVING);
+    }
+
+    /**
+     * Returns the catalogue of the calls.
+     *
+     * @return a catalogue with one entry
+     */
+    private static Catalogue catalogue() {
+        EntryDocument entry = new EntryDocument()
+                .withService(SERVICE)
+                .withOwner(SERVICE)
+                .withServiceClass(EntryDocument.ServiceClass.STANDARD);
+        RevisedEntry revised =
+                new RevisedEntry().withService(SERVICE).withRevision(1).withEntry(entry);
+        return Catalogue.EMPTY.merge(
+                new CatalogueDelta().withSince(0).withRevision(1).withEntries(List.of(revised)));
+    }
+
+    /**
+     * Returns the record of a member.
+     *
+     * @param id       its name
+     * @param gatePort port of its gate
+     * @param service  its service, or {@code null}
+     * @return the record
+     */
+    private static MemberRecord member(String id, int gatePort, String service) {
+        return new MemberRecord()
+                .withId(id)
+                .withIncarnation(1)
+                .withState(MemberState.ALIVE.token())
+                .withHost(LOOPBACK)
+                .withGatePort(gatePort)
+                .withRegion(SERVICE)
+                .withDomain(SERVICE)
+                .withService(service)
+                .withSlots(PARALLEL)
+                .withServing(service != null);
+    }
+}
