Run each node on one event loop

Cause: with two event loops most calls changed threads between server and client side, and a wake-up costs about 0.1 ms on this machine. Change: one event loop a node.

--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -25,6 +25,7 @@
         -Dlogback.statusListenerClass=ch.qos.logback.core.status.NopStatusListener \
         -Dmustardusher.node.classPath="$(class_path mustardusher-node)" \
         -Dmustardusher.node.archive="$ARCHIVE" \
+        -Dmustardusher.node.flags="${MUSHER_NODE_FLAGS:-}" \
         -cp "$(class_path mustardusher-lab)" io.mustardusher.lab.MusherLab "$@"
 }
 
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeProcess.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeProcess.java
@@ -35,6 +35,9 @@
     /** System property with the archive of loaded classes that nodes start from. */
     private static final String ARCHIVE_PROPERTY = "mustardusher.node.archive";
 
+    /** System property with further flags of the nodes' virtual machines. */
+    private static final String FLAGS_PROPERTY = "mustardusher.node.flags";
+
     /** Time between two looks for readiness, in milliseconds. */
     private static final long READY_POLL_MILLIS = 50;
 
@@ -160,6 +163,8 @@
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(JVM_FLAGS);
         command.addAll(flags);
+        command.addAll(List.of(System.getProperty(FLAGS_PROPERTY, "").split("\\s+")));
+        command.removeIf(String::isEmpty);
         command.add("-cp");
         command.add(System.getProperty(CLASS_PATH_PROPERTY, System.getProperty("java.class.path")));
         command.add("io.mustardusher.node.Musherd");
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
@@ -65,8 +65,8 @@
 /** A running node. */
 public final class Node {
 
-    /** Event loops of a node. */
-    private static final int EVENT_LOOPS = 2;
+    /** Event loops of a node; with a single one, no step of a call waits for another thread. */
+    private static final int EVENT_LOOPS = 1;
 
     /** Time allowed to connect to another node or to the backend server, in milliseconds. */
     private static final long CONNECT_MILLIS = 500;
