--- a/mustardusher-core/src/main/java/io/mustardusher/claim/KeyLedger.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/claim/KeyLedger.java
@@ -190,32 +190,38 @@
     }
 
     /**
-     * Takes the witness's reply. The call may be dispatched only if the result is {@link ResultCode#OK}.
+     * Takes the witness's reply, or that none came. Only the first of them for a claim counts.
      *
      * @param key     the key
      * @param attempt number of the claim
      * @param reply   the reply, or {@code null} if none came
-     * @return {@link ResultCode#OK}, or why the call is refused
+     * @return what to do
      */
-    public ResultCode witnessReplied(IdempotencyKey key, long attempt, WitnessReply reply) {
-        HomeClaim<A> claim;
+    public Decision witnessReplied(IdempotencyKey key, long attempt, WitnessReply reply) {
+        CompletableFuture<KeyedAnswer<A>> waiting;
         ResultCode code;
+        Decision decision;
         synchronized (this) {
-            claim = homes.get(key);
+            HomeClaim<A> claim = homes.get(key);
             if (claim == null || claim.attempt != attempt || claim.phase != Phase.ASKING) {
-                return ResultCode.KEEPER_UNAVAILABLE;
+                return Decision.NOTHING;
             }
             code = judge(key, reply);
+            waiting = claim.answer;
             claim.phase = switch (code) {
                 case OK -> Phase.DISPATCHED;
                 case KEEPER_UNAVAILABLE -> Phase.RELEASED;
                 default -> Phase.ENDED;
             };
+            decision = claim.phase == Phase.RELEASED
+                    ? new Decision(false, Optional.of(request(key, claim, true)))
+                    : Decision.NOTHING;
         }
-        if (code != ResultCode.OK) {
-            claim.answer.complete(new KeyedAnswer<>(code, null));
+        if (code == ResultCode.OK) {
+            return Decision.DISPATCH;
         }
-        return code;
+        waiting.complete(new KeyedAnswer<>(code, null));
+        return decision;
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/keys/KeyedCalls.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/keys/KeyedCalls.java
@@ -10,10 +10,10 @@
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Problem;
 import io.mustardusher.claim.Begin;
+import io.mustardusher.claim.Decision;
 import io.mustardusher.claim.IdempotencyKey;
 import io.mustardusher.claim.KeyLedger;
 import io.mustardusher.claim.KeyedAnswer;
-import io.mustardusher.generated.WitnessRequest;
 import io.mustardusher.result.ResultCode;
 
 /** This node as the home of calls with keys. */
@@ -73,11 +73,10 @@
             Begin<AggregatedHttpResponse> begin,
             Supplier<HttpResponse> dispatch) {
         keepers.ask(begin.keeper(), begin.request()).thenAccept(reply -> {
-            ResultCode code = ledger.witnessReplied(key, begin.attempt(), reply);
-            if (code == ResultCode.OK) {
+            Decision decision = ledger.witnessReplied(key, begin.attempt(), reply);
+            decision.release().ifPresent(release -> keepers.ask(begin.keeper(), release));
+            if (decision.dispatch()) {
                 run(ledger, key, begin, dispatch);
-            } else if (code == ResultCode.KEEPER_UNAVAILABLE) {
-                keepers.ask(begin.keeper(), releaseOf(begin.request()));
             }
         });
         return begin.answer().thenApply(KeyedCalls::toResponse);
@@ -115,23 +114,6 @@
         return new KeyedAnswer<>(code, answer);
     }
 
-    /**
-     * Turns a question into one that gives the claim back.
-     *
-     * @param claim the question
-     * @return the question that releases the claim
-     */
-    private static WitnessRequest releaseOf(WitnessRequest claim) {
-        return new WitnessRequest()
-                .withService(claim.getService())
-                .withKey(claim.getKey())
-                .withEpoch(claim.getEpoch())
-                .withAttempt(claim.getAttempt())
-                .withHome(claim.getHome())
-                .withBody(claim.getBody())
-                .withRelease(true);
-    }
-
     /**
      * Writes the answer of a call with a key.
      *
