--- /dev/null
+++ b/mustardusher-core/src/test/java/io/mustardusher/membership/MemberTableTest.java
@@ -0,0 +1,145 @@
+package io.mustardusher.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import io.mustardusher.generated.MemberRecord;
+import io.mustardusher.time.Clock;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class MemberTableTest {
+
+    private final Clock.Manual clock = new Clock.Manual();
+    private final MemberTable table = new MemberTable(record("a", 1, 1, MemberState.ALIVE), clock, new Random(1));
+
+    @Test
+    void suspicionThatIsNotRefutedBecomesFailure() {
+        table.merge(List.of(record("b", 1, 1, MemberState.ALIVE)));
+        table.suspect("b");
+        clock.advanceMillis(MemberTable.SUSPICION_MILLIS - 1);
+        assertThat(table.expire()).isEmpty();
+        clock.advanceMillis(1);
+        assertThat(table.expire()).hasSize(1);
+        assertThat(state("b")).isEqualTo(MemberState.FAILED);
+    }
+
+    @Test
+    void higherIncarnationRefutesSuspicion() {
+        table.merge(List.of(record("b", 1, 1, MemberState.ALIVE)));
+        table.suspect("b");
+        table.merge(List.of(record("b", 1, 2, MemberState.ALIVE)));
+        clock.advanceMillis(MemberTable.SUSPICION_MILLIS);
+        assertThat(table.expire()).isEmpty();
+        assertThat(state("b")).isEqualTo(MemberState.ALIVE);
+    }
+
+    @Test
+    void ownSuspicionIsRefuted() {
+        table.merge(List.of(record("a", 1, 1, MemberState.SUSPECT)));
+        assertThat(table.self().getIncarnation()).isEqualTo(2);
+        assertThat(MemberState.of(table.self())).isEqualTo(MemberState.ALIVE);
+    }
+
+    @Test
+    void recordOfAnEarlierProcessChangesNothing() {
+        table.merge(List.of(record("b", 5, 1, MemberState.ALIVE)));
+        table.merge(List.of(record("b", 4, 9, MemberState.FAILED)));
+        assertThat(state("b")).isEqualTo(MemberState.ALIVE);
+    }
+
+    @Test
+    void newProcessReplacesAFailedOne() {
+        table.merge(List.of(record("b", 4, 9, MemberState.ALIVE)));
+        table.suspect("b");
+        clock.advanceMillis(MemberTable.SUSPICION_MILLIS);
+        table.expire();
+        table.merge(List.of(record("b", 5, 1, MemberState.ALIVE)));
+        assertThat(state("b")).isEqualTo(MemberState.ALIVE);
+    }
+
+    @Test
+    void tablesWithTheSameRecordsHaveTheSameDigest() {
+        MemberTable other = new MemberTable(record("b", 1, 1, MemberState.ALIVE), clock, new Random(2));
+        table.merge(other.members());
+        assertThat(table.digest()).isNotEqualTo(other.digest());
+        other.merge(table.members());
+        assertThat(table.digest()).isEqualTo(other.digest());
+    }
+
+    @Test
+    void updateIsSentABoundedNumberOfTimes() {
+        int sent = 0;
+        while (!table.nextUpdates(10).isEmpty()) {
+            sent++;
+        }
+        assertThat(sent).isEqualTo(3);
+    }
+
+    @Test
+    void goneMemberIsForgotten() {
+        table.merge(List.of(record("b", 1, 1, MemberState.ALIVE)));
+        table.merge(List.of(record("b", 1, 2, MemberState.LEFT)));
+        clock.advanceMillis(MemberTable.FORGET_MILLIS);
+        table.expire();
+        assertThat(table.find("b")).isEmpty();
+    }
+
+    @Test
+    void aRoundAsksEachMemberOnce() {
+        List<MemberRecord> records = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            records.add(record("m" + i, 1, 1, MemberState.ALIVE));
+        }
+        table.merge(records);
+        List<String> asked = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            asked.add(table.nextTarget().orElseThrow().getId());
+        }
+        assertThat(asked).containsNoDuplicates();
+    }
+
+    @Test
+    void twoHundredTablesConvergeByGossip() {
+        int size = 200;
+        List<MemberTable> tables = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            tables.add(new MemberTable(record("n" + i, 1, 1, MemberState.ALIVE), clock, new Random(i)));
+            tables.get(i).merge(tables.get(0).members());
+        }
+        int rounds = 0;
+        while (rounds < 100 && tables.stream().anyMatch(each -> each.members().size() < size)) {
+            rounds++;
+            for (MemberTable each : tables) {
+                MemberRecord target = each.nextTarget().orElse(null);
+                if (target != null) {
+                    MemberTable peer =
+                            tables.get(Integer.parseInt(target.getId().substring(1)));
+                    peer.merge(each.nextUpdates(10));
+                    each.merge(peer.nextUpdates(10));
+                    if (each.digest() != peer.digest()) {
+                        each.merge(peer.page(400));
+                    }
+                }
+            }
+        }
+        assertThat(rounds).isLessThan(20);
+    }
+
+    private MemberState state(String id) {
+        return MemberState.of(table.find(id).orElseThrow());
+    }
+
+    static MemberRecord record(String id, long boot, long incarnation, MemberState state) {
+        return new MemberRecord()
+                .withId(id)
+                .withBoot(boot)
+                .withIncarnation(incarnation)
+                .withState(state.token())
+                .withHost("127.0.0.1")
+                .withRegion("r")
+                .withDomain("d");
+    }
+}
--- /dev/null
+++ b/mustardusher-core/src/test/java/io/mustardusher/routing/RoutingPolicyTest.java
@@ -0,0 +1,147 @@
+package io.mustardusher.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import io.mustardusher.membership.NodeId;
+import io.mustardusher.time.Clock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RoutingPolicyTest {
+
+    private static final int CALLS = 10_000;
+    private static final long NOW = 100_000 * Clock.NANOS_PER_MILLI;
+
+    private final Random random = new Random(7);
+    private final List<ServerLoad> servers = new ArrayList<>();
+
+    @ParameterizedTest
+    @EnumSource(RoutingPolicy.class)
+    void everyServerIsUsed(RoutingPolicy policy) {
+        assertThat(counts(policy, pool(5))).asList().doesNotContain(0);
+    }
+
+    @ParameterizedTest
+    @EnumSource(RoutingPolicy.class)
+    void leavingServerIsNotChosen(RoutingPolicy policy) {
+        ServerPool pool = pool(3);
+        servers.get(1).serving(false);
+        assertThat(counts(policy, pool)[1]).isEqualTo(0);
+    }
+
+    @ParameterizedTest
+    @EnumSource(RoutingPolicy.class)
+    void triedServerIsNotChosen(RoutingPolicy policy) {
+        ServerPool pool = pool(2);
+        Exclusion exclusion = new Exclusion();
+        exclusion.add(servers.get(0));
+        assertThat(policy.choose(pool, exclusion, random, NOW)).isSameInstanceAs(servers.get(1));
+        exclusion.add(servers.get(1));
+        assertThat(policy.choose(pool, exclusion, random, NOW)).isNull();
+    }
+
+    @Test
+    void slowServerIsAvoided() {
+        ServerPool pool = pool(5);
+        servers.forEach(server -> server.report(new LoadReport(0, 0, 10, 8_000, false), NOW));
+        servers.get(2).report(new LoadReport(0, 0, 10, 80_000, false), NOW);
+        assertThat(counts(RoutingPolicy.MUSTARDUSHER, pool)[2]).isEqualTo(0);
+    }
+
+    @Test
+    void busyServerIsAvoided() {
+        ServerPool pool = pool(5);
+        servers.forEach(server -> server.report(new LoadReport(1, 0, 10, 8_000, false), NOW));
+        servers.get(2).report(new LoadReport(10, 20, 10, 8_000, false), NOW);
+        assertThat(counts(RoutingPolicy.MUSTARDUSHER, pool)[2]).isEqualTo(0);
+    }
+
+    @Test
+    void failingServerLooksIdleAndIsLeftOutAllTheSame() {
+        ServerPool pool = pool(5);
+        servers.forEach(server -> server.report(new LoadReport(5, 0, 10, 8_000, false), NOW));
+        ServerLoad failing = servers.get(2);
+        failing.report(new LoadReport(0, 0, 10, 100, false), NOW);
+        for (int i = 0; i < 6; i++) {
+            failing.ejection().ended(false, NOW);
+        }
+        assertThat(failing.ejection().isEjected(NOW)).isTrue();
+        assertThat(counts(RoutingPolicy.MUSTARDUSHER, pool)[2]).isEqualTo(0);
+    }
+
+    @Test
+    void ejectedServerGetsOneTrialCallAndReturns() {
+        ServerPool pool = pool(3);
+        ServerLoad failing = servers.get(0);
+        for (int i = 0; i < 6; i++) {
+            failing.ejection().ended(false, NOW);
+        }
+        long later = NOW + 2_000 * Clock.NANOS_PER_MILLI;
+        ServerLoad trial = RoutingPolicy.MUSTARDUSHER.choose(pool, new Exclusion(), random, later);
+        assertThat(trial).isSameInstanceAs(failing);
+        failing.ejection().trialSent();
+        failing.sent();
+        assertThat(RoutingPolicy.MUSTARDUSHER.choose(pool, new Exclusion(), random, later))
+                .isNotSameInstanceAs(failing);
+        failing.ejection().ended(true, later);
+        assertThat(failing.ejection().isOnTrial(later)).isFalse();
+    }
+
+    @Test
+    void atMostHalfOfTheServersAreLeftOut() {
+        ServerPool pool = pool(4);
+        for (ServerLoad server : servers) {
+            for (int i = 0; i < 6; i++) {
+                server.ejection().ended(false, NOW);
+            }
+        }
+        assertThat(RoutingPolicy.MUSTARDUSHER.choose(pool, new Exclusion(), random, NOW))
+                .isNotNull();
+    }
+
+    @Test
+    void startingServerIsGivenLess() {
+        ServerPool pool = pool(4);
+        ServerLoad cold = new ServerLoad(NodeId.of("cold"), 10, 0, NOW);
+        servers.add(cold);
+        ServerPool withCold = ServerPool.of(servers);
+        servers.forEach(server -> server.report(new LoadReport(4, 0, 10, 8_000, false), NOW));
+        assertThat(counts(RoutingPolicy.MUSTARDUSHER, withCold)[4]).isLessThan(CALLS / 10);
+        assertThat(pool.size()).isEqualTo(4);
+    }
+
+    @Test
+    void manyEntriesWithTheSameReportDoNotAllChooseTheSameServer() {
+        int most = 0;
+        int[] chosen = new int[20];
+        for (int entry = 0; entry < 200; entry++) {
+            servers.clear();
+            ServerPool pool = pool(20);
+            servers.forEach(server -> server.report(new LoadReport(5, 0, 10, 8_000, false), NOW));
+            servers.get(3).report(new LoadReport(0, 0, 10, 8_000, false), NOW);
+            ServerLoad choice = RoutingPolicy.MUSTARDUSHER.choose(pool, new Exclusion(), new Random(entry), NOW);
+            most = Math.max(most, ++chosen[servers.indexOf(choice)]);
+        }
+        assertThat(most).isLessThan(60);
+    }
+
+    private ServerPool pool(int size) {
+        for (int i = 0; i < size; i++) {
+            servers.add(new ServerLoad(NodeId.of("s" + i), 10, 0, 0));
+        }
+        return ServerPool.of(servers);
+    }
+
+    private int[] counts(RoutingPolicy policy, ServerPool pool) {
+        int[] counts = new int[pool.size()];
+        for (int i = 0; i < CALLS; i++) {
+            counts[servers.indexOf(policy.choose(pool, new Exclusion(), random, NOW))]++;
+        }
+        return counts;
+    }
+}
