--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/standin/PlatformServer.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/standin/PlatformServer.java
@@ -88,7 +88,7 @@
 
     @Override
     public void close() {
-        server.stop().join();
+        server.stop();
     }
 
     /**
