--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/bench/ControlBench.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/bench/ControlBench.java
@@ -30,8 +30,8 @@
 import io.mustardusher.time.Clock;
 
 /**
- * Slopes of what control costs: heap for each member, entry and key; bytes and processor time of a round of gossip; rounds
- * until all know a change. The real tables, with function calls in place of the network.
+ * Slopes of what control costs: heap for each member, entry and key; bytes and processor time of a round of gossip;
+ * rounds until all know a change. The real tables, with function calls in place of the network.
  */
 public final class ControlBench {
 
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/load/LoadGenerator.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/load/LoadGenerator.java
@@ -12,7 +12,8 @@
 import io.mustardusher.time.Clock;
 
 /**
- * Sends calls at times drawn beforehand, whether or not earlier ones were answered, so that a slow system is not spared.
+ * Sends calls at times drawn beforehand, whether or not earlier ones were answered, so that a slow system is not
+ * spared.
  */
 public final class LoadGenerator {
 
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/standin/BackendServer.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/standin/BackendServer.java
@@ -26,8 +26,8 @@
 import io.netty.channel.EventLoopGroup;
 
 /**
- * Stand-in for a backend server: slots with a queue behind them, service times, an announcement that it repeats, and the
- * faults that the scenarios ask for.
+ * Stand-in for a backend server: slots with a queue behind them, service times, an announcement that it repeats, and
+ * the faults that the scenarios ask for.
  */
 public final class BackendServer implements AutoCloseable {
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/HomeRouter.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/HomeRouter.java
@@ -25,8 +25,8 @@
 import io.mustardusher.time.Clock;
 
 /**
- * Brings calls with keys to the homes of their keys. A send to a home that brings nothing back is repeated, for the home
- * runs a key once however often it comes.
+ * Brings calls with keys to the homes of their keys. A send to a home that brings nothing back is repeated, for the
+ * home runs a key once however often it comes.
  */
 public final class HomeRouter {
 
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/CrashDetector.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/CrashDetector.java
@@ -18,8 +18,8 @@
 import io.mustardusher.log.NodeLog;
 
 /**
- * Tells a crash of the backend server from a lost connection: after a loss it tries to connect, and a refused connection
- * is a crash. Every call that was in flight at the first loss is then a suspect of that one crash.
+ * Tells a crash of the backend server from a lost connection: after a loss it tries to connect, and a refused
+ * connection is a crash. Every call that was in flight at the first loss is then a suspect of that one crash.
  */
 public final class CrashDetector {
 
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
@@ -334,7 +334,11 @@
         gossiper.tell(TOLD);
     }
 
-    /** Sets the handlers of frames. */
+    /**
+     * Sets the handlers of frames.
+     *
+     * @param suspectSpread spreads suspects
+     */
     private void answerFrames(SuspectSpread suspectSpread) {
         frameServer
                 .on(FrameKind.GOSSIP, (Gossip question) -> gossiper.answer(question))
