Hedge idempotent calls, and end exchanges whose answer nobody reads

Cause: budgets.hedgePercent was accepted and did nothing. Change: HedgedCall sends to a second server after three times the expected time, within the budget, and cancels the loser; Exchange ends with the answer it passed on; answers of no server always carry outcome and code; a race in a scenario starts all operators from one revision.

--- a/mustardusher-core/src/main/java/io/mustardusher/routing/Exclusion.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/Exclusion.java
@@ -23,6 +23,17 @@
         }
     }
 
+    /**
+     * Adds the servers that another call has tried.
+     *
+     * @param other servers that the other call has tried
+     */
+    public void addAll(Exclusion other) {
+        for (int i = 0; i < other.size; i++) {
+            add(other.tried[i]);
+        }
+    }
+
     /**
      * Tells whether a server was tried.
      *
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/Cluster.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/Cluster.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -77,6 +78,12 @@
     /** Backend servers by name. */
     private final Map<String, BackendServer> backends = new LinkedHashMap<>();
 
+    /** Races of operators. */
+    private final AtomicInteger races = new AtomicInteger();
+
+    /** Operators that won races. */
+    private final AtomicInteger raceWinners = new AtomicInteger();
+
     /** Base URL of the platform. */
     private String platformUrl;
 
@@ -207,10 +214,64 @@
      * @return what the command printed
      */
     public CommandResult put(JsonNode entry) {
+        return putWith(entry);
+    }
+
+    /**
+     * Writes an entry with {@code musherctl} if it has a revision.
+     *
+     * @param entry      the entry
+     * @param ifRevision the revision
+     * @return what the command printed
+     */
+    public CommandResult put(JsonNode entry, long ifRevision) {
+        return putWith(entry, "--if-revision", Long.toString(ifRevision));
+    }
+
+    /**
+     * Returns the revision of an entry as one node has it in force.
+     *
+     * @param service name of the service
+     * @return the revision
+     */
+    public long revisionOf(String service) {
+        String text = nodes().get(0).admin("/v1/catalogue/" + service);
+        return Long.parseLong(text.replaceAll(".*\"revision\":(\\d+).*", "$1"));
+    }
+
+    /**
+     * Notes how many operators won a race.
+     *
+     * @param winners the number
+     */
+    public void countRace(int winners) {
+        races.incrementAndGet();
+        raceWinners.addAndGet(winners);
+    }
+
+    /**
+     * Returns the operators that won races beyond one in each.
+     *
+     * @return the number, negative if a race had no winner
+     */
+    public int surplusWinners() {
+        return raceWinners.get() - races.get();
+    }
+
+    /**
+     * Writes an entry with {@code musherctl}.
+     *
+     * @param entry   the entry
+     * @param options further options
+     * @return what the command printed
+     */
+    private CommandResult putWith(JsonNode entry, String... options) {
         try {
             Path file = Files.createTempFile(folder, "entry", ".json");
             Files.writeString(file, entry.toString());
-            CommandResult result = ctl("catalogue", "put", file.toString(), "--author", "laboratory");
+            List<String> line = new ArrayList<>(List.of("catalogue", "put", file.toString(), "--author", "laboratory"));
+            line.addAll(List.of(options));
+            CommandResult result = ctl(line.toArray(new String[0]));
             Files.delete(file);
             return result;
         } catch (IOException e) {
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/Action.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/Action.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpMethod;
@@ -215,26 +216,30 @@
         }
     },
 
-    /** {@code race SERVICE N}: N operators change the entry at once; exactly one must win. */
+    /** {@code race SERVICE N}: N operators who saw the same revision change the entry at once. */
     RACE(2) {
         @Override
         String run(Cluster cluster, Entries entries, List<String> words) throws InterruptedException {
             Deployment.ServiceSize service = cluster.deployment().service(words.get(0));
             int operators = Integer.parseInt(words.get(1));
+            long seen = cluster.revisionOf(words.get(0));
             List<Thread> threads = new ArrayList<>();
-            List<Integer> exits = java.util.Collections.synchronizedList(new ArrayList<>());
+            AtomicInteger winners = new AtomicInteger();
             for (int i = 0; i < operators; i++) {
                 String deadline = Integer.toString(1000 + i);
-                Thread operator = new Thread(() -> exits.add(cluster.put(service.entryWith("deadlineMillis", deadline))
-                        .exit()));
+                Thread operator = new Thread(() -> {
+                    int exit = cluster.put(service.entryWith("deadlineMillis", deadline), seen)
+                            .exit();
+                    winners.addAndGet(exit == 0 ? 1 : 0);
+                });
                 threads.add(operator);
                 operator.start();
             }
             for (Thread operator : threads) {
                 operator.join();
             }
-            long winners = exits.stream().filter(exit -> exit == 0).count();
-            return winners + " accepted of " + operators;
+            cluster.countRace(winners.get());
+            return winners.get() + " accepted of " + operators;
         }
     };
 
--- a/mustardusher-lab/src/test/java/io/mustardusher/lab/cluster/SmallCluster.java
+++ b/mustardusher-lab/src/test/java/io/mustardusher/lab/cluster/SmallCluster.java
@@ -21,7 +21,7 @@
 /** Three nodes of one service in this process, over real sockets, and what tests ask of them. */
 final class SmallCluster implements AutoCloseable {
 
-    private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     final Cluster cluster = new Cluster(Deployment.named("trio"), Path.of("target/trio"), Hosting.EMBEDDED, false);
     private final Random random = new Random(3);
--- a/mustardusher-lab/src/test/java/io/mustardusher/lab/cluster/WholePathTest.java
+++ b/mustardusher-lab/src/test/java/io/mustardusher/lab/cluster/WholePathTest.java
@@ -198,11 +198,10 @@
     void changeComesIntoForceEverywhereAndTheLoserOfARaceIsTold() {
         String entry =
                 "{\"service\": \"ledger\", \"owner\": \"o\", \"class\": \"critical\", \"deadlineMillis\": 19000}";
-        AggregatedHttpResponse won = CLUSTER.put(0, entry, 1);
-        assertThat(won.status()).isEqualTo(HttpStatus.OK);
-        assertThat(CLUSTER.put(1, entry, 1).headers().get(CallHeaders.CODE)).isEqualTo("4002");
-        SmallCluster.await(() ->
-                List.of(0, 1, 2).stream().allMatch(node -> CLUSTER.node(node).revision() == 2));
+        long before = CLUSTER.node(0).revision();
+        changeTo(entry);
+        assertThat(CLUSTER.put(1, entry, before).headers().get(CallHeaders.CODE))
+                .isEqualTo("4002");
     }
 
     @Test
@@ -213,12 +212,40 @@
             assertThat(CLUSTER.post(1, "store-down-key", CLUSTER.key(), "claim").status())
                     .isEqualTo(HttpStatus.OK);
             String entry = "{\"service\": \"ledger\", \"owner\": \"o\", \"class\": \"critical\"}";
-            assertThat(CLUSTER.put(0, entry, 2).headers().get(CallHeaders.CODE)).isEqualTo("4003");
+            assertThat(CLUSTER.put(0, entry, CLUSTER.node(0).revision())
+                            .headers()
+                            .get(CallHeaders.CODE))
+                    .isEqualTo("4003");
         } finally {
             CLUSTER.cluster.platform().fault(StoreFault.NONE);
         }
     }
 
+    /** Each entry's turns bring a third of the calls to the slow server first, and none is answered by it. */
+    @Test
+    void hedgedCallIsAnsweredByTheOtherServer() {
+        String entry =
+                "{\"service\": \"ledger\", \"owner\": \"o\", \"class\": \"critical\", \"policy\": \"round-robin\","
+                        + " \"deadlineMillis\": 20000, \"budgets\": {\"hedgePercent\": 100}}";
+        changeTo(entry);
+        BackendServer slow = CLUSTER.backend(1);
+        slow.behave(slow.behaviour().withSlowFactor(2_000));
+        for (int i = 0; i < 30; i++) {
+            assertThat(CLUSTER.get(i % 3, "hedge-" + i, 10).headers().get("x-server"))
+                    .isNotEqualTo(slow.name());
+        }
+        slow.behave(slow.behaviour().withSlowFactor(1));
+        changeTo("{\"service\": \"ledger\", \"owner\": \"o\", \"class\": \"critical\", \"deadlineMillis\": 20000}");
+    }
+
+    private static void changeTo(String entry) {
+        long revision = CLUSTER.node(0).revision();
+        AggregatedHttpResponse answer = CLUSTER.put(0, entry, revision);
+        assertWithMessage(answer.contentUtf8()).that(answer.status()).isEqualTo(HttpStatus.OK);
+        SmallCluster.await(
+                () -> IntStream.range(0, 3).allMatch(node -> CLUSTER.node(node).revision() == revision + 1));
+    }
+
     private static String post(String id) {
         return "POST /x HTTP/1.1\r\nHost: ledger\r\nmustardusher-service: ledger\r\nx-request-id: " + id
                 + "\r\nConnection: close\r\n";
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
@@ -94,13 +94,19 @@
     }
 
     /**
-     * Passes the answer on under other headers.
+     * Passes the answer on under other headers. If it is given up before anyone reads it, the exchange ends too.
      *
      * @param headers the headers
      * @return the answer
      */
     public HttpResponse answer(ResponseHeaders headers) {
-        return HttpResponse.of(headers, split.body());
+        HttpResponse passed = HttpResponse.of(headers, split.body());
+        passed.whenComplete().whenComplete((done, failure) -> {
+            if (failure != null) {
+                discard();
+            }
+        });
+        return passed;
     }
 
     /**
@@ -115,6 +121,7 @@
     /** Drops the rest of the answer. */
     public void discard() {
         split.body().abort();
+        response.abort();
     }
 
     /** Gives up the request. */
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -55,11 +55,14 @@
     private final Exclusion exclusion = new Exclusion();
 
     /** The answer. */
-    private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+    private final CompletableFuture<Reply> answer = new CompletableFuture<>();
 
     /** Number of the present send, from 1. */
     private int attempt;
 
+    /** Expected time to an answer, in nanoseconds. */
+    private volatile long expectedNanos;
+
     /** Whether an earlier send may have run. */
     private boolean mayHaveRun;
 
@@ -95,8 +98,35 @@
      * @return the answer
      */
     HttpResponse start() {
+        return HttpResponse.of(begin().thenApply(Reply::response));
+    }
+
+    /**
+     * Starts the first send.
+     *
+     * @return the reply to pass on
+     */
+    CompletableFuture<Reply> begin() {
         send();
-        return HttpResponse.of(answer);
+        return answer;
+    }
+
+    /**
+     * Leaves out the servers that another send of the same call has tried.
+     *
+     * @param other the other send
+     */
+    void avoid(RoutedCall other) {
+        exclusion.addAll(other.exclusion);
+    }
+
+    /**
+     * Returns the time to an answer that was expected of the server last chosen.
+     *
+     * @return time in nanoseconds; 0 before a choice
+     */
+    long expectedNanos() {
+        return expectedNanos;
     }
 
     /** Chooses a server and sends the call. */
@@ -116,8 +146,9 @@
             refuse(ResultCode.NO_SERVER, "no server left to try");
             return;
         }
-        logChoice(server, pool, now);
         exclusion.add(server);
+        expectedNanos = (long) server.score(now);
+        logChoice(server, pool);
         sendTo(server, link.get(), now);
     }
 
@@ -162,7 +193,7 @@
             ran(server, exchange, headers, now);
             return;
         }
-        ResultCode code = ResultCode.of(headers.get(CallHeaders.CODE)).orElse(ResultCode.CONNECTION_LOST);
+        ResultCode code = codeOf(headers);
         boolean healthy = code.outcome() == Outcome.NOT_RUN && code != ResultCode.SERVER_UNREACHABLE;
         if (!healthy) {
             server.ejection().ended(false, now);
@@ -170,18 +201,26 @@
         if (code == ResultCode.SERVER_CRASHED) {
             router.suspect(fingerprint, headers.getLong(CallHeaders.CRASH, 0));
         }
+        exchange.discard();
         if (mayRetry(code, now)) {
-            exchange.discard();
             resend(code);
-        } else if (mayHaveRun && code.outcome() == Outcome.NOT_RUN) {
-            exchange.discard();
-            refuse(code, "refused by the gate");
         } else {
-            NodeLog.DECISIONS.notRouted(call.service().value(), code.number(), attempt);
-            answer.complete(exchange.answer(forCaller(headers)));
+            refuse(code, "after " + attempt + " sends");
         }
     }
 
+    /**
+     * Reads the code of an answer that no backend server gave. A gate that does not know this node's credential is as
+     * good as unreachable.
+     *
+     * @param headers headers of the answer
+     * @return the code
+     */
+    private static ResultCode codeOf(ResponseHeaders headers) {
+        ResultCode code = ResultCode.of(headers.get(CallHeaders.CODE)).orElse(ResultCode.CONNECTION_LOST);
+        return code == ResultCode.UNAUTHORIZED ? ResultCode.SERVER_UNREACHABLE : code;
+    }
+
     /**
      * Passes on the answer of a server that ran the call, unless it failed and may be sent elsewhere.
      *
@@ -198,7 +237,7 @@
             resend(ResultCode.CONNECTION_LOST);
             return;
         }
-        answer.complete(exchange.answer(forCaller(headers)));
+        answer.complete(new Reply(exchange.answer(forCaller(headers)), Outcome.RAN));
     }
 
     /**
@@ -258,11 +297,11 @@
         boolean proven = !mayHaveRun || code.outcome() != Outcome.NOT_RUN;
         ResultCode told = proven ? code : ResultCode.RETRY_REFUSED;
         NodeLog.DECISIONS.notRouted(call.service().value(), told.number(), attempt);
-        answer.complete(Problem.response(told, detail));
+        answer.complete(new Reply(Problem.response(told, detail), told.outcome()));
     }
 
     /**
-     * Writes the headers of an answer for the caller.
+     * Writes the headers of a backend server's answer for the caller.
      *
      * @param headers headers as they came from the gate
      * @return the headers
@@ -271,9 +310,7 @@
         ResponseHeadersBuilder passed = headers.toBuilder();
         passed.remove(CallHeaders.LOAD);
         passed.remove(CallHeaders.CRASH);
-        if (!passed.contains(CallHeaders.CODE)) {
-            passed.set(CallHeaders.CODE, Integer.toString(ResultCode.OK.number()));
-        }
+        passed.set(CallHeaders.CODE, Integer.toString(ResultCode.OK.number()));
         return passed.build();
     }
 
@@ -294,13 +331,12 @@
      *
      * @param server the server
      * @param pool   servers to choose from
-     * @param now    present time, in nanoseconds
      */
-    private void logChoice(ServerLoad server, ServerPool pool, long now) {
+    private void logChoice(ServerLoad server, ServerPool pool) {
         if (!NodeLog.DECISIONS.isInfoEnabled()) {
             return;
         }
-        long micros = (long) (server.score(now) / Clock.NANOS_PER_MICRO);
+        long micros = expectedNanos / Clock.NANOS_PER_MICRO;
         String policy = call.entry().policy().token();
         NodeLog.DECISIONS.routed(call.service().value(), server.node().value(), policy, attempt, micros, pool.size());
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
@@ -3,7 +3,9 @@
 import java.util.Map;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
@@ -34,6 +36,12 @@
     /** Retry policies by service. */
     private final Map<ServiceName, RetryPolicy> retries = new ConcurrentHashMap<>();
 
+    /** Budgets of hedged calls by service. */
+    private final Map<ServiceName, RatioBudget> hedges = new ConcurrentHashMap<>();
+
+    /** Runs timers. */
+    private final ScheduledExecutorService timers;
+
     /** Fresh calls. */
     private final Meter calls;
 
@@ -46,6 +54,7 @@
      * @param directory servers and ways to their gates
      * @param suspects  calls suspected of crashing servers
      * @param sightings told of each new suspect
+     * @param timers    runs timers
      * @param clock     source of time
      * @param metrics   registry of metrics
      */
@@ -53,11 +62,13 @@
             Directory directory,
             SuspectTable suspects,
             Consumer<SuspectTable.Sighting> sightings,
+            ScheduledExecutorService timers,
             Clock clock,
             MetricRegistry metrics) {
         this.directory = directory;
         this.suspects = suspects;
         this.sightings = sightings;
+        this.timers = timers;
         this.clock = clock;
         this.calls = metrics.meter("entry.calls");
         this.resends = metrics.meter("entry.resends");
@@ -76,7 +87,14 @@
         calls.mark();
         RetryPolicy policy = retries.computeIfAbsent(call.service(), name -> new RetryPolicy(new RatioBudget()));
         policy.budget().earn(call.entry().retryPercent());
-        return new RoutedCall(this, call, body, idempotent, policy, cancelled).start();
+        int hedgePercent = call.entry().hedgePercent();
+        if (hedgePercent == 0 || !idempotent || !body.isReplayable() || call.resent()) {
+            return new RoutedCall(this, call, body, idempotent, policy, cancelled).start();
+        }
+        RatioBudget budget = hedges.computeIfAbsent(call.service(), name -> new RatioBudget());
+        budget.earn(hedgePercent);
+        Function<CompletionStage<?>, RoutedCall> sends = given -> new RoutedCall(this, call, body, true, policy, given);
+        return new HedgedCall(sends, budget, timers, cancelled).start();
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
@@ -190,7 +190,7 @@
         meeting = new Meeting(table, seeds(settings), members, gossiper, random);
         KeeperStore keeperStore = new KeeperStore(table);
         keepers = new Keepers(keeper, keeperStore, frames, directory, members, clock, random);
-        Router router = new Router(directory, suspects, suspectSpread::add, clock, metrics);
+        Router router = new Router(directory, suspects, suspectSpread::add, timers, clock, metrics);
         GroupCache groups = new GroupCache(members, keepers, frames, keeperStore, clock);
         HomeRouter homes = new HomeRouter(keeper, groups, router, new KeyedCalls(keepers), timers, clock);
         prober = new Prober(
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Warmup.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Warmup.java
@@ -101,7 +101,7 @@
         Directory directory =
                 new Directory(members, gate, new DistanceSettings(), connections, new Credential(SERVICE), clock);
         directory.refresh();
-        Router router = new Router(directory, suspects, seen -> {}, clock, metrics);
+        Router router = new Router(directory, suspects, seen -> {}, timers, clock, metrics);
         Catalogue catalogue = catalogue();
         Prober prober = new Prober(directory, gate, () -> catalogue, server -> Optional.empty(), null, clock, metrics);
         Entry entry = new Entry(router, null, () -> catalogue, prober, clock, metrics);
