Test gossip, catalogue spread and keepers on a fake network and clock

Cause: what nodes do together was tested only with processes. Written down, halves that were apart for longer than the suspicion time never met again: a failed member was not asked any more. Change: Peers is what the parts ask through; SpreadTest (40 nodes) and KeepersTest run them on function calls. Now and then a node asks a failed member and meets others through the table service. Options of changes stand once.

--- a/mustardusher-core/src/main/java/io/mustardusher/claim/KeyLedger.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/claim/KeyLedger.java
@@ -155,12 +155,12 @@
     }
 
     /**
-     * Tells whether claims may be granted now.
+     * Tells whether this node may grant claims now.
      *
-     * @return {@code true} if they may
+     * @return {@code true} if it is a keeper and its epoch is confirmed
      */
     public synchronized boolean hasAuthority() {
-        return authority.isValid();
+        return group != null && group.contains(self) && authority.isValid();
     }
 
     /**
--- a/mustardusher-core/src/main/java/io/mustardusher/membership/MemberTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/membership/MemberTable.java
@@ -1,5 +1,6 @@
 package io.mustardusher.membership;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -111,6 +112,19 @@
         return Optional.ofNullable(members.get(id)).map(tracked -> tracked.value);
     }
 
+    /**
+     * Finds the address for frames of a process.
+     *
+     * @param id   name of the node
+     * @param boot start of the process
+     * @return the address, or empty if the process is not known as present
+     */
+    public Optional<InetSocketAddress> frameAddress(String id, long boot) {
+        return find(id).filter(member -> member.getBoot() == boot)
+                .filter(member -> MemberState.of(member).isPresent())
+                .map(member -> new InetSocketAddress(member.getHost(), (int) member.getFramePort()));
+    }
+
     /**
      * Returns a checksum over all records; tables with the same records have the same checksum.
      *
@@ -254,6 +268,21 @@
         return present.subList(0, Math.min(count, present.size()));
     }
 
+    /**
+     * Returns a random member that failed and is not yet forgotten.
+     *
+     * @return the member, or empty if there is none
+     */
+    public synchronized Optional<MemberRecord> someFailed() {
+        List<MemberRecord> failed = new ArrayList<>();
+        for (Tracked tracked : members.values()) {
+            if (MemberState.of(tracked.value) == MemberState.FAILED) {
+                failed.add(tracked.value);
+            }
+        }
+        return failed.isEmpty() ? Optional.empty() : Optional.of(failed.get(random.nextInt(failed.size())));
+    }
+
     /**
      * Starts a round over the present members.
      *
--- a/mustardusher-ctl/src/main/java/io/mustardusher/ctl/CatalogueCommand.java
+++ b/mustardusher-ctl/src/main/java/io/mustardusher/ctl/CatalogueCommand.java
@@ -6,7 +6,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
-import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -15,6 +14,7 @@
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.schema.Schema;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.ParentCommand;
@@ -72,10 +72,8 @@
     /**
      * Writes an entry.
      *
-     * @param file       file with the entry, or a dash
-     * @param ifRevision revision that the entry must have
-     * @param change     id of the change
-     * @param author     who makes it
+     * @param file    file with the entry, or a dash
+     * @param options options of the change
      * @return the exit code
      * @throws IOException if the file cannot be read
      */
@@ -83,19 +81,7 @@
     int put(
             @Parameters(paramLabel = "FILE", description = "Entry, JSON with comments; - for standard input.")
                     String file,
-            @Option(
-                            names = "--if-revision",
-                            paramLabel = "N",
-                            description = "Revision the entry must have, 0 if absent; by default the one in force now.")
-                    Long ifRevision,
-            @Option(names = "--change", paramLabel = "ID", description = "Id of the change; made if not given.")
-                    String change,
-            @Option(
-                            names = "--author",
-                            paramLabel = "NAME",
-                            defaultValue = "${env:USER:-unnamed}",
-                            description = "Who makes the change.")
-                    String author)
+            @Mixin ChangeOptions options)
             throws IOException {
         String text = "-".equals(file)
                 ? new String(System.in.readAllBytes(), StandardCharsets.UTF_8)
@@ -106,35 +92,21 @@
         } catch (MustardusherException e) {
             throw new IllegalArgumentException(e.code().number() + " " + e.getMessage(), e);
         }
-        return change(HttpMethod.PUT, entry.getService(), ifRevision, change, author, Schema.write(entry));
+        return change(HttpMethod.PUT, entry.getService(), options, Schema.write(entry));
     }
 
     /**
      * Removes an entry.
      *
-     * @param service    name of the service
-     * @param ifRevision revision that the entry must have
-     * @param change     id of the change
-     * @param author     who makes it
+     * @param service name of the service
+     * @param options options of the change
      * @return the exit code
      */
     @Command(name = "remove", description = "Removes an entry; refused if another change came first.")
     int remove(
             @Parameters(paramLabel = "SERVICE", description = "Name of the service.") String service,
-            @Option(
-                            names = "--if-revision",
-                            paramLabel = "N",
-                            description = "Revision the entry must have; by default the one in force now.")
-                    Long ifRevision,
-            @Option(names = "--change", paramLabel = "ID", description = "Id of the change; made if not given.")
-                    String change,
-            @Option(
-                            names = "--author",
-                            paramLabel = "NAME",
-                            defaultValue = "${env:USER:-unnamed}",
-                            description = "Who makes the change.")
-                    String author) {
-        return change(HttpMethod.DELETE, service, ifRevision, change, author, "");
+            @Mixin ChangeOptions options) {
+        return change(HttpMethod.DELETE, service, options, "");
     }
 
     /**
@@ -208,19 +180,17 @@
     /**
      * Makes a change.
      *
-     * @param method     HTTP method
-     * @param service    name of the service
-     * @param ifRevision revision that the entry must have, or {@code null} for the one in force
-     * @param change     id of the change, or {@code null}
-     * @param author     who makes it
-     * @param body       the entry, or nothing
+     * @param method  HTTP method
+     * @param service name of the service
+     * @param options options of the change
+     * @param body    the entry, or nothing
      * @return the exit code
      */
-    private int change(HttpMethod method, String service, Long ifRevision, String change, String author, String body) {
-        String id = change == null ? UUID.randomUUID().toString() : change;
-        long revision = ifRevision == null ? presentRevision(service) : ifRevision;
+    private int change(HttpMethod method, String service, ChangeOptions options, String body) {
+        String id = options.change();
+        long revision = options.ifRevision().orElseGet(() -> presentRevision(service));
         Map<String, String> headers =
-                Map.of("idempotency-key", id, "from", author, "if-match", Long.toString(revision));
+                Map.of("idempotency-key", id, "from", options.author(), "if-match", Long.toString(revision));
         NodeApi.Answer answer = parent.api().send(method, "/v1/catalogue/" + service, headers, body);
         int exit = parent.show(answer, "", CHANGE_COLUMNS);
         if (exit == ExitStatus.UNRESOLVED) {
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/bench/ControlBench.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/bench/ControlBench.java
@@ -18,12 +18,21 @@
 import io.mustardusher.claim.KeyLedger;
 import io.mustardusher.claim.KeyedAnswer;
 import io.mustardusher.frame.FrameCodec;
+import io.mustardusher.frame.FrameKind;
 import io.mustardusher.generated.CatalogueDelta;
+import io.mustardusher.generated.CataloguePull;
+import io.mustardusher.generated.ConfirmReply;
+import io.mustardusher.generated.ConfirmRequest;
 import io.mustardusher.generated.EntryDocument;
 import io.mustardusher.generated.Gossip;
+import io.mustardusher.generated.KeeperRecord;
 import io.mustardusher.generated.MemberRecord;
+import io.mustardusher.generated.ProbeAnswer;
+import io.mustardusher.generated.ProbeQuestion;
 import io.mustardusher.generated.RevisedEntry;
+import io.mustardusher.generated.SuspectRecord;
 import io.mustardusher.generated.WitnessReply;
+import io.mustardusher.generated.WitnessRequest;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
 import io.mustardusher.result.ResultCode;
@@ -94,6 +103,57 @@
         out.println("| keys | heap at home, B/key | heap at witness, B/key | claim and end, us cpu |");
         out.println("| --- | --- | --- | --- |");
         List.of(KEYS / 10, KEYS / 2, KEYS).forEach(this::keys);
+        out.println();
+        out.println("| frame | question, B | answer, B |");
+        out.println("| --- | --- | --- |");
+        frames();
+    }
+
+    /** Prints the sizes of frames. */
+    private void frames() {
+        KeeperRecord keeper = new Keeper("service-17-node-1017", 1_700_000_000_000L, "region-3/domain-11").toRecord();
+        frame(
+                FrameKind.CONFIRM,
+                new ConfirmRequest().withService("service-17").withEpoch(1_000).withFrom(keeper),
+                new ConfirmReply().withEpoch(1_000).withConfirmed(true));
+        frame(
+                FrameKind.WITNESS,
+                new WitnessRequest()
+                        .withService("service-17")
+                        .withKey("018bcfe5-8dac-7c50-a101-1c0ed689068f")
+                        .withEpoch(1_000)
+                        .withAttempt(100_000)
+                        .withHome("service-17-node-1017@1700000000000")
+                        .withBody(Long.MAX_VALUE),
+                new WitnessReply()
+                        .withVerdict(WitnessReply.Verdict.RECORDED)
+                        .withEpoch(1_000)
+                        .withCoveredSince(1_700_000_000_000L));
+        frame(
+                FrameKind.PROBE,
+                new ProbeQuestion().withService("service-17"),
+                new ProbeAnswer().withAnswered(true).withLoad("17,3,17,8123,0"));
+        frame(
+                FrameKind.PULL,
+                new CataloguePull().withSince(123_456),
+                new CatalogueDelta().withSince(123_456).withRevision(123_456));
+        frame(
+                FrameKind.SUSPECT,
+                new SuspectRecord().withFingerprint(Long.MAX_VALUE).withCrash(Long.MAX_VALUE),
+                new SuspectRecord().withFingerprint(Long.MAX_VALUE).withCrash(Long.MAX_VALUE));
+    }
+
+    /**
+     * Prints the size of one kind of frame.
+     *
+     * @param kind     the kind
+     * @param question a question
+     * @param answer   an answer
+     */
+    private void frame(FrameKind kind, Object question, Object answer) {
+        out.printf(
+                "| %s | %d | %d |%n",
+                kind.name().toLowerCase(java.util.Locale.ROOT), FrameCodec.sizeOf(question), FrameCodec.sizeOf(answer));
     }
 
     /**
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeProcess.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeProcess.java
@@ -14,7 +14,10 @@
 /** A node as a process of its own. */
 public final class NodeProcess implements NodeHandle {
 
-    /** Flags of the virtual machine with which {@code musherd} ships. */
+    /**
+     * Flags of the virtual machine: those of {@code bin/musherd}, but with the first compiler only, because a deployment
+     * of many nodes shares this machine.
+     */
     public static final List<String> JVM_FLAGS = List.of(
             "-Xmx64m",
             "-Xss512k",
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/Action.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/Action.java
@@ -1,10 +1,12 @@
 package io.mustardusher.lab.scenario;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpMethod;
@@ -15,6 +17,7 @@
 import io.mustardusher.lab.cluster.NodeHandle;
 import io.mustardusher.lab.load.Entries;
 import io.mustardusher.lab.standin.BackendServer;
+import io.mustardusher.lab.standin.Behaviour;
 import io.mustardusher.lab.standin.StoreFault;
 
 /** What a scenario can do to a deployment. */
@@ -23,10 +26,8 @@
     SLOW(2) {
         @Override
         String run(Cluster cluster, Entries entries, List<String> words) {
-            BackendServer backend = cluster.backend(words.get(0));
             double factor = Double.parseDouble(words.get(1).substring(1));
-            backend.behave(backend.behaviour().withSlowFactor(factor));
-            return "";
+            return behave(cluster, words, behaviour -> behaviour.withSlowFactor(factor));
         }
     },
 
@@ -34,9 +35,7 @@
     NOISE(2) {
         @Override
         String run(Cluster cluster, Entries entries, List<String> words) {
-            BackendServer backend = cluster.backend(words.get(0));
-            backend.behave(backend.behaviour().withNoiseMillis(Duration.millis(words.get(1))));
-            return "";
+            return behave(cluster, words, behaviour -> behaviour.withNoiseMillis(Duration.millis(words.get(1))));
         }
     },
 
@@ -44,9 +43,7 @@
     FAIL_FAST(1) {
         @Override
         String run(Cluster cluster, Entries entries, List<String> words) {
-            BackendServer backend = cluster.backend(words.get(0));
-            backend.behave(backend.behaviour().withFailFast(true));
-            return "";
+            return behave(cluster, words, behaviour -> behaviour.withFailFast(true));
         }
     },
 
@@ -54,9 +51,7 @@
     SHED(2) {
         @Override
         String run(Cluster cluster, Entries entries, List<String> words) {
-            BackendServer backend = cluster.backend(words.get(0));
-            backend.behave(backend.behaviour().withShedAbove(Integer.parseInt(words.get(1))));
-            return "";
+            return behave(cluster, words, behaviour -> behaviour.withShedAbove(Integer.parseInt(words.get(1))));
         }
     },
 
@@ -64,13 +59,11 @@
     RESTORE(1) {
         @Override
         String run(Cluster cluster, Entries entries, List<String> words) {
-            BackendServer backend = cluster.backend(words.get(0));
-            backend.behave(backend.behaviour()
+            return behave(cluster, words, behaviour -> behaviour
                     .withSlowFactor(1)
                     .withFailFast(false)
                     .withShedAbove(0)
                     .withNoiseMillis(0));
-            return "";
         }
     },
 
@@ -172,6 +165,23 @@
         }
     },
 
+    /** {@code replace-all TIME}: every node in turn, one service after another, with that time between two. */
+    REPLACE_ALL(1) {
+        @Override
+        String run(Cluster cluster, Entries entries, List<String> words) throws InterruptedException {
+            long pause = Duration.millis(words.get(0));
+            List<String> names = new ArrayList<>();
+            cluster.nodes().forEach(node -> names.add(node.name()));
+            names.sort(Comparator.comparing(name -> name.substring(name.lastIndexOf('-'))));
+            int failed = 0;
+            for (String name : names) {
+                failed += "exit 0".equals(REPLACE_NODE.run(cluster, entries, List.of(name))) ? 0 : 1;
+                TimeUnit.MILLISECONDS.sleep(pause);
+            }
+            return names.size() + " replaced, " + failed + " not gracefully";
+        }
+    },
+
     /** {@code kill-node NODE}: the VM vanishes. */
     KILL_NODE(1) {
         @Override
@@ -261,6 +271,20 @@
         this.words = words;
     }
 
+    /**
+     * Changes the behaviour of a server.
+     *
+     * @param cluster the deployment
+     * @param words   words behind the name, the server's name first
+     * @param change  the change
+     * @return nothing to report
+     */
+    private static String behave(Cluster cluster, List<String> words, UnaryOperator<Behaviour> change) {
+        BackendServer backend = cluster.backend(words.get(0));
+        backend.behave(change.apply(backend.behaviour()));
+        return "";
+    }
+
     /**
      * Finds an action.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Directory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Directory.java
@@ -1,6 +1,5 @@
 package io.mustardusher.entry;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
@@ -119,20 +118,6 @@
         return Optional.ofNullable(targets.get(id + "@" + boot)).map(Target::link);
     }
 
-    /**
-     * Returns the address for frames of a process.
-     *
-     * @param id   name of the node
-     * @param boot start of its process
-     * @return the address, or empty if the process is not known as present
-     */
-    public Optional<InetSocketAddress> frames(String id, long boot) {
-        return members.find(id)
-                .filter(member -> member.getBoot() == boot)
-                .filter(member -> MemberState.of(member).isPresent())
-                .map(member -> new InetSocketAddress(member.getHost(), (int) member.getFramePort()));
-    }
-
     /** Makes the directory anew if the member table has changed. */
     public synchronized void refresh() {
         long present = members.version();
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Prober.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Prober.java
@@ -14,8 +14,8 @@
 import io.mustardusher.catalogue.Catalogue;
 import io.mustardusher.catalogue.CatalogueEntry;
 import io.mustardusher.catalogue.ServiceName;
-import io.mustardusher.frame.FrameClient;
 import io.mustardusher.frame.FrameKind;
+import io.mustardusher.frame.Peers;
 import io.mustardusher.gate.Gate;
 import io.mustardusher.generated.ProbeAnswer;
 import io.mustardusher.generated.ProbeQuestion;
@@ -52,7 +52,7 @@
     private final Function<ServerLoad, Optional<InetSocketAddress>> address;
 
     /** Asks other nodes. */
-    private final FrameClient frames;
+    private final Peers peers;
 
     /** Source of time. */
     private final Clock clock;
@@ -73,7 +73,7 @@
      * @param gate      gate of this node
      * @param catalogue the catalogue in force
      * @param address   address for frames of a server's node
-     * @param frames    asks other nodes
+     * @param peers     asks other nodes
      * @param clock     source of time
      * @param metrics   registry of metrics
      */
@@ -82,14 +82,14 @@
             Gate gate,
             Supplier<Catalogue> catalogue,
             Function<ServerLoad, Optional<InetSocketAddress>> address,
-            FrameClient frames,
+            Peers peers,
             Clock clock,
             MetricRegistry metrics) {
         this.directory = directory;
         this.gate = gate;
         this.catalogue = catalogue;
         this.address = address;
-        this.frames = frames;
+        this.peers = peers;
         this.clock = clock;
         this.answers = new TokenBucket(clock, 0, 0);
         this.sent = metrics.meter("entry.probes");
@@ -155,7 +155,7 @@
         }
         sent.mark();
         ProbeQuestion question = new ProbeQuestion().withService(service.value());
-        CompletableFuture<ProbeAnswer> answer = frames.ask(target.get(), FrameKind.PROBE, question, ASK_MILLIS);
+        CompletableFuture<ProbeAnswer> answer = peers.ask(target.get(), FrameKind.PROBE, question, ASK_MILLIS);
         answer.thenAccept(
                 reply -> LoadReport.parse(reply.getLoad()).ifPresent(load -> stalest.report(load, clock.nanoTime())));
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameClient.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameClient.java
@@ -18,7 +18,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 
 /** Asks other nodes over one connection for each, opened when first needed and closed when idle. */
-public final class FrameClient implements AutoCloseable {
+public final class FrameClient implements Peers, AutoCloseable {
 
     /** Time allowed to open a connection, in milliseconds. */
     private static final int CONNECT_MILLIS = 500;
@@ -69,16 +69,7 @@
                 });
     }
 
-    /**
-     * Asks a node.
-     *
-     * @param address       its address for frames
-     * @param kind          kind of the question
-     * @param question      the question
-     * @param timeoutMillis time allowed for the answer, in milliseconds
-     * @param <A>           type of the answer
-     * @return the answer; fails if none comes in time
-     */
+    @Override
     @SuppressWarnings("unchecked")
     public <A> CompletableFuture<A> ask(
             InetSocketAddress address, FrameKind kind, Object question, long timeoutMillis) {
--- a/mustardusher-node/src/main/java/io/mustardusher/keys/GroupCache.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/keys/GroupCache.java
@@ -11,8 +11,8 @@
 import java.util.stream.Stream;
 
 import io.mustardusher.claim.ClaimGroup;
-import io.mustardusher.frame.FrameClient;
 import io.mustardusher.frame.FrameKind;
+import io.mustardusher.frame.Peers;
 import io.mustardusher.generated.ClaimGroupRecord;
 import io.mustardusher.generated.MemberRecord;
 import io.mustardusher.generated.ProbeQuestion;
@@ -36,7 +36,7 @@
     private final Keepers keepers;
 
     /** Asks other nodes. */
-    private final FrameClient frames;
+    private final Peers peers;
 
     /** The keepers' rows, read where no node answers. */
     private final KeeperStore store;
@@ -52,14 +52,14 @@
      *
      * @param members what is known of nodes
      * @param keepers this node as a keeper
-     * @param frames  asks other nodes
+     * @param peers   asks other nodes
      * @param store   the keepers' rows
      * @param clock   source of time
      */
-    public GroupCache(MemberTable members, Keepers keepers, FrameClient frames, KeeperStore store, Clock clock) {
+    public GroupCache(MemberTable members, Keepers keepers, Peers peers, KeeperStore store, Clock clock) {
         this.members = members;
         this.keepers = keepers;
-        this.frames = frames;
+        this.peers = peers;
         this.store = store;
         this.clock = clock;
     }
@@ -120,7 +120,7 @@
      */
     private CompletableFuture<ClaimGroupRecord> askOne(MemberRecord member, ProbeQuestion question) {
         InetSocketAddress address = new InetSocketAddress(member.getHost(), (int) member.getFramePort());
-        CompletableFuture<ClaimGroupRecord> answer = frames.ask(address, FrameKind.GROUP, question, Keepers.ASK_MILLIS);
+        CompletableFuture<ClaimGroupRecord> answer = peers.ask(address, FrameKind.GROUP, question, Keepers.ASK_MILLIS);
         return answer.exceptionally(failure -> null);
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/keys/Keepers.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/keys/Keepers.java
@@ -10,9 +10,8 @@
 import io.mustardusher.claim.ClaimGroup;
 import io.mustardusher.claim.Keeper;
 import io.mustardusher.claim.KeyLedger;
-import io.mustardusher.entry.Directory;
-import io.mustardusher.frame.FrameClient;
 import io.mustardusher.frame.FrameKind;
+import io.mustardusher.frame.Peers;
 import io.mustardusher.generated.ClaimGroupRecord;
 import io.mustardusher.generated.ConfirmReply;
 import io.mustardusher.generated.ConfirmRequest;
@@ -42,10 +41,10 @@
     private final KeeperStore store;
 
     /** Asks other nodes. */
-    private final FrameClient frames;
+    private final Peers peers;
 
-    /** Addresses of other nodes. */
-    private final Directory directory;
+    /** What is known of nodes. */
+    private final MemberTable members;
 
     /** Whom to take in or out. */
     private final KeeperChoice choice;
@@ -76,24 +75,16 @@
      *
      * @param self      this node's process
      * @param store     the keepers' rows
-     * @param frames    asks other nodes
-     * @param directory addresses of other nodes
+     * @param peers     asks other nodes
      * @param members   what is known of nodes
      * @param clock     source of time
      * @param random    source of random order
      */
-    public Keepers(
-            Keeper self,
-            KeeperStore store,
-            FrameClient frames,
-            Directory directory,
-            MemberTable members,
-            Clock clock,
-            Random random) {
+    public Keepers(Keeper self, KeeperStore store, Peers peers, MemberTable members, Clock clock, Random random) {
         this.self = self;
         this.store = store;
-        this.frames = frames;
-        this.directory = directory;
+        this.peers = peers;
+        this.members = members;
         this.choice = new KeeperChoice(members, self);
         this.clock = clock;
         this.random = random;
@@ -227,11 +218,11 @@
      * @return its reply, or {@code null} if none came
      */
     CompletableFuture<WitnessReply> ask(Keeper witness, WitnessRequest request) {
-        Optional<InetSocketAddress> address = directory.frames(witness.id(), witness.boot());
+        Optional<InetSocketAddress> address = members.frameAddress(witness.id(), witness.boot());
         if (address.isEmpty()) {
             return CompletableFuture.completedFuture(null);
         }
-        CompletableFuture<WitnessReply> reply = frames.ask(address.get(), FrameKind.WITNESS, request, ASK_MILLIS);
+        CompletableFuture<WitnessReply> reply = peers.ask(address.get(), FrameKind.WITNESS, request, ASK_MILLIS);
         return reply.exceptionally(failure -> null);
     }
 
@@ -361,7 +352,7 @@
      * @return its reply; one that does not confirm if none came
      */
     private CompletableFuture<ConfirmReply> askKeeper(Keeper keeper, ClaimGroup group, boolean join) {
-        Optional<InetSocketAddress> address = directory.frames(keeper.id(), keeper.boot());
+        Optional<InetSocketAddress> address = members.frameAddress(keeper.id(), keeper.boot());
         if (address.isEmpty()) {
             return CompletableFuture.completedFuture(new ConfirmReply());
         }
@@ -371,7 +362,7 @@
                 .withFrom(self.toRecord())
                 .withJoin(join);
         long limit = join ? ASK_MILLIS * 5 : ASK_MILLIS;
-        CompletableFuture<ConfirmReply> reply = frames.ask(address.get(), FrameKind.CONFIRM, request, limit);
+        CompletableFuture<ConfirmReply> reply = peers.ask(address.get(), FrameKind.CONFIRM, request, limit);
         return reply.exceptionally(failure -> new ConfirmReply());
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
@@ -86,6 +86,9 @@
     /** Time between two tries to meet other nodes, in milliseconds. */
     private static final long MEET_MILLIS = 2_000;
 
+    /** Rounds, on average, between two meetings of a node that knows no others, and so of all nodes together. */
+    private static final int MEET_ROUNDS = 15;
+
     /** Members told at once of a change of this node's record. */
     private static final int TOLD = 8;
 
@@ -101,6 +104,9 @@
     /** Source of time. */
     private final Clock clock = Clock.ForSystem.INSTANCE;
 
+    /** Source of random order. */
+    private final Random random = new Random();
+
     /** Metrics. */
     private final MetricRegistry metrics = new MetricRegistry();
 
@@ -171,7 +177,6 @@
      */
     public Node(NodeSettings settings) {
         this.settings = settings;
-        Random random = new Random();
         Credential credential = new Credential(settings.getCredential());
         MemberRecord self = selfRecord(settings, clock.epochMillis());
         Keeper keeper = new Keeper(self.getId(), self.getBoot(), self.getRegion() + "/" + self.getDomain());
@@ -189,7 +194,7 @@
         gossiper = new Gossiper(members, frames, catalogue, suspectSpread, clock);
         meeting = new Meeting(table, seeds(settings), members, gossiper, random);
         KeeperStore keeperStore = new KeeperStore(table);
-        keepers = new Keepers(keeper, keeperStore, frames, directory, members, clock, random);
+        keepers = new Keepers(keeper, keeperStore, frames, members, clock, random);
         Router router = new Router(directory, suspects, suspectSpread::add, timers, clock, metrics);
         GroupCache groups = new GroupCache(members, keepers, frames, keeperStore, clock);
         HomeRouter homes = new HomeRouter(keeper, groups, router, new KeyedCalls(keepers), timers, clock);
@@ -227,7 +232,7 @@
         LogOutput.withoutDecisions(() -> new Warmup(group, connections, timers, clock).run(settings.getWarmUpMillis()));
         warm = true;
         long gossip = settings.getGossipIntervalMillis();
-        repeat(this::meetIfAlone, MEET_MILLIS / 2, MEET_MILLIS);
+        repeat(this::meetSometimes, MEET_MILLIS / 2, MEET_MILLIS);
         repeat(gossiper::tick, gossip, gossip);
         repeat(directory::refresh, REFRESH_MILLIS, REFRESH_MILLIS);
         repeat(catalogue::tick, gossip, gossip);
@@ -361,9 +366,15 @@
         metrics.gauge("entry.inside", () -> entry::inside);
     }
 
-    /** Meets other nodes if none is known. */
-    private void meetIfAlone() {
-        if (members.some(1, "").isEmpty() && !stopping) {
+    /**
+     * Meets other nodes if none is known, and otherwise now and then, seldom enough that all nodes together cost the
+     * table service one scan in a while whatever their number.
+     */
+    private void meetSometimes() {
+        int known = members.members().size();
+        boolean alone = members.some(1, "").isEmpty();
+        boolean turn = random.nextInt(MEET_ROUNDS + known) == 0;
+        if (!stopping && (alone || turn)) {
             meeting.meet();
         }
     }
@@ -458,7 +469,7 @@
      * @return its address, or empty if it is not known as present
      */
     private java.util.Optional<InetSocketAddress> frameAddress(String id) {
-        return members.find(id).flatMap(member -> directory.frames(id, member.getBoot()));
+        return members.find(id).flatMap(member -> members.frameAddress(id, member.getBoot()));
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/spread/CatalogueSpread.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/spread/CatalogueSpread.java
@@ -7,8 +7,8 @@
 import java.util.function.Consumer;
 
 import io.mustardusher.catalogue.Catalogue;
-import io.mustardusher.frame.FrameClient;
 import io.mustardusher.frame.FrameKind;
+import io.mustardusher.frame.Peers;
 import io.mustardusher.generated.CatalogueDelta;
 import io.mustardusher.generated.CataloguePull;
 import io.mustardusher.generated.MemberRecord;
@@ -39,7 +39,7 @@
     private final CatalogueStore store;
 
     /** Asks other nodes. */
-    private final FrameClient frames;
+    private final Peers peers;
 
     /** What is known of nodes. */
     private final MemberTable members;
@@ -63,7 +63,7 @@
      * Creates a spread without a catalogue.
      *
      * @param store    the catalogue in the table service
-     * @param frames   asks other nodes
+     * @param peers    asks other nodes
      * @param members  what is known of nodes
      * @param clock    source of time
      * @param random   source of random order
@@ -71,13 +71,13 @@
      */
     public CatalogueSpread(
             CatalogueStore store,
-            FrameClient frames,
+            Peers peers,
             MemberTable members,
             Clock clock,
             Random random,
             Consumer<Catalogue> listener) {
         this.store = store;
-        this.frames = frames;
+        this.peers = peers;
         this.members = members;
         this.clock = clock;
         this.random = random;
@@ -204,7 +204,7 @@
      */
     public CompletableFuture<Long> revisionOf(MemberRecord peer) {
         CataloguePull question = new CataloguePull().withSince(Long.MAX_VALUE);
-        CompletableFuture<CatalogueDelta> answer = frames.ask(address(peer), FrameKind.PULL, question, ASK_MILLIS);
+        CompletableFuture<CatalogueDelta> answer = peers.ask(address(peer), FrameKind.PULL, question, ASK_MILLIS);
         return answer.thenApply(CatalogueDelta::getRevision);
     }
 
@@ -234,7 +234,7 @@
      */
     private CompletableFuture<Void> pull(MemberRecord peer) {
         CataloguePull question = new CataloguePull().withSince(revision());
-        CompletableFuture<CatalogueDelta> answer = frames.ask(address(peer), FrameKind.PULL, question, ASK_MILLIS);
+        CompletableFuture<CatalogueDelta> answer = peers.ask(address(peer), FrameKind.PULL, question, ASK_MILLIS);
         return answer.handle((delta, failure) -> {
             boolean useful = delta != null && (delta.getRevision() > 0 || current != null);
             if (useful) {
@@ -251,10 +251,10 @@
      */
     private void push(CatalogueDelta delta) {
         for (MemberRecord peer : members.some(FANOUT, "")) {
-            CompletableFuture<CataloguePull> answer = frames.ask(address(peer), FrameKind.PUSH, delta, ASK_MILLIS);
+            CompletableFuture<CataloguePull> answer = peers.ask(address(peer), FrameKind.PUSH, delta, ASK_MILLIS);
             answer.thenAccept(reached -> {
                 if (reached.getSince() < delta.getSince()) {
-                    frames.ask(address(peer), FrameKind.PUSH, current.since(reached.getSince()), ASK_MILLIS);
+                    peers.ask(address(peer), FrameKind.PUSH, current.since(reached.getSince()), ASK_MILLIS);
                 }
             });
         }
--- a/mustardusher-node/src/main/java/io/mustardusher/spread/Gossiper.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/spread/Gossiper.java
@@ -7,8 +7,8 @@
 import java.util.concurrent.CompletableFuture;
 
 import io.mustardusher.budget.TokenBucket;
-import io.mustardusher.frame.FrameClient;
 import io.mustardusher.frame.FrameKind;
+import io.mustardusher.frame.Peers;
 import io.mustardusher.generated.Gossip;
 import io.mustardusher.generated.MemberRecord;
 import io.mustardusher.log.NodeLog;
@@ -40,11 +40,14 @@
     /** Whole tables that may be asked for in a burst. */
     private static final double FULL_BURST = 10;
 
+    /** Rounds between two questions to members that failed. */
+    private static final int ROUNDS_PER_FAILED = 5;
+
     /** What is known of nodes. */
     private final MemberTable members;
 
     /** Asks other nodes. */
-    private final FrameClient frames;
+    private final Peers peers;
 
     /** Compares revisions. */
     private final CatalogueSpread catalogue;
@@ -55,28 +58,34 @@
     /** Budget of questions for whole tables. */
     private final TokenBucket fullTables;
 
+    /** Rounds so far. */
+    private int rounds;
+
     /**
      * Creates a gossiper.
      *
      * @param members   what is known of nodes
-     * @param frames    asks other nodes
+     * @param peers     asks other nodes
      * @param catalogue compares revisions
      * @param suspects  spreads suspects
      * @param clock     source of time
      */
-    public Gossiper(
-            MemberTable members, FrameClient frames, CatalogueSpread catalogue, SuspectSpread suspects, Clock clock) {
+    public Gossiper(MemberTable members, Peers peers, CatalogueSpread catalogue, SuspectSpread suspects, Clock clock) {
         this.members = members;
-        this.frames = frames;
+        this.peers = peers;
         this.catalogue = catalogue;
         this.suspects = suspects;
         this.fullTables = new TokenBucket(clock, FULL_PER_SECOND, FULL_BURST);
     }
 
-    /** Runs one round. */
+    /** Runs one round; now and then it also asks a member that failed, for a partition may have healed. */
     public void tick() {
         members.expire().forEach(Gossiper::log);
         members.nextTarget().ifPresent(this::ask);
+        rounds++;
+        if (rounds % ROUNDS_PER_FAILED == 0) {
+            members.someFailed().ifPresent(this::askFailed);
+        }
     }
 
     /**
@@ -148,6 +157,17 @@
         });
     }
 
+    /**
+     * Asks a member that failed; if it answers, it has read that it is held to have failed, and refutes.
+     *
+     * @param member the member
+     */
+    private void askFailed(MemberRecord member) {
+        Gossip message = message();
+        message.getMembers().add(member);
+        send(CatalogueSpread.address(member), message).thenAccept(this::take);
+    }
+
     /**
      * Asks a few members to reach one that did not answer.
      *
@@ -220,7 +240,7 @@
      * @return its answer
      */
     private CompletableFuture<Gossip> send(InetSocketAddress address, Gossip message) {
-        return frames.ask(address, FrameKind.GOSSIP, message, ASK_MILLIS);
+        return peers.ask(address, FrameKind.GOSSIP, message, ASK_MILLIS);
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/spread/SuspectSpread.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/spread/SuspectSpread.java
@@ -3,8 +3,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
-import io.mustardusher.frame.FrameClient;
 import io.mustardusher.frame.FrameKind;
+import io.mustardusher.frame.Peers;
 import io.mustardusher.generated.MemberRecord;
 import io.mustardusher.generated.SuspectRecord;
 import io.mustardusher.health.SuspectTable;
@@ -26,7 +26,7 @@
     private final SuspectTable table;
 
     /** Asks other nodes. */
-    private final FrameClient frames;
+    private final Peers peers;
 
     /** What is known of nodes. */
     private final MemberTable members;
@@ -35,12 +35,12 @@
      * Creates a spread.
      *
      * @param table   the suspects
-     * @param frames  asks other nodes
+     * @param peers   asks other nodes
      * @param members what is known of nodes
      */
-    public SuspectSpread(SuspectTable table, FrameClient frames, MemberTable members) {
+    public SuspectSpread(SuspectTable table, Peers peers, MemberTable members) {
         this.table = table;
-        this.frames = frames;
+        this.peers = peers;
         this.members = members;
     }
 
@@ -56,7 +56,7 @@
         SuspectRecord message =
                 new SuspectRecord().withFingerprint(sighting.fingerprint()).withCrash(sighting.crash());
         for (MemberRecord peer : members.some(FANOUT, "")) {
-            frames.ask(CatalogueSpread.address(peer), FrameKind.SUSPECT, message, ASK_MILLIS);
+            peers.ask(CatalogueSpread.address(peer), FrameKind.SUSPECT, message, ASK_MILLIS);
         }
     }
 
--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/keys/KeepersTest.java
@@ -0,0 +1,204 @@
+package io.mustardusher.keys;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import io.mustardusher.claim.Keeper;
+import io.mustardusher.claim.KeyLedger;
+import io.mustardusher.frame.FrameKind;
+import io.mustardusher.generated.ConfirmRequest;
+import io.mustardusher.generated.MemberRecord;
+import io.mustardusher.generated.WitnessRequest;
+import io.mustardusher.membership.MemberState;
+import io.mustardusher.membership.MemberTable;
+import io.mustardusher.platform.Row;
+import io.mustardusher.platform.TableService;
+import io.mustardusher.platform.Transaction;
+import io.mustardusher.result.MustardusherException;
+import io.mustardusher.result.ResultCode;
+import io.mustardusher.spread.FakeNetwork;
+import io.mustardusher.time.Clock;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class KeepersTest {
+
+    private static final String SERVICE = "ledger";
+    private static final int SIZE = 3;
+
+    private final Clock.Manual clock = new Clock.Manual();
+    private final FakeNetwork network = new FakeNetwork();
+    private final TableService.InMemory table = new TableService.InMemory();
+    private final MemberTable[] members = new MemberTable[SIZE];
+    private final Keepers[] keepers = new Keepers[SIZE];
+    private boolean storeDown;
+
+    @BeforeEach
+    void start() {
+        for (int port = 0; port < SIZE; port++) {
+            start(port, 1);
+        }
+        run(5_000);
+    }
+
+    @Test
+    void allJoinOneGroup() {
+        for (int port = 0; port < SIZE; port++) {
+            assertThat(ledger(port).group().orElseThrow().current().keepers()).hasSize(SIZE);
+            assertThat(ledger(port).hasAuthority()).isTrue();
+        }
+    }
+
+    @Test
+    void wholeGroupGoesOnWhileTheStoreIsDown() {
+        storeDown = true;
+        run(60_000);
+        assertThat(ledger(0).hasAuthority()).isTrue();
+    }
+
+    @Test
+    void groupWithoutAKeeperStopsWhileTheStoreIsDownAndGoesOnAfter() {
+        storeDown = true;
+        fail(2);
+        run(5_000);
+        assertThat(ledger(0).hasAuthority()).isFalse();
+        storeDown = false;
+        run(10_000);
+        assertThat(ledger(0).hasAuthority()).isTrue();
+        assertThat(ledger(0).group().orElseThrow().current().keepers()).hasSize(2);
+    }
+
+    @Test
+    void vanishedKeeperIsTakenOut() {
+        fail(2);
+        run(10_000);
+        assertThat(ledger(1).group().orElseThrow().current().keepers()).hasSize(2);
+        assertThat(ledger(1).hasAuthority()).isTrue();
+    }
+
+    @Test
+    void keeperThatSleptFindsItselfReplacedAndJoinsAgain() {
+        network.down(2);
+        fail(2);
+        run(10_000);
+        assertThat(ledger(2).hasAuthority()).isFalse();
+        network.up(2);
+        revive(2, 1);
+        run(10_000);
+        assertThat(ledger(2).hasAuthority()).isTrue();
+        assertThat(ledger(0).group().orElseThrow().current().keepers()).hasSize(SIZE);
+    }
+
+    @Test
+    void serviceWhoseKeepersWereAllReplacedUnderTheirIdsGoesOn() {
+        for (int port = 0; port < SIZE; port++) {
+            start(port, 2);
+        }
+        run(20_000);
+        for (int port = 0; port < SIZE; port++) {
+            assertThat(ledger(port).hasAuthority()).isTrue();
+        }
+        assertThat(ledger(0).group().orElseThrow().current().keepers().stream().map(Keeper::boot))
+                .containsExactly(2L, 2L, 2L);
+    }
+
+    @Test
+    void leavingKeeperTakesItselfOut() {
+        keepers[1].leave().join();
+        run(3_000);
+        assertThat(ledger(0).group().orElseThrow().current().keepers()).hasSize(2);
+    }
+
+    @Test
+    void storeIsLeftAloneWhileNothingChanges() {
+        long before = table.reads() + table.writes();
+        run(60_000);
+        assertThat(table.reads() + table.writes()).isEqualTo(before);
+    }
+
+    private KeyLedger<AggregatedHttpResponse> ledger(int port) {
+        return keepers[port].ledger(SERVICE).orElseThrow();
+    }
+
+    private void start(int port, long boot) {
+        Random random = new Random(port + 10 * boot);
+        members[port] = new MemberTable(record(port, boot, 1, MemberState.ALIVE), clock, random);
+        for (int other = 0; other < SIZE; other++) {
+            if (members[other] != null) {
+                members[other].merge(List.of(members[port].self()));
+                members[port].merge(List.of(members[other].self()));
+            }
+        }
+        Keeper self = new Keeper("n" + port, boot, "d" + port);
+        keepers[port] =
+                new Keepers(self, new KeeperStore(new Switched()), network.from(port), members[port], clock, random);
+        keepers[port].serve(SERVICE, 600_000);
+        Keepers present = keepers[port];
+        network.on(port, FrameKind.CONFIRM, (ConfirmRequest request) -> present.answer(request));
+        network.on(port, FrameKind.WITNESS, (WitnessRequest request) -> present.answer(request));
+    }
+
+    private void fail(int port) {
+        network.down(port);
+        for (int other = 0; other < SIZE; other++) {
+            if (other != port) {
+                members[other].merge(List.of(record(port, 1, 1, MemberState.FAILED)));
+            }
+        }
+    }
+
+    private void revive(int port, long boot) {
+        for (int other = 0; other < SIZE; other++) {
+            members[other].merge(List.of(record(port, boot, 2, MemberState.ALIVE)));
+        }
+    }
+
+    private void run(long millis) {
+        for (long passed = 0; passed < millis; passed += 700) {
+            clock.advanceMillis(700);
+            for (Keepers each : keepers) {
+                each.tick();
+            }
+        }
+    }
+
+    private static MemberRecord record(int port, long boot, long incarnation, MemberState state) {
+        return new MemberRecord()
+                .withId("n" + port)
+                .withBoot(boot)
+                .withIncarnation(incarnation)
+                .withState(state.token())
+                .withHost("127.0.0.1")
+                .withFramePort(port)
+                .withRegion("r")
+                .withDomain("d" + port);
+    }
+
+    /** The table, unless it is down. */
+    private final class Switched implements TableService {
+
+        @Override
+        public CompletableFuture<Optional<Row>> read(String key) {
+            return storeDown ? failed() : table.read(key);
+        }
+
+        @Override
+        public CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
+            return storeDown ? failed() : table.scan(prefix, after, limit);
+        }
+
+        @Override
+        public CompletableFuture<Long> commit(Transaction transaction) {
+            return storeDown ? failed() : table.commit(transaction);
+        }
+
+        private <T> CompletableFuture<T> failed() {
+            return CompletableFuture.failedFuture(new MustardusherException(ResultCode.STORE_UNAVAILABLE, "down"));
+        }
+    }
+}
