--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/Cluster.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/Cluster.java
@@ -127,6 +127,7 @@
      * @param starter starts a node
      */
     private void start(long seed, Consumer<NodeHandle> starter) {
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
         platformUrl = platform.start();
         try {
             Files.createDirectories(folder);
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/ScenarioRunner.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/ScenarioRunner.java
@@ -71,8 +71,6 @@
     public ScenarioResult run() throws InterruptedException {
         Deployment deployment = Deployment.named(scenario.deployment());
         Cluster cluster = new Cluster(deployment, folder, Hosting.PROCESSES, decisions);
-        Thread hook = new Thread(cluster::close);
-        Runtime.getRuntime().addShutdownHook(hook);
         try {
             out.println("starting " + deployment.name() + " with "
                     + deployment.upstreams().size() + " nodes");
@@ -83,7 +81,6 @@
             return load(cluster, startMillis);
         } finally {
             cluster.close();
-            Runtime.getRuntime().removeShutdownHook(hook);
         }
     }
 
