Run the laboratory in place of its script, so that Ctrl-C reaches it

Cause: bin/musher-lab ran the laboratory behind a shell function in the background; a signal ended that shell and left 15 processes (seen).

--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -18,9 +18,9 @@
     echo "$(ls "$ROOT/$1"/target/"$1"-*.jar | head -n 1):$ROOT/$1/target/lib/*"
 }
 
-# Runs the laboratory.
+# Runs the laboratory; with RUN=exec in place of this shell.
 lab() {
-    "$JAVA" -Xmx1500m -Djava.awt.headless=true -Dcom.linecorp.armeria.transportType=epoll \
+    ${RUN:-} "$JAVA" -Xmx1500m -Djava.awt.headless=true -Dcom.linecorp.armeria.transportType=epoll \
         -Dlogback.configurationFile=logback-lab.xml \
         -Dlogback.statusListenerClass=ch.qos.logback.core.status.NopStatusListener \
         -Dmustardusher.node.classPath="$(class_path mustardusher-node)" \
