Keep one reading of a node's metrics and one way to move a load in time

Cause: the scenario runner and the policy bench parsed a node's metrics each for itself, two places of Scenario copied a LoadSpec field by field, and HomeRouter.route took a stage that it never looked at. Change: NodeHandle.metrics, LoadSpec.withTimes; the parameter and an unread counter of a test network are gone. Behaviour is the same. EmbeddedNode and NodeProcess still share their getters.

--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/bench/PolicyBench.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/bench/PolicyBench.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.common.SessionProtocol;
@@ -24,7 +23,6 @@
 import io.mustardusher.lab.load.Tally;
 import io.mustardusher.lab.standin.BackendServer;
 import io.mustardusher.routing.RoutingPolicy;
-import io.mustardusher.schema.Schema;
 
 /**
  * Compares the routing policies: each case with each policy in turn, with the same seeds, repeated; all nodes of the
@@ -232,7 +230,7 @@
     private static double[] counters(Cluster cluster) {
         double[] sums = new double[3];
         for (NodeHandle node : cluster.nodes()) {
-            JsonNode metrics = parse(node.admin("/metrics.json"));
+            JsonNode metrics = node.metrics();
             sums[0] += metrics.at("/meters/entry.resends/count").asDouble();
             sums[1] += metrics.at("/meters/entry.probes/count").asDouble();
             sums[2] += metrics.at("/gauges/frames.sentBytes/value").asDouble();
@@ -240,20 +238,6 @@
         return sums;
     }
 
-    /**
-     * Parses metrics.
-     *
-     * @param text JSON
-     * @return the metrics
-     */
-    private static JsonNode parse(String text) {
-        try {
-            return Schema.mapper().readTree(text);
-        } catch (JsonProcessingException e) {
-            return Schema.mapper().createObjectNode();
-        }
-    }
-
     /**
      * Writes the median of a measure, and its least and greatest value.
      *
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeHandle.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeHandle.java
@@ -2,9 +2,12 @@
 
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.RequestHeaders;
+import io.mustardusher.schema.Schema;
 
 /** A node of a deployment, as a process of its own or within this one. */
 public interface NodeHandle {
@@ -126,6 +129,19 @@
                 .join();
     }
 
+    /**
+     * Returns the node's metrics.
+     *
+     * @return the metrics as JSON; an empty object if there is no answer
+     */
+    default JsonNode metrics() {
+        try {
+            return Schema.mapper().readTree(admin("/metrics.json"));
+        } catch (JsonProcessingException e) {
+            return Schema.mapper().createObjectNode();
+        }
+    }
+
     /**
      * Waits.
      *
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/load/LoadSpec.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/load/LoadSpec.java
@@ -18,4 +18,16 @@
         int answerBytes,
         long deadlineMillis,
         long fromMillis,
-        long toMillis) {}
+        long toMillis) {
+
+    /**
+     * Returns this stream at another time.
+     *
+     * @param newFromMillis start, in milliseconds from the start of the load
+     * @param newToMillis   end, in milliseconds from the start of the load
+     * @return the stream
+     */
+    public LoadSpec withTimes(long newFromMillis, long newToMillis) {
+        return new LoadSpec(service, perSecond, writeShare, answerBytes, deadlineMillis, newFromMillis, newToMillis);
+    }
+}
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/Scenario.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/Scenario.java
@@ -73,14 +73,7 @@
     public Scenario withMillis(long newMillis) {
         double factor = newMillis / (double) millis;
         List<LoadSpec> scaledLoads = loads.stream()
-                .map(load -> new LoadSpec(
-                        load.service(),
-                        load.perSecond(),
-                        load.writeShare(),
-                        load.answerBytes(),
-                        load.deadlineMillis(),
-                        (long) (load.fromMillis() * factor),
-                        (long) (load.toMillis() * factor)))
+                .map(load -> load.withTimes((long) (load.fromMillis() * factor), (long) (load.toMillis() * factor)))
                 .toList();
         List<Step> scaledSteps = steps.stream()
                 .map(step -> new Step((long) (step.atMillis() * factor), step.action(), step.words()))
@@ -96,14 +89,7 @@
     List<LoadSpec> warmLoads() {
         return loads.stream()
                 .filter(load -> load.fromMillis() == 0)
-                .map(load -> new LoadSpec(
-                        load.service(),
-                        load.perSecond(),
-                        load.writeShare(),
-                        load.answerBytes(),
-                        load.deadlineMillis(),
-                        0,
-                        warmMillis))
+                .map(load -> load.withTimes(0, warmMillis))
                 .toList();
     }
 
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/ScenarioRunner.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/ScenarioRunner.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.common.SessionProtocol;
@@ -24,7 +23,6 @@
 import io.mustardusher.lab.load.Entries;
 import io.mustardusher.lab.load.LoadGenerator;
 import io.mustardusher.lab.load.Tally;
-import io.mustardusher.schema.Schema;
 
 /** Runs a scenario with real node processes. */
 public final class ScenarioRunner {
@@ -245,7 +243,7 @@
         static Usage of(Cluster cluster) {
             Usage sum = new Usage(0, 0, 0, 0, 0);
             for (NodeHandle node : cluster.nodes()) {
-                JsonNode metrics = parse(node.admin("/metrics.json"));
+                JsonNode metrics = node.metrics();
                 double bytes = metrics.at("/gauges/frames.sentBytes/value").asDouble()
                         + metrics.at("/gauges/frames.receivedBytes/value").asDouble();
                 sum = new Usage(
@@ -272,19 +270,5 @@
                     Math.max(0, processorMillis - before.processorMillis),
                     residentKilobytes);
         }
-
-        /**
-         * Parses metrics.
-         *
-         * @param text JSON
-         * @return the metrics
-         */
-        private static JsonNode parse(String text) {
-            try {
-                return Schema.mapper().readTree(text);
-            } catch (JsonProcessingException e) {
-                return Schema.mapper().createObjectNode();
-            }
-        }
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -162,7 +162,7 @@
         CompletableFuture<?> cancelled = context.whenRequestCancelling();
         long length = request.isEmpty() ? 0 : request.headers().getLong("content-length", Long.MAX_VALUE);
         if (keyed) {
-            return acceptKeyed(context, call, request, length, cancelled);
+            return acceptKeyed(context, call, request, length);
         }
         if (length == 0) {
             request.abort();
@@ -199,20 +199,14 @@
      * @param call      the call
      * @param request   the request
      * @param length    length of the body, in bytes
-     * @param cancelled completes when the caller has given up
      * @return the answer
      */
-    private HttpResponse acceptKeyed(
-            ServiceRequestContext context,
-            Call call,
-            HttpRequest request,
-            long length,
-            CompletableFuture<?> cancelled) {
+    private HttpResponse acceptKeyed(ServiceRequestContext context, Call call, HttpRequest request, long length) {
         if (length > KEYED_BYTES) {
             throw new MustardusherException(ResultCode.BODY_TOO_LARGE, "a body of known length, at most 1 MiB");
         }
         return HttpResponse.of(whole(context, call, request)
-                .thenCompose(body -> homes.route(call, body, cancelled))
+                .thenCompose(body -> homes.route(call, body))
                 .exceptionally(Problem::response));
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/HomeRouter.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/HomeRouter.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
@@ -80,14 +79,13 @@
     }
 
     /**
-     * Brings a call to the home of its key.
+     * Brings a call to the home of its key. The call goes on there when its caller gives up.
      *
-     * @param call      the call
-     * @param body      its body
-     * @param cancelled completes when the caller has given up; the call goes on at its home all the same
+     * @param call the call
+     * @param body its body
      * @return the answer
      */
-    CompletableFuture<HttpResponse> route(Call call, CallBody.Whole body, CompletionStage<?> cancelled) {
+    CompletableFuture<HttpResponse> route(Call call, CallBody.Whole body) {
         return send(call, body, 1).thenApply(AggregatedHttpResponse::toHttpResponse);
     }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/spread/FakeNetwork.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/spread/FakeNetwork.java
@@ -19,7 +19,6 @@
     private final Map<Integer, Map<FrameKind, FrameHandler<Object, Object>>> handlers = new HashMap<>();
     private final Set<Integer> down = new HashSet<>();
     private final Set<Integer> island = new HashSet<>();
-    private int messages;
 
     @SuppressWarnings("unchecked")
     public <Q, A> void on(int port, FrameKind kind, FrameHandler<Q, A> handler) {
@@ -33,7 +32,6 @@
             @SuppressWarnings("unchecked")
             public <A> CompletableFuture<A> ask(
                     InetSocketAddress address, FrameKind kind, Object question, long timeoutMillis) {
-                messages++;
                 int receiver = address.getPort();
                 boolean cut = island.contains(sender) != island.contains(receiver);
                 if (cut || down.contains(sender) || down.contains(receiver) || !handlers.containsKey(receiver)) {
@@ -59,8 +57,4 @@
     public void heal() {
         island.clear();
     }
-
-    public int messages() {
-        return messages;
-    }
 }
