--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -16,14 +16,11 @@
  */
 public final class Admission {
 
-    /** Weight of the latest call in the smoothed service time. */
-    private static final double SERVICE_WEIGHT = 0.1;
-
     /** Source of time. */
     private final Clock clock;
 
     /** Waiting calls. */
-    private final FairQueue queue = new FairQueue();
+    private final WaitingQueue queue;
 
     /** Waiting calls that must run alone. */
     private final Deque<Ticket> aloneQueue = new ArrayDeque<>();
@@ -49,8 +46,10 @@
     /** Whether a call runs alone. */
     private boolean aloneRunning;
 
-    /** Smoothed service time, in nanoseconds; 0 before the first answer. */
-    private double serviceNanos;
+    private final ServiceTimes times = new ServiceTimes();
+
+    /** Share of the announced slots that is used. */
+    private final double usableShare;
 
     /**
      * Creates a closed gate.
@@ -59,6 +58,25 @@
      */
     public Admission(Clock clock) {
         this.clock = clock;
+        this.queue = new FairQueue();
+        this.usableShare = 1;
+    }
+
+    private Admission(Clock clock, double usableShare) {
+        this.clock = clock;
+        this.queue = new TargetQueue(ticket -> (long) times.expected(ticket.owner, clock.nanoTime()));
+        this.usableShare = usableShare;
+    }
+
+    /**
+     * Creates a closed gate at which calls wait by their targets.
+     *
+     * @param clock       source of time
+     * @param usableShare share of the announced slots that is used; servers slow down when they are nearly full
+     * @return the gate
+     */
+    public static Admission byTargets(Clock clock, double usableShare) {
+        return new Admission(clock, usableShare);
     }
 
     /**
@@ -71,9 +89,9 @@
     public void configure(int announcedSlots, int queuePerSlot, int gateShare) {
         List<Runnable> told = new ArrayList<>();
         synchronized (this) {
-            slots = announcedSlots;
-            limit.resize(announcedSlots);
-            queueCapacity = announcedSlots * queuePerSlot;
+            slots = Math.max(1, (int) (announcedSlots * usableShare));
+            limit.resize(slots);
+            queueCapacity = slots * queuePerSlot;
             share = gateShare <= 0 ? Integer.MAX_VALUE : gateShare;
             dispatch(told);
         }
@@ -107,6 +125,7 @@
     public void offer(Ticket ticket) {
         List<Runnable> told = new ArrayList<>(2);
         synchronized (this) {
+            ticket.arrivedNanos = clock.nanoTime();
             ResultCode refusal = refusalOnArrival(ticket);
             if (refusal == null) {
                 enqueue(ticket, told);
@@ -154,14 +173,23 @@
         return ticket.alone ? aloneQueue.remove(ticket) : queue.remove(ticket);
     }
 
+    /**
+     * Takes over how slow the server is at present.
+     *
+     * @param percent time that work takes, as a percentage of the usual time
+     */
+    public synchronized void observed(int percent) {
+        times.said(percent, clock.nanoTime());
+    }
+
     /**
      * Returns the load.
      *
      * @return the load
      */
     public synchronized LoadReport load() {
-        long micros = (long) (serviceNanos / Clock.NANOS_PER_MICRO);
-        return new LoadReport(busy, waiting(), effectiveLimit(), micros, closed);
+        long micros = (long) (times.overall() / Clock.NANOS_PER_MICRO);
+        return new LoadReport(busy, waiting(), effectiveLimit(), micros, closed, times.isSlow(clock.nanoTime()));
     }
 
     /**
@@ -187,14 +215,14 @@
         if (now - ticket.deadlineNanos >= 0) {
             return ResultCode.DEADLINE_EXPIRED;
         }
-        if (busy == 0) {
-            return null;
-        }
         int ahead = queue.ahead(ticket.serviceClass) + aloneQueue.size();
         int free = effectiveLimit() - busy;
         double rounds = Math.max(0, ahead + 1 - free) / (double) effectiveLimit();
-        double expected = now + serviceNanos * (1 + rounds);
-        return expected > ticket.deadlineNanos ? ResultCode.DEADLINE_UNREACHABLE : null;
+        double expected = now + times.expected(ticket.owner, now) + times.overall() * rounds;
+        if (ticket.wish.movable() && expected > ticket.wish.targetNanos()) {
+            return ResultCode.SLOWER_THAN_TARGET;
+        }
+        return busy > 0 && expected > ticket.deadlineNanos ? ResultCode.DEADLINE_UNREACHABLE : null;
     }
 
     /**
@@ -232,7 +260,7 @@
             if (!aloneQueue.isEmpty() && busy > 0) {
                 return;
             }
-            Ticket ticket = aloneQueue.isEmpty() ? queue.next() : aloneQueue.removeFirst();
+            Ticket ticket = aloneQueue.isEmpty() ? queue.next(clock.nanoTime()) : aloneQueue.removeFirst();
             if (ticket == null) {
                 return;
             }
@@ -248,13 +276,14 @@
      */
     private void start(Ticket ticket, List<Runnable> told) {
         long now = clock.nanoTime();
-        long needed = busy == 0 ? 0 : (long) serviceNanos;
+        long needed = busy == 0 ? 0 : (long) times.expected(ticket.owner, now);
         if (now + needed - ticket.deadlineNanos >= 0) {
             refuse(ticket, ResultCode.DEADLINE_UNREACHABLE, told);
             return;
         }
         ticket.phase = Ticket.Phase.DISPATCHED;
         ticket.dispatchedNanos = now;
+        ticket.dispatchedSlow = times.isSlow(now);
         busy++;
         aloneRunning |= ticket.alone;
         queue.started(ticket.owner);
@@ -284,10 +313,10 @@
         switch (end) {
             case ANSWERED -> {
                 double took = now - ticket.dispatchedNanos;
-                serviceNanos = serviceNanos == 0 ? took : serviceNanos + SERVICE_WEIGHT * (took - serviceNanos);
+                times.ended(ticket.owner, took, ticket.dispatchedSlow);
                 limit.answered();
             }
-            case OVERLOADED -> limit.overloaded(now, (long) serviceNanos);
+            case OVERLOADED -> limit.overloaded(now, (long) times.overall());
             default -> {
                 // says nothing about the server
             }
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/FairQueue.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/FairQueue.java
@@ -13,7 +13,7 @@
  * Waiting calls by class and owner. The highest class goes first; within it the owner with the fewest calls running.
  * Not safe for threads.
  */
-final class FairQueue {
+final class FairQueue implements WaitingQueue {
 
     /** Waiting calls by class and owner, in order of arrival. */
     private final Map<ServiceClass, Map<String, Deque<Ticket>>> waiting = new EnumMap<>(ServiceClass.class);
@@ -31,22 +31,13 @@
         }
     }
 
-    /**
-     * Returns the number of waiting calls.
-     *
-     * @return the number
-     */
-    int size() {
+    @Override
+    public int size() {
         return size;
     }
 
-    /**
-     * Counts the waiting calls that go before a class, and those of the class.
-     *
-     * @param serviceClass the class
-     * @return the number
-     */
-    int ahead(ServiceClass serviceClass) {
+    @Override
+    public int ahead(ServiceClass serviceClass) {
         int count = 0;
         for (Map.Entry<ServiceClass, Map<String, Deque<Ticket>>> entry : waiting.entrySet()) {
             if (entry.getKey().compareTo(serviceClass) <= 0) {
@@ -57,25 +48,16 @@
         return count;
     }
 
-    /**
-     * Adds a call.
-     *
-     * @param ticket the call
-     */
-    void add(Ticket ticket) {
+    @Override
+    public void add(Ticket ticket) {
         waiting.get(ticket.serviceClass)
                 .computeIfAbsent(ticket.owner, owner -> new ArrayDeque<>())
                 .addLast(ticket);
         size++;
     }
 
-    /**
-     * Removes a call, wherever it waits.
-     *
-     * @param ticket the call
-     * @return {@code false} if it does not wait
-     */
-    boolean remove(Ticket ticket) {
+    @Override
+    public boolean remove(Ticket ticket) {
         Deque<Ticket> queue = waiting.get(ticket.serviceClass).get(ticket.owner);
         if (queue == null || !queue.remove(ticket)) {
             return false;
@@ -84,12 +66,8 @@
         return true;
     }
 
-    /**
-     * Takes the call that goes next.
-     *
-     * @return the call, or {@code null} if none waits
-     */
-    Ticket next() {
+    @Override
+    public Ticket next(long now) {
         for (Map<String, Deque<Ticket>> owners : waiting.values()) {
             Deque<Ticket> best = null;
             int fewest = Integer.MAX_VALUE;
@@ -109,13 +87,8 @@
         return null;
     }
 
-    /**
-     * Finds the call to give up for a newcomer: the last of the owner with the most waiting calls in the lowest class.
-     *
-     * @param newcomer the newcomer
-     * @return the call, or {@code null} if the newcomer itself has the weakest claim
-     */
-    Ticket victimFor(Ticket newcomer) {
+    @Override
+    public Ticket victimFor(Ticket newcomer) {
         ServiceClass[] classes = ServiceClass.values();
         for (int i = classes.length - 1; i >= newcomer.serviceClass.ordinal(); i--) {
             Deque<Ticket> longest = longest(waiting.get(classes[i]));
@@ -132,21 +105,13 @@
         return null;
     }
 
-    /**
-     * Counts a call of an owner as running.
-     *
-     * @param owner the owner
-     */
-    void started(String owner) {
+    @Override
+    public void started(String owner) {
         running.merge(owner, 1, Integer::sum);
     }
 
-    /**
-     * Counts a call of an owner as ended.
-     *
-     * @param owner the owner
-     */
-    void ended(String owner) {
+    @Override
+    public void ended(String owner) {
         running.computeIfPresent(owner, (key, count) -> count == 1 ? null : count - 1);
     }
 
--- a/mustardusher-core/src/main/java/io/mustardusher/health/SuspectTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/health/SuspectTable.java
@@ -18,9 +18,6 @@
     /** Time after which a suspect is forgotten, in nanoseconds. */
     public static final long FORGET_NANOS = 600_000 * Clock.NANOS_PER_MILLI;
 
-    /** Crashes after which a call is refused. */
-    private static final int REFUSED_AFTER = 2;
-
     /** Most suspects held. */
     private static final int CAPACITY = 10_000;
 
@@ -30,13 +27,26 @@
     /** Suspects by fingerprint. */
     private final Map<Long, Suspect> suspects = new HashMap<>();
 
+    private final Rule rule;
+
     /**
-     * Creates an empty table.
+     * Creates an empty table that isolates suspects.
      *
      * @param clock source of time
      */
     public SuspectTable(Clock clock) {
+        this(clock, Rule.ISOLATE);
+    }
+
+    /**
+     * Creates an empty table.
+     *
+     * @param clock source of time
+     * @param rule  what becomes of a suspect
+     */
+    public SuspectTable(Clock clock, Rule rule) {
         this.clock = clock;
+        this.rule = rule;
     }
 
     /**
@@ -72,7 +82,7 @@
         if (suspect.crashes.isEmpty()) {
             return Judgement.RUN;
         }
-        return suspect.crashes.size() >= REFUSED_AFTER ? Judgement.REFUSE : Judgement.RUN_ALONE;
+        return rule.judge(suspect.crashes.size());
     }
 
     /**
@@ -146,4 +156,28 @@
         /** Time of the last sighting, in nanoseconds. */
         private long seenNanos;
     }
+
+    /** What becomes of a call that was in flight in crashes. */
+    public enum Rule {
+        /** After one crash it runs with no other call beside it, after two it is refused. */
+        ISOLATE {
+            @Override
+            Judgement judge(int crashes) {
+                return crashes >= 2 ? Judgement.REFUSE : Judgement.RUN_ALONE;
+            }
+        },
+
+        /**
+         * It runs as others do until the third crash. For servers whose calls repeat: many harmless calls are in flight in
+         * one crash, few in three.
+         */
+        COUNT {
+            @Override
+            Judgement judge(int crashes) {
+                return crashes >= 3 ? Judgement.REFUSE : Judgement.RUN;
+            }
+        };
+
+        abstract Judgement judge(int crashes);
+    }
 }
--- a/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
@@ -68,6 +68,9 @@
     /** The call was cancelled before it was dispatched. */
     CANCELLED(2011, 503, Outcome.NOT_RUN, "The call was cancelled before dispatch.", "Nothing."),
 
+    /** The call would miss its target here, and may do better at another server. */
+    SLOWER_THAN_TARGET(2012, 503, Outcome.NOT_RUN, "Another server may answer sooner.", "Come back after Retry-After."),
+
     /** The connection was lost after dispatch. */
     CONNECTION_LOST(3001, 502, Outcome.UNKNOWN, "The connection was lost after dispatch.", "Resend with the same key."),
 
--- a/mustardusher-core/src/main/java/io/mustardusher/retry/RetryPolicy.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/retry/RetryPolicy.java
@@ -3,23 +3,19 @@
 import java.util.EnumSet;
 import java.util.Set;
 
-import io.mustardusher.budget.RatioBudget;
+import io.mustardusher.budget.RetryBudget;
 import io.mustardusher.result.ResultCode;
 
 /**
- * Decides on retries. A call is sent again only if it is proven not to have run or may run more than once, at most
- * {@value #MAX_ATTEMPTS} times in all. Calls that are already retries of another entry are not multiplied: they are
+ * Decides on retries. A call is sent again only if it is proven not to have run or may run more than once, within the
+ * limits of the policy. Calls that are already retries of another entry are not multiplied: they are
  * sent again only where the refusal cost their server nothing.
  */
 public final class RetryPolicy {
 
-    /** Most sends of one call by one entry. */
+    /** Gates that one entry asks for one call, by default. */
     public static final int MAX_ATTEMPTS = 3;
 
-    /** Refusals that say nothing about load, and so cost no budget. */
-    private static final Set<ResultCode> FREE =
-            EnumSet.of(ResultCode.DRAINING, ResultCode.SERVER_UNREACHABLE, ResultCode.NODE_STOPPING);
-
     /** Refusals that another server would repeat. */
     private static final Set<ResultCode> FINAL = EnumSet.of(
             ResultCode.SUSPECT_REFUSED,
@@ -29,16 +25,30 @@
             ResultCode.KEY_REQUIRED,
             ResultCode.REQUEST_MALFORMED);
 
-    /** Budget of the service. */
-    private final RatioBudget budget;
+    private final RetryBudget budget;
+    private final int maxAsks;
+    private final Set<ResultCode> free;
 
     /**
-     * Creates a policy.
+     * Creates a policy that pays for every refusal that tells of load.
      *
      * @param budget budget of the service
      */
-    public RetryPolicy(RatioBudget budget) {
+    public RetryPolicy(RetryBudget budget) {
+        this(budget, MAX_ATTEMPTS, FreeRefusals.UNRELATED_TO_LOAD);
+    }
+
+    /**
+     * Creates a policy.
+     *
+     * @param budget  budget of the service
+     * @param maxAsks gates that one entry asks for one call
+     * @param free    refusals that cost no budget
+     */
+    public RetryPolicy(RetryBudget budget, int maxAsks, FreeRefusals free) {
         this.budget = budget;
+        this.maxAsks = maxAsks;
+        this.free = free.codes;
     }
 
     /**
@@ -46,7 +56,7 @@
      *
      * @return the budget
      */
-    public RatioBudget budget() {
+    public RetryBudget budget() {
         return budget;
     }
 
@@ -57,13 +67,16 @@
      * @return {@code true} to send it again
      */
     public boolean mayRetry(Attempt attempt) {
-        if (attempt.number() >= MAX_ATTEMPTS || attempt.leftNanos() <= 0 || !attempt.replayable()) {
+        if (attempt.number() >= maxAsks || attempt.leftNanos() <= 0 || !attempt.replayable()) {
+            return false;
+        }
+        if (attempt.reached() >= attempt.maxReached()) {
             return false;
         }
         if (FINAL.contains(attempt.code())) {
             return false;
         }
-        if (attempt.isProvenNotRun() && FREE.contains(attempt.code())) {
+        if (attempt.isProvenNotRun() && free.contains(attempt.code())) {
             return true;
         }
         if (attempt.resent()) {
@@ -72,4 +85,27 @@
         boolean allowed = attempt.isProvenNotRun() || attempt.idempotent();
         return allowed && budget.trySpend();
     }
+
+    /** Refusals that cost no budget, because no backend server saw the call. */
+    public enum FreeRefusals {
+        /** Only those that say nothing about load: a chain of many layers must not multiply overload. */
+        UNRELATED_TO_LOAD(EnumSet.of(ResultCode.DRAINING, ResultCode.SERVER_UNREACHABLE, ResultCode.NODE_STOPPING)),
+
+        /** All refusals of gates: only sends that reach a backend server count. */
+        OF_GATES(EnumSet.of(
+                ResultCode.DRAINING,
+                ResultCode.SERVER_UNREACHABLE,
+                ResultCode.NODE_STOPPING,
+                ResultCode.NO_SERVER,
+                ResultCode.SLOWER_THAN_TARGET,
+                ResultCode.OVERLOADED,
+                ResultCode.DEADLINE_UNREACHABLE,
+                ResultCode.LIMIT_REACHED));
+
+        private final Set<ResultCode> codes;
+
+        FreeRefusals(Set<ResultCode> codes) {
+            this.codes = codes;
+        }
+    }
 }
--- /dev/null
+++ b/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
@@ -0,0 +1,158 @@
+package io.mustardusher.route;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import io.mustardusher.catalogue.ServiceName;
+
+/** The routes of one configuration version: immutable, and replaced as a whole. */
+public final class RouteTable {
+
+    /** Table without routes, older than every version. */
+    public static final RouteTable EMPTY = new RouteTable(0, Map.of(), RequestLimits.DEFAULT);
+
+    private final long version;
+    private final Map<String, Map<String, Route>> hosts;
+    private final RequestLimits limits;
+
+    private RouteTable(long version, Map<String, Map<String, Route>> hosts, RequestLimits limits) {
+        this.version = version;
+        this.hosts = hosts;
+        this.limits = limits;
+    }
+
+    /**
+     * Starts a table.
+     *
+     * @param version version of the configuration, above 0
+     * @return a builder
+     */
+    public static Builder builder(long version) {
+        return new Builder(version);
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return the version; 0 for the empty table
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns the limits on requests.
+     *
+     * @return the limits
+     */
+    public RequestLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Finds the route with the longest prefix of a path.
+     *
+     * @param authority host, with or without a port
+     * @param path      path, with or without a query
+     * @return the route, or empty if none matches
+     */
+    public Optional<Route> find(String authority, String path) {
+        Map<String, Route> prefixes = hosts.get(host(authority));
+        if (prefixes == null) {
+            return Optional.empty();
+        }
+        int query = path.indexOf('?');
+        int end = (query < 0 ? path.length() : query) - 1;
+        for (int slash = path.lastIndexOf('/', end); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
+            Route route = prefixes.get(path.substring(0, slash + 1));
+            if (route != null) {
+                return Optional.of(route);
+            }
+            if (slash == 0) {
+                break;
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Returns all routes.
+     *
+     * @return the routes, in no order
+     */
+    public Collection<Route> routes() {
+        return hosts.values().stream()
+                .flatMap(prefixes -> prefixes.values().stream())
+                .toList();
+    }
+
+    /**
+     * Returns all services that routes lead to.
+     *
+     * @return the services
+     */
+    public Set<ServiceName> services() {
+        return routes().stream()
+                .flatMap(route -> route.destination().services().stream())
+                .collect(Collectors.toSet());
+    }
+
+    private static String host(String authority) {
+        if (authority == null) {
+            return "";
+        }
+        int colon = authority.indexOf(':');
+        return (colon < 0 ? authority : authority.substring(0, colon)).toLowerCase(Locale.ROOT);
+    }
+
+    /** Collects the routes of one version. */
+    public static final class Builder {
+
+        private final long version;
+        private final Map<String, Map<String, Route>> hosts = new HashMap<>();
+        private RequestLimits limits = RequestLimits.DEFAULT;
+
+        private Builder(long version) {
+            this.version = version;
+        }
+
+        /**
+         * Adds a route.
+         *
+         * @param host  host that callers name
+         * @param route the route
+         * @return this builder
+         */
+        public Builder add(String host, Route route) {
+            hosts.computeIfAbsent(host(host), name -> new HashMap<>()).put(route.prefix(), route);
+            return this;
+        }
+
+        /**
+         * Sets the limits on requests.
+         *
+         * @param value the limits
+         * @return this builder
+         */
+        public Builder limits(RequestLimits value) {
+            limits = value;
+            return this;
+        }
+
+        /**
+         * Builds the table.
+         *
+         * @return the table
+         */
+        public RouteTable build() {
+            Map<String, Map<String, Route>> copy = new HashMap<>();
+            hosts.forEach((host, prefixes) -> copy.put(host, Map.copyOf(prefixes)));
+            return new RouteTable(version, Map.copyOf(copy), limits);
+        }
+    }
+}
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/Exclusion.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/Exclusion.java
@@ -4,7 +4,7 @@
 public final class Exclusion {
 
     /** Most servers that are remembered. */
-    private static final int CAPACITY = 4;
+    private static final int CAPACITY = 8;
 
     /** Servers tried. */
     private final ServerLoad[] tried = new ServerLoad[CAPACITY];
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/RoutingPolicy.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/RoutingPolicy.java
@@ -47,6 +47,19 @@
             int best = pickByScore(pool, exclusion, random, now);
             return best >= 0 ? best : pool.firstServing(random.nextInt(pool.size()), exclusion);
         }
+    },
+
+    /** The server of the least cost, where leaving the failure domain costs too; for pools of a few servers. */
+    LEAST_COST("least-cost") {
+        @Override
+        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+            int trial = pool.findTrial(random.nextInt(pool.size()), exclusion, now);
+            if (trial >= 0) {
+                return trial;
+            }
+            int best = pickByCost(pool, exclusion, random, now);
+            return best >= 0 ? best : pool.firstServing(random.nextInt(pool.size()), exclusion);
+        }
     };
 
     /** Servers with which the one whose turn it is is compared. */
@@ -55,6 +68,9 @@
     /** Ratio of estimates above which the turn is passed over; smaller differences are noise in stale reports. */
     private static final double TOLERANCE = 1.25;
 
+    /** Servers compared for a choice by cost. */
+    private static final int COMPARED = 12;
+
     /** Name in documents. */
     private final String token;
 
@@ -119,6 +135,34 @@
      */
     abstract int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now);
 
+    /**
+     * Chooses the server of the least cost among some, starting anywhere.
+     *
+     * @param pool      servers of the service, at least one
+     * @param exclusion servers that were tried
+     * @param random    source of random choice
+     * @param now       present time, in nanoseconds
+     * @return the index, or a negative number if every server is left out
+     */
+    private static int pickByCost(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+        long nearest = pool.nearestNanos();
+        int best = -1;
+        double bestCost = Double.MAX_VALUE;
+        int start = random.nextInt(pool.size());
+        for (int i = 0; i < Math.min(pool.size(), COMPARED); i++) {
+            int index = pool.firstHealthy((start + i) % pool.size(), exclusion, now);
+            if (index < 0) {
+                return -1;
+            }
+            double cost = pool.get(index).cost(now, nearest);
+            if (cost < bestCost) {
+                bestCost = cost;
+                best = index;
+            }
+        }
+        return best;
+    }
+
     /**
      * Chooses the server whose turn it is, or a challenger that is much better.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
@@ -28,6 +28,15 @@
     private static final double FAILURE_COST = 20;
 
     /** Node beside the server. */
+    /** Time for which a report of slowness counts, in nanoseconds: neighbours come and go in 150 ms. */
+    private static final long SLOW_NANOS = 100 * Clock.NANOS_PER_MILLI;
+
+    /** Cost of a slow server, in service times: it takes about five times as long. */
+    private static final double SLOW_COST = 2.5;
+
+    /** Cost of leaving the failure domain, in service times. */
+    private static final double DISTANCE_COST = 0.3;
+
     private final NodeId node;
 
     /** Time to the node and back, in nanoseconds. */
@@ -48,6 +57,8 @@
     /** Whether the server takes new work as far as is known. */
     private volatile boolean serving = true;
 
+    private volatile long slowUntilNanos = Long.MIN_VALUE / 2;
+
     /**
      * Creates the load of a server of which nothing has been heard.
      *
@@ -113,6 +124,9 @@
         if (report.draining()) {
             serving = false;
         }
+        if (report.slow()) {
+            slowUntilNanos = now + SLOW_NANOS;
+        }
     }
 
     /**
@@ -171,7 +185,25 @@
         double waiting = Math.max(0, busy - limit) / limit;
         double crowding = busy / limit;
         double failing = ejection.failureRate() * FAILURE_COST;
-        return roundTripNanos + last.serviceNanos * (1 + waiting + crowding / 2 + failing);
+        double slow = now - slowUntilNanos < 0 ? SLOW_COST : 0;
+        return roundTripNanos + last.serviceNanos * (1 + waiting + crowding / 2 + failing + slow);
+    }
+
+    /**
+     * Estimates the cost of sending a call here: the time to an answer, and for a server beyond the failure domain the
+     * traffic between failure domains.
+     *
+     * @param now           present time, in nanoseconds
+     * @param nearestNanos  round trip to the nearest server, in nanoseconds
+     * @return cost as time in nanoseconds
+     */
+    double cost(long now, long nearestNanos) {
+        double score = score(now);
+        return roundTripNanos > nearestNanos ? score + known.serviceNanos * DISTANCE_COST : score;
+    }
+
+    long roundTripNanos() {
+        return roundTripNanos;
     }
 
     /**
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
@@ -131,6 +131,15 @@
         return -1;
     }
 
+    /** Returns the shortest round trip to a server, in nanoseconds. */
+    long nearestNanos() {
+        long nearest = Long.MAX_VALUE;
+        for (ServerLoad server : servers) {
+            nearest = Math.min(nearest, server.roundTripNanos());
+        }
+        return nearest;
+    }
+
     /**
      * Brings an index into range.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/schema/Schema.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/schema/Schema.java
@@ -27,15 +27,6 @@
  */
 public final class Schema<T> {
 
-    /** Compiles schemas; the words for the generator of types mean nothing to validation. */
-    private static final JsonSchemaFactory FACTORY = JsonSchemaFactory.builder(
-                    JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012))
-            .metaSchema(JsonMetaSchema.builder(JsonMetaSchema.getV202012())
-                    .keyword(new NonValidationKeyword("javaType"))
-                    .keyword(new NonValidationKeyword("javaName"))
-                    .build())
-            .build();
-
     /** Settings of a node. */
     public static final Schema<NodeSettings> NODE_SETTINGS =
             new Schema<>("node-settings", NodeSettings.class, ResultCode.SETTINGS_INVALID);
@@ -63,8 +54,8 @@
     /** Code of a document that does not fit. */
     private final ResultCode code;
 
-    /** The compiled schema. */
-    private final JsonSchema compiled;
+    /** The compiled schema; {@code null} until a document is read. */
+    private JsonSchema compiled;
 
     /**
      * Creates a kind of document.
@@ -77,8 +68,6 @@
         this.name = name;
         this.type = type;
         this.code = code;
-        this.compiled =
-                FACTORY.getSchema(Schema.class.getResourceAsStream("/io/mustardusher/schema/" + name + ".json"));
     }
 
     /**
@@ -113,7 +102,7 @@
      * @throws MustardusherException with every fault, its place and what was expected
      */
     public T read(JsonNode tree) {
-        String faults = compiled.validate(tree).stream()
+        String faults = compiled().validate(tree).stream()
                 .map(ValidationMessage::getMessage)
                 .sorted()
                 .collect(Collectors.joining("; "));
@@ -136,4 +125,25 @@
             throw new MustardusherException(ResultCode.REQUEST_MALFORMED, e.getMessage(), e);
         }
     }
+
+    private synchronized JsonSchema compiled() {
+        if (compiled == null) {
+            compiled = Compiler.FACTORY.getSchema(
+                    Schema.class.getResourceAsStream("/io/mustardusher/schema/" + name + ".json"));
+        }
+        return compiled;
+    }
+
+    /** Compiles schemas; loaded only by programs that read a document, as it is slow to start. */
+    private static final class Compiler {
+
+        /** The words for the generator of types mean nothing to validation. */
+        private static final JsonSchemaFactory FACTORY = JsonSchemaFactory.builder(
+                        JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012))
+                .metaSchema(JsonMetaSchema.builder(JsonMetaSchema.getV202012())
+                        .keyword(new NonValidationKeyword("javaType"))
+                        .keyword(new NonValidationKeyword("javaName"))
+                        .build())
+                .build();
+    }
 }
--- a/mustardusher-core/src/test/java/io/mustardusher/retry/RetryPolicyTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/retry/RetryPolicyTest.java
@@ -96,12 +96,13 @@
         while (again) {
             number++;
             executions += leafExecutions(layers, layer + 1, resent || number > 1);
-            again = policy.mayRetry(new Attempt(number, ResultCode.CONNECTION_LOST, true, true, resent, LEFT));
+            again = policy.mayRetry(new Attempt(
+                    number, number, Integer.MAX_VALUE, ResultCode.CONNECTION_LOST, true, true, resent, LEFT));
         }
         return executions;
     }
 
     private static Attempt attempt(int number, ResultCode code, boolean idempotent, boolean resent) {
-        return new Attempt(number, code, idempotent, true, resent, LEFT);
+        return new Attempt(number, number, Integer.MAX_VALUE, code, idempotent, true, resent, LEFT);
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Call.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Call.java
@@ -28,6 +28,7 @@
  * @param key           its key, if it has one
  * @param depth         services that the chain of calls has passed
  * @param resent        whether another entry sends it again
+ * @param terms        what bounds the call beside the entry
  */
 public record Call(
         CatalogueEntry entry,
@@ -37,7 +38,8 @@
         long deadlineNanos,
         Optional<IdempotencyKey> key,
         int depth,
-        boolean resent) {
+        boolean resent,
+        CallTerms terms) {
 
     /** Deepest chain of calls. */
     private static final int MAX_DEPTH = 64;
@@ -77,7 +79,8 @@
                 now + timeoutNanos(headers, entry),
                 key(headers),
                 depth,
-                number(headers, CallHeaders.ATTEMPT.toString()) > 1);
+                number(headers, CallHeaders.ATTEMPT.toString()) > 1,
+                CallTerms.NONE);
     }
 
     /**
@@ -116,6 +119,7 @@
         next.set(CallHeaders.DEPTH, Integer.toString(depth));
         next.set(CallHeaders.ATTEMPT, Integer.toString(resent ? Math.max(2, attempt) : attempt));
         next.set(CallHeaders.TIMEOUT, Timeout.format(leftNanos));
+        next.set(CallHeaders.IDEMPOTENT, isIdempotent() ? "1" : "0");
         next.set(CallHeaders.FINGERPRINT, Long.toHexString(fingerprint));
         String authorization = headers.get(HttpHeaderNames.AUTHORIZATION);
         if (authorization != null) {
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import io.netty.util.AsciiString;
@@ -49,6 +50,15 @@
     /** Role in which the receiving node is addressed; between nodes. */
     public static final AsciiString ROLE = AsciiString.cached("mustardusher-role");
 
+    /** Whether the call may run more than once, 1 or 0; between nodes. */
+    public static final AsciiString IDEMPOTENT = AsciiString.cached("mustardusher-idempotent");
+
+    /** Time left until the answer is late, in the form of gRPC; between nodes. */
+    public static final AsciiString TARGET = AsciiString.cached("mustardusher-target");
+
+    /** Present if the entry has other gates to ask; between nodes. */
+    public static final AsciiString MOVABLE = AsciiString.cached("mustardusher-movable");
+
     /** Class of the call; between nodes. */
     public static final AsciiString CLASS = AsciiString.cached("mustardusher-class");
 
@@ -68,7 +78,10 @@
 
     /** Headers that only nodes may set on requests. */
     private static final List<AsciiString> BETWEEN_NODES =
-            List.of(FINGERPRINT, CRASH, ROLE, CLASS, HttpHeaderNames.AUTHORIZATION);
+            List.of(FINGERPRINT, CRASH, ROLE, CLASS, IDEMPOTENT, TARGET, MOVABLE, HttpHeaderNames.AUTHORIZATION);
+
+    /** Headers of the product's own interface to callers, which other interfaces do not pass on to a server. */
+    private static final List<AsciiString> OWN_INTERFACE = List.of(SERVICE, OWNER, DEPTH, ATTEMPT, TIMEOUT);
 
     /** Headers of answers that only nodes may set. */
     private static final List<AsciiString> OF_ANSWERS = List.of(OUTCOME, CODE, LOAD, CRASH);
@@ -94,6 +107,25 @@
         BETWEEN_NODES.forEach(headers::remove);
     }
 
+    /**
+     * Leaves what a caller sent: without the headers that concern one connection or that nodes add.
+     *
+     * @param call headers of a call at the gate
+     * @return the headers
+     */
+    public static RequestHeaders forServer(RequestHeaders call) {
+        RequestHeadersBuilder passed = call.toBuilder();
+        stripHop(passed);
+        stripBetweenNodes(passed);
+        OWN_INTERFACE.forEach(passed::remove);
+        String authorization = call.get(ServerRequest.CALLER_AUTHORIZATION);
+        passed.remove(ServerRequest.CALLER_AUTHORIZATION);
+        if (authorization != null) {
+            passed.set(HttpHeaderNames.AUTHORIZATION, authorization);
+        }
+        return passed.build();
+    }
+
     /**
      * Removes what concerns the last connection, and what only nodes may set, from an answer.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
@@ -11,6 +11,7 @@
 import com.linecorp.armeria.client.ResponseTimeoutException;
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
@@ -109,6 +110,25 @@
         return passed;
     }
 
+    /**
+     * Collects the whole answer under other headers.
+     *
+     * @param headers the headers
+     * @return the answer once it is whole; fails if it is cut short
+     */
+    public CompletableFuture<HttpResponse> whole(ResponseHeaders headers) {
+        return split.body().collect().thenApply(parts -> {
+            int length = parts.stream().mapToInt(HttpData::length).sum();
+            byte[] bytes = new byte[length];
+            int at = 0;
+            for (HttpData part : parts) {
+                System.arraycopy(part.array(), 0, bytes, at, part.length());
+                at += part.length();
+            }
+            return HttpResponse.of(headers, HttpData.wrap(bytes));
+        });
+    }
+
     /**
      * Returns the end of the answer.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Supplier;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
@@ -16,9 +16,10 @@
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import io.mustardusher.call.Call;
+import io.mustardusher.call.CallDialect;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Problem;
-import io.mustardusher.catalogue.Catalogue;
+import io.mustardusher.catalogue.CatalogueEntry;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
@@ -42,11 +43,10 @@
     /** Brings calls with keys to their homes. */
     private final HomeRouter homes;
 
-    /** The catalogue in force; {@code null} before the first. */
-    private final Supplier<Catalogue> catalogue;
+    private final CallDialect dialect;
 
-    /** Renews load reports; told of each call. */
-    private final Prober prober;
+    /** Told of the entry of each call. */
+    private final Consumer<CatalogueEntry> called;
 
     /** Source of time. */
     private final Clock clock;
@@ -60,31 +60,38 @@
     /** Whether the node is stopping. */
     private volatile boolean stopping;
 
+    private volatile boolean leaving;
+
     /**
      * Creates an entry.
      *
      * @param router    brings calls to gates
      * @param homes     brings calls with keys to their homes
-     * @param catalogue the catalogue in force; {@code null} before the first
-     * @param prober    renews load reports; told of each call
+     * @param dialect how callers state calls
+     * @param called  told of the entry of each call
      * @param clock     source of time
      * @param metrics   registry of metrics
      */
     public Entry(
             Router router,
             HomeRouter homes,
-            Supplier<Catalogue> catalogue,
-            Prober prober,
+            CallDialect dialect,
+            Consumer<CatalogueEntry> called,
             Clock clock,
             MetricRegistry metrics) {
         this.router = router;
         this.homes = homes;
-        this.catalogue = catalogue;
-        this.prober = prober;
+        this.dialect = dialect;
+        this.called = called;
         this.clock = clock;
         this.served = metrics.timer("entry.served");
     }
 
+    /** Closes callers' connections after their next answer, and still takes calls. */
+    public void leave() {
+        leaving = true;
+    }
+
     /** Refuses further calls. */
     public void stop() {
         stopping = true;
@@ -103,12 +110,17 @@
     public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
         long begun = clock.nanoTime();
         inside.incrementAndGet();
+        if (leaving) {
+            context.initiateConnectionShutdown();
+        }
         HttpResponse response;
         try {
             response = accept(context, request);
         } catch (MustardusherException e) {
+            request.abort();
             response = Problem.response(refusal(request, e));
         }
+        response = dialect.write(request.headers(), response);
         response.whenComplete().whenComplete((done, failure) -> {
             inside.decrementAndGet();
             served.update(clock.nanoTime() - begun, TimeUnit.NANOSECONDS);
@@ -123,17 +135,13 @@
      * @return the answer
      */
     public HttpResponse serveAsHome(HttpRequest request) {
-        Catalogue present = catalogue.get();
-        if (present == null) {
-            return Problem.response(ResultCode.KEEPER_UNAVAILABLE, "this node has no catalogue yet");
-        }
         try {
-            Call call = Call.read(request.headers(), present, clock.nanoTime());
+            Call call = dialect.read(request.headers(), clock.nanoTime());
             return HttpResponse.of(request.aggregate()
                     .thenCompose(aggregated -> homes.handleAsHome(call, body(aggregated)))
                     .exceptionally(Problem::response));
         } catch (MustardusherException e) {
-            return Problem.response(e);
+            return Problem.response(refusal(request, e));
         }
     }
 
@@ -145,15 +153,11 @@
      * @return the answer
      */
     private HttpResponse accept(ServiceRequestContext context, HttpRequest request) {
-        Catalogue present = catalogue.get();
         if (stopping) {
             throw new MustardusherException(ResultCode.NODE_STOPPING, "this node is stopping");
         }
-        if (present == null) {
-            throw new MustardusherException(ResultCode.NODE_STARTING, "neither the table service nor peers answer");
-        }
-        Call call = Call.read(request.headers(), present, clock.nanoTime());
-        prober.called(call.entry());
+        Call call = dialect.read(request.headers(), clock.nanoTime());
+        called.accept(call.entry());
         boolean idempotent = call.isIdempotent();
         boolean keyed = !idempotent && call.key().isPresent();
         if (!idempotent && !keyed && call.entry().keyRequired()) {
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Prober.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Prober.java
@@ -100,7 +100,7 @@
      *
      * @param entry its entry
      */
-    void called(CatalogueEntry entry) {
+    public void called(CatalogueEntry entry) {
         called.computeIfAbsent(entry.service(), name -> new Called(clock)).lastNanos = clock.nanoTime();
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -1,13 +1,17 @@
 package io.mustardusher.entry;
 
+import java.util.EnumSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ThreadLocalRandom;
 
+import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import io.mustardusher.call.Call;
@@ -15,6 +19,7 @@
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.Fingerprint;
 import io.mustardusher.call.Problem;
+import io.mustardusher.call.Timeout;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.Outcome;
@@ -30,6 +35,15 @@
 /** One call at the entry, from the first choice to the answer that is passed on. */
 final class RoutedCall {
 
+    /** Largest answer that is held until it is whole, in bytes; a longer one is streamed and breaks visibly. */
+    private static final long WHOLE_ANSWER_BYTES = 1L << 20;
+
+    /** Gates that may send a call on to a better one; the next one has to take it. */
+    private static final int MOVES = 2;
+
+    /** Refusals by the backend server itself. */
+    private static final Set<ResultCode> REACHED = EnumSet.of(ResultCode.SERVER_REFUSED);
+
     /** The router. */
     private final Router router;
 
@@ -57,15 +71,23 @@
     /** The answer. */
     private final CompletableFuture<Reply> answer = new CompletableFuture<>();
 
+    private final long begunNanos;
+
     /** Number of the present send, from 1. */
     private int attempt;
 
     /** Expected time to an answer, in nanoseconds. */
     private volatile long expectedNanos;
 
+    /** Sends that may have reached a backend server. */
+    private int reached;
+
     /** Whether an earlier send may have run. */
     private boolean mayHaveRun;
 
+    /** Failure that a server answered, to pass on if no other does better; {@code null} without one. */
+    private Reply failed;
+
     /**
      * Creates a call.
      *
@@ -89,6 +111,7 @@
         this.idempotent = idempotent;
         this.retries = retries;
         this.cancelled = cancelled;
+        this.begunNanos = router.clock().nanoTime();
         this.fingerprint = Fingerprint.of(call.service().value(), call.headers(), body.forFingerprint());
     }
 
@@ -165,8 +188,7 @@
             server.ejection().trialSent();
         }
         server.sent();
-        Exchange exchange =
-                link.send(body.toRequest(call.toNode(attempt, left, fingerprint).build()), left, cancelled);
+        Exchange exchange = link.send(body.toRequest(headers(left, now)), left, cancelled);
         exchange.headers().whenComplete((headers, failure) -> {
             if (failure != null) {
                 server.ended();
@@ -177,6 +199,18 @@
         });
     }
 
+    private RequestHeaders headers(long left, long now) {
+        RequestHeadersBuilder headers = call.toNode(attempt, left, fingerprint);
+        long target = call.terms().targetNanos();
+        if (target != Long.MAX_VALUE) {
+            headers.set(CallHeaders.TARGET, Timeout.format(begunNanos + target - now));
+            if (attempt <= MOVES && body.isReplayable()) {
+                headers.set(CallHeaders.MOVABLE, "1");
+            }
+        }
+        return headers.build();
+    }
+
     /**
      * Judges the headers of an answer.
      *
@@ -202,11 +236,7 @@
             router.suspect(fingerprint, headers.getLong(CallHeaders.CRASH, 0));
         }
         exchange.discard();
-        if (mayRetry(code, now)) {
-            resend(code);
-        } else {
-            refuse(code, "after " + attempt + " sends");
-        }
+        retryOrRefuse(code, "after " + attempt + " sends", now);
     }
 
     /**
@@ -230,14 +260,43 @@
      * @param now      present time, in nanoseconds
      */
     private void ran(ServerLoad server, Exchange exchange, ResponseHeaders headers, long now) {
-        boolean failed = isGatewayFailure(headers.status());
-        server.ejection().ended(!headers.status().isServerError(), now);
-        if (failed && idempotent && mayRetry(ResultCode.CONNECTION_LOST, now)) {
-            exchange.discard();
-            resend(ResultCode.CONNECTION_LOST);
+        boolean failure = headers.status().isServerError();
+        server.ejection().ended(!failure, now);
+        if (headers.getLong(HttpHeaderNames.CONTENT_LENGTH, Long.MAX_VALUE) > WHOLE_ANSWER_BYTES) {
+            answer.complete(new Reply(exchange.answer(forCaller(headers)), Outcome.RAN));
             return;
         }
-        answer.complete(new Reply(exchange.answer(forCaller(headers)), Outcome.RAN));
+        NodeLog.DECISIONS.answered(
+                call.terms().id(),
+                server.node().value(),
+                headers.status().code(),
+                attempt,
+                (now - begunNanos) / Clock.NANOS_PER_MICRO);
+        exchange.whole(forCaller(headers)).whenComplete((whole, cut) -> {
+            if (cut != null) {
+                lost(server, new MustardusherException(ResultCode.CONNECTION_LOST, "the answer was cut short"));
+                return;
+            }
+            Reply reply = new Reply(whole, Outcome.RAN);
+            reached++;
+            if (failure
+                    && idempotent
+                    && mayRetry(ResultCode.CONNECTION_LOST, router.clock().nanoTime())) {
+                failed = reply;
+                mayHaveRun = true;
+                router.countResend();
+                send();
+                return;
+            }
+            complete(reply);
+        });
+    }
+
+    private void complete(Reply reply) {
+        if (failed != null && failed != reply) {
+            failed.response().abort();
+        }
+        answer.complete(reply);
     }
 
     /**
@@ -253,10 +312,19 @@
         if (!cancelled.toCompletableFuture().isDone()) {
             server.ejection().ended(false, now);
         }
-        if (mayRetry(coded.code(), now)) {
-            resend(coded.code());
+        retryOrRefuse(coded.code(), coded.getMessage(), now);
+    }
+
+    private void retryOrRefuse(ResultCode code, String detail, long now) {
+        if (REACHED.contains(code) || code.outcome() != Outcome.NOT_RUN) {
+            reached++;
+        }
+        mayHaveRun |= code.outcome() != Outcome.NOT_RUN;
+        if (mayRetry(code, now)) {
+            router.countResend();
+            send();
         } else {
-            refuse(coded.code(), coded.getMessage());
+            refuse(code, detail);
         }
     }
 
@@ -271,19 +339,15 @@
         if (cancelled.toCompletableFuture().isDone()) {
             return false;
         }
-        return retries.mayRetry(
-                new Attempt(attempt, code, idempotent, body.isReplayable(), call.resent(), call.deadlineNanos() - now));
-    }
-
-    /**
-     * Sends the call again.
-     *
-     * @param code how the present send ended
-     */
-    private void resend(ResultCode code) {
-        mayHaveRun |= code.outcome() != Outcome.NOT_RUN;
-        router.countResend();
-        send();
+        return retries.mayRetry(new Attempt(
+                attempt,
+                reached,
+                call.terms().maxReached(),
+                code,
+                idempotent,
+                body.isReplayable(),
+                call.resent(),
+                call.deadlineNanos() - now));
     }
 
     /**
@@ -294,9 +358,13 @@
      * @param detail what happened
      */
     private void refuse(ResultCode code, String detail) {
+        if (failed != null) {
+            complete(failed);
+            return;
+        }
         boolean proven = !mayHaveRun || code.outcome() != Outcome.NOT_RUN;
         ResultCode told = proven ? code : ResultCode.RETRY_REFUSED;
-        NodeLog.DECISIONS.notRouted(call.service().value(), told.number(), attempt);
+        NodeLog.DECISIONS.notRouted(call.terms().id(), call.service().value(), told.number(), attempt, detail);
         answer.complete(new Reply(Problem.response(told, detail), told.outcome()));
     }
 
@@ -314,18 +382,6 @@
         return passed.build();
     }
 
-    /**
-     * Tells whether a status says that the server could not serve.
-     *
-     * @param status the status
-     * @return {@code true} for 502, 503 and 504
-     */
-    private static boolean isGatewayFailure(HttpStatus status) {
-        return status.equals(HttpStatus.BAD_GATEWAY)
-                || status.equals(HttpStatus.SERVICE_UNAVAILABLE)
-                || status.equals(HttpStatus.GATEWAY_TIMEOUT);
-    }
-
     /**
      * Logs a choice.
      *
@@ -338,6 +394,7 @@
         }
         long micros = expectedNanos / Clock.NANOS_PER_MICRO;
         String policy = call.entry().policy().token();
-        NodeLog.DECISIONS.routed(call.service().value(), server.node().value(), policy, attempt, micros, pool.size());
+        NodeLog.DECISIONS.routed(
+                call.terms().id(), call.service().value(), server.node().value(), policy, attempt, micros, pool.size());
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
@@ -33,6 +33,8 @@
     /** Source of time. */
     private final Clock clock;
 
+    private final RetryPolicies policies;
+
     /** Retry policies by service. */
     private final Map<ServiceName, RetryPolicy> retries = new ConcurrentHashMap<>();
 
@@ -54,6 +56,7 @@
      * @param directory servers and ways to their gates
      * @param suspects  calls suspected of crashing servers
      * @param sightings told of each new suspect
+     * @param policies  makes the retry policy of a service
      * @param timers    runs timers
      * @param clock     source of time
      * @param metrics   registry of metrics
@@ -62,12 +65,14 @@
             Directory directory,
             SuspectTable suspects,
             Consumer<SuspectTable.Sighting> sightings,
+            RetryPolicies policies,
             ScheduledExecutorService timers,
             Clock clock,
             MetricRegistry metrics) {
         this.directory = directory;
         this.suspects = suspects;
         this.sightings = sightings;
+        this.policies = policies;
         this.timers = timers;
         this.clock = clock;
         this.calls = metrics.meter("entry.calls");
@@ -85,7 +90,7 @@
      */
     HttpResponse route(Call call, CallBody body, boolean idempotent, CompletionStage<?> cancelled) {
         calls.mark();
-        RetryPolicy policy = retries.computeIfAbsent(call.service(), name -> new RetryPolicy(new RatioBudget()));
+        RetryPolicy policy = retries.computeIfAbsent(call.service(), policies::create);
         policy.budget().earn(call.entry().retryPercent());
         int hedgePercent = call.entry().hedgePercent();
         if (hedgePercent == 0 || !idempotent || !body.isReplayable() || call.resent()) {
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
@@ -8,6 +8,7 @@
 import io.mustardusher.generated.Gossip;
 import io.mustardusher.generated.ProbeAnswer;
 import io.mustardusher.generated.ProbeQuestion;
+import io.mustardusher.generated.RouteDocument;
 import io.mustardusher.generated.SuspectRecord;
 import io.mustardusher.generated.WitnessReply;
 import io.mustardusher.generated.WitnessRequest;
@@ -36,7 +37,10 @@
     PROBE(ProbeQuestion.class, ProbeAnswer.class),
 
     /** Brings a suspect; answered with the same. */
-    SUSPECT(SuspectRecord.class, SuspectRecord.class);
+    SUSPECT(SuspectRecord.class, SuspectRecord.class),
+
+    /** Question for a newer version of the routes. */
+    ROUTES(CataloguePull.class, RouteDocument.class);
 
     /** Type of the question. */
     private final Class<?> question;
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
-import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
@@ -18,10 +17,10 @@
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.Problem;
-import io.mustardusher.call.ServerRequest;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.result.ResultCode;
+import io.mustardusher.server.ServerLink;
 
 /** One call at the gate, from admission to the end of its answer. */
 final class Dispatch implements Waiter {
@@ -29,8 +28,7 @@
     /** The gate. */
     private final Gate gate;
 
-    /** Client of the backend server. */
-    private final WebClient client;
+    private final ServerLink link;
 
     /** The call. */
     private final HttpRequest request;
@@ -63,7 +61,7 @@
      * Creates a dispatch.
      *
      * @param gate          the gate
-     * @param client        client of the backend server
+     * @param link          way to the backend server
      * @param request       the call
      * @param deadlineNanos time by which the answer must begin, in nanoseconds
      * @param fingerprint   hash over service, method, path and body
@@ -73,7 +71,7 @@
      */
     Dispatch(
             Gate gate,
-            WebClient client,
+            ServerLink link,
             HttpRequest request,
             long deadlineNanos,
             long fingerprint,
@@ -81,7 +79,7 @@
             CompletableFuture<HttpResponse> answer,
             CompletionStage<?> cancelled) {
         this.gate = gate;
-        this.client = client;
+        this.link = link;
         this.request = request;
         this.deadlineNanos = deadlineNanos;
         this.fingerprint = fingerprint;
@@ -113,9 +111,8 @@
         started = true;
         dispatchedNanos = gate.clock().nanoTime();
         long left = deadlineNanos - dispatchedNanos;
-        HttpRequest forward = request.withHeaders(ServerRequest.headers(request.headers(), left));
         gate.crashes().dispatched(ticket, fingerprint);
-        Exchange exchange = Exchange.send(client, forward, left);
+        Exchange exchange = link.send(request, left);
         exchange.abortOn(cancelled);
         exchange.headers().whenComplete((headers, failure) -> {
             if (failure == null) {
@@ -128,7 +125,7 @@
 
     @Override
     public void refused(ResultCode code) {
-        answer.complete(gate.refuse(code, request.headers().get(CallHeaders.SERVICE, "")));
+        answer.complete(gate.refuse(code, request.headers()));
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -1,19 +1,18 @@
 package io.mustardusher.gate;
 
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
-import com.linecorp.armeria.client.ClientFactory;
-import com.linecorp.armeria.client.Endpoint;
-import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.SessionProtocol;
+import com.linecorp.armeria.common.RequestHeaders;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.admission.Ticket;
 import io.mustardusher.call.CallHeaders;
@@ -25,6 +24,8 @@
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.routing.LoadReport;
+import io.mustardusher.server.ServerLink;
+import io.mustardusher.server.ServerReading;
 import io.mustardusher.time.Clock;
 
 /** Admits calls to the backend server beside the node, or refuses them before anything ran. */
@@ -42,8 +43,7 @@
     /** Calls suspected of crashing servers. */
     private final SuspectTable suspects;
 
-    /** Connections to the backend server. */
-    private final ClientFactory connections;
+    private final ServerLink.Factory servers;
 
     /** Runs timers. */
     private final ScheduledExecutorService timers;
@@ -51,6 +51,8 @@
     /** Detects crashes. */
     private final CrashDetector crashes;
 
+    private final Function<RequestHeaders, String> callNames;
+
     /** Time of calls at the gate. */
     private final Timer served;
 
@@ -62,24 +64,29 @@
      *
      * @param clock       source of time
      * @param suspects    calls suspected of crashing servers
-     * @param connections connections to the backend server
+     * @param servers     opens the way to the backend server
      * @param timers      runs timers
      * @param crashes     detects crashes
+     * @param admission   admits calls
+     * @param callNames   finds the name of a call in its headers
      * @param metrics     registry of metrics
      */
     public Gate(
             Clock clock,
             SuspectTable suspects,
-            ClientFactory connections,
+            ServerLink.Factory servers,
             ScheduledExecutorService timers,
             CrashDetector crashes,
+            Admission admission,
+            Function<RequestHeaders, String> callNames,
             MetricRegistry metrics) {
         this.clock = clock;
         this.suspects = suspects;
-        this.connections = connections;
+        this.servers = servers;
         this.timers = timers;
         this.crashes = crashes;
-        this.admission = new Admission(clock);
+        this.callNames = callNames;
+        this.admission = admission;
         this.served = metrics.timer("gate.calls");
         metrics.gauge("gate.busy", () -> () -> load().busy());
         metrics.gauge("gate.queued", () -> () -> load().queued());
@@ -94,13 +101,12 @@
     public void announced(Announcement announced) {
         Target present = target;
         if (present == null || !present.isSame(announced)) {
-            Endpoint endpoint = Endpoint.of(announced.getHost(), (int) announced.getPort());
-            WebClient client = WebClient.builder(SessionProtocol.H1C, endpoint)
-                    .factory(connections)
-                    .build();
-            target = new Target(announced, client);
+            target = new Target(announced, servers.open(announced));
+            if (present != null) {
+                present.link().close();
+            }
         } else {
-            target = new Target(announced, present.client());
+            target = new Target(announced, present.link());
         }
         if (announced.getState() == Announcement.State.SERVING) {
             crashes.recovered();
@@ -123,6 +129,15 @@
         }
     }
 
+    /**
+     * Takes over what the backend server says of its own load.
+     *
+     * @param reading the reading
+     */
+    public void observed(ServerReading reading) {
+        admission.observed(reading.slownessPercent());
+    }
+
     /** Refuses new calls. */
     public void close() {
         admission.close();
@@ -171,7 +186,7 @@
         long fingerprint = Long.parseUnsignedLong(request.headers().get(CallHeaders.FINGERPRINT, "0"), 16);
         SuspectTable.Judgement judgement = suspects.judge(fingerprint);
         if (judgement == SuspectTable.Judgement.REFUSE) {
-            return refuse(ResultCode.SUSPECT_REFUSED, service);
+            return refuse(ResultCode.SUSPECT_REFUSED, request.headers());
         }
         long now = clock.nanoTime();
         long left =
@@ -179,41 +194,49 @@
         boolean alone = judgement == SuspectTable.Judgement.RUN_ALONE;
         CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
         Dispatch dispatch =
-                new Dispatch(this, present.client(), request, now + left, fingerprint, alone, answer, cancelled);
+                new Dispatch(this, present.link(), request, now + left, fingerprint, alone, answer, cancelled);
         Ticket ticket = new Ticket(
                 request.headers().get(CallHeaders.OWNER, ""),
                 ServiceClass.of(request.headers().get(CallHeaders.CLASS, DEFAULT_CLASS)),
                 now + left,
                 alone,
-                dispatch);
+                dispatch,
+                wish(request.headers(), now));
         dispatch.bind(ticket);
         admission.offer(ticket);
         if (!answer.isDone() && !dispatch.isStarted()) {
-            awaitTurn(ticket, answer, service, left, cancelled);
+            awaitTurn(ticket, answer, request.headers(), left, cancelled);
         }
         return HttpResponse.of(answer);
     }
 
+    private static Ticket.Wish wish(RequestHeaders call, long now) {
+        String target = call.get(CallHeaders.TARGET);
+        if (target == null) {
+            return Ticket.Wish.NONE;
+        }
+        long left = Timeout.parse(target).orElse(0);
+        return new Ticket.Wish(now + left, "1".equals(call.get(CallHeaders.MOVABLE)));
+    }
+
     /**
      * Ends the wait of a call whose caller has given up or whose deadline passes.
      *
      * @param ticket    the call
      * @param answer    its answer
-     * @param service   its service
+     * @param call      its headers
      * @param leftNanos time left, in nanoseconds
      * @param cancelled completes when the caller has given up
      */
     private void awaitTurn(
             Ticket ticket,
             CompletableFuture<HttpResponse> answer,
-            String service,
+            RequestHeaders call,
             long leftNanos,
             CompletionStage<?> cancelled) {
-        cancelled.thenRun(() -> giveUp(ticket, answer, service, ResultCode.CANCELLED));
+        cancelled.thenRun(() -> giveUp(ticket, answer, call, ResultCode.CANCELLED));
         timers.schedule(
-                () -> giveUp(ticket, answer, service, ResultCode.DEADLINE_UNREACHABLE),
-                leftNanos,
-                TimeUnit.NANOSECONDS);
+                () -> giveUp(ticket, answer, call, ResultCode.DEADLINE_UNREACHABLE), leftNanos, TimeUnit.NANOSECONDS);
     }
 
     /**
@@ -221,25 +244,32 @@
      *
      * @param ticket  the call
      * @param answer  its answer
-     * @param service its service
+     * @param call    its headers
      * @param code    why
      */
-    private void giveUp(Ticket ticket, CompletableFuture<HttpResponse> answer, String service, ResultCode code) {
+    private void giveUp(Ticket ticket, CompletableFuture<HttpResponse> answer, RequestHeaders call, ResultCode code) {
         if (admission.cancel(ticket)) {
-            answer.complete(refuse(code, service));
+            answer.complete(refuse(code, call));
         }
     }
 
     /**
      * Refuses a call.
      *
-     * @param code    why
-     * @param service its service
+     * @param code why
+     * @param call its headers
      * @return the answer
      */
-    HttpResponse refuse(ResultCode code, String service) {
-        NodeLog.DECISIONS.gateRefused(service, code.number());
-        return Problem.response(code, "refused by the gate", load().toHeader());
+    HttpResponse refuse(ResultCode code, RequestHeaders call) {
+        LoadReport load = load();
+        NodeLog.DECISIONS.gateRefused(
+                callNames.apply(call),
+                call.get(CallHeaders.SERVICE, ""),
+                code.number(),
+                load.busy(),
+                load.queued(),
+                load.limit());
+        return Problem.response(code, "refused by the gate", load.toHeader());
     }
 
     /**
@@ -291,20 +321,21 @@
      * A backend server and its client.
      *
      * @param announced its announcement
-     * @param client    its client
+     * @param link      the way to it
      */
-    private record Target(Announcement announced, WebClient client) {
+    private record Target(Announcement announced, ServerLink link) {
 
         /**
          * Tells whether an announcement is of the same server.
          *
          * @param other the announcement
-         * @return {@code true} if address and service are the same
+         * @return {@code true} if address, service and instance are the same
          */
         boolean isSame(Announcement other) {
             return announced.getHost().equals(other.getHost())
                     && announced.getPort() == other.getPort()
-                    && announced.getService().equals(other.getService());
+                    && announced.getService().equals(other.getService())
+                    && Objects.equals(announced.getInstance(), other.getInstance());
         }
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -133,6 +133,27 @@
     @Message(id = 1203, value = "change %s of %s refused with %d: %s")
     void changeRefused(String change, String service, int code, String detail);
 
+    /**
+     * A version of the routes came into force.
+     *
+     * @param version the version
+     * @param routes  number of routes
+     * @param from    where it came from
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 1204, value = "routes version %d in force with %d routes, from %s")
+    void routesInForce(long version, int routes, String from);
+
+    /**
+     * A version of the routes could not be read; the one before it stays in force.
+     *
+     * @param version the version
+     * @param cause   what is wrong
+     */
+    @LogMessage(level = Logger.Level.WARN)
+    @Message(id = 1205, value = "routes version %d left out: %s")
+    void routesUnreadable(long version, String cause);
+
     /**
      * The keepers of a service changed.
      *
@@ -155,29 +176,58 @@
      * @param candidates servers to choose from
      */
     @LogMessage(level = Logger.Level.INFO)
-    @Message(id = 2001, value = "route %s to %s by %s, attempt %d, estimate %d us, of %d")
-    void routed(String service, String node, String policy, int attempt, long micros, int candidates);
+    @Message(id = 2001, value = "call %s: route %s to %s by %s, attempt %d, estimate %d us, of %d")
+    void routed(String call, String service, String node, String policy, int attempt, long micros, int candidates);
 
     /**
-     * A call was not routed.
+     * A call ended without an answer of a server.
      *
+     * @param call    its name
      * @param service its service
      * @param code    number of the result code
      * @param attempt number of the send
+     * @param detail  what happened
      */
     @LogMessage(level = Logger.Level.INFO)
-    @Message(id = 2002, value = "no route for %s, code %d after attempt %d")
-    void notRouted(String service, int code, int attempt);
+    @Message(id = 2002, value = "call %s: no answer from %s, code %d after attempt %d: %s")
+    void notRouted(String call, String service, int code, int attempt, String detail);
 
     /**
      * The gate refused a call.
      *
+     * @param call    its name
      * @param service its service
      * @param code    number of the result code
+     * @param busy    calls at the server
+     * @param queued  calls that wait
+     * @param limit   calls admitted at once
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 2003, value = "call %s: gate of %s refuses with %d; busy %d, queued %d, limit %d")
+    void gateRefused(String call, String service, int code, int busy, int queued, int limit);
+
+    /**
+     * An announcement was left out.
+     *
+     * @param instance what it claims to come from
+     * @param text     its body
+     */
+    @LogMessage(level = Logger.Level.WARN)
+    @Message(id = 1104, value = "announcement of %s left out: %s")
+    void announcementLeftOut(String instance, String text);
+
+    /**
+     * A call was answered by a server.
+     *
+     * @param call    its name
+     * @param server  node beside the server
+     * @param status  status of the answer
+     * @param attempt number of the send
+     * @param micros  time since the call arrived, in microseconds
      */
     @LogMessage(level = Logger.Level.INFO)
-    @Message(id = 2003, value = "gate of %s refuses with %d")
-    void gateRefused(String service, int code);
+    @Message(id = 2005, value = "call %s: %s answers %d after attempt %d, %d us")
+    void answered(String call, String server, int status, int attempt, long micros);
 
     /**
      * A call with a key was placed at its home.
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Listeners.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Listeners.java
@@ -90,6 +90,17 @@
         return new Listeners(List.of(callers, gates, admin.build()));
     }
 
+    /**
+     * Lets through only requests that carry the shared secret.
+     *
+     * @param service    serves them
+     * @param credential shared secret
+     * @return the guarded service
+     */
+    static HttpService guard(HttpService service, Credential credential) {
+        return (context, request) -> guarded(service, context, request, credential);
+    }
+
     /** Starts the listeners. */
     void start() {
         servers.forEach(server -> server.start().join());
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -0,0 +1,194 @@
+package io.mustardusher.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import com.linecorp.armeria.server.HttpService;
+import com.linecorp.armeria.server.Server;
+import io.mustardusher.admission.Admission;
+import io.mustardusher.entry.Entry;
+import io.mustardusher.entry.RetryPolicies;
+import io.mustardusher.entry.Router;
+import io.mustardusher.frame.FrameKind;
+import io.mustardusher.generated.Announcement;
+import io.mustardusher.generated.CataloguePull;
+import io.mustardusher.generated.NodeSettings;
+import io.mustardusher.health.SuspectTable;
+import io.mustardusher.log.NodeLog;
+import io.mustardusher.membership.MemberState;
+import io.mustardusher.route.RouteTable;
+import io.mustardusher.server.WholeAnswerLink;
+import io.mustardusher.spread.RouteSpread;
+import io.mustardusher.store.TableService;
+import io.mustardusher.time.Clock;
+
+/** A running node that is driven by routes on a platform of its users. It keeps no keys and changes no catalogue. */
+public final class RoutedNode {
+
+    /** Calls that may wait at a gate for each slot of its server. */
+    private static final int QUEUE_PER_SLOT = 2;
+
+    /** Share of a server's slots that is used: beyond four fifths of them servers take much longer for each call. */
+    private static final double USABLE_SHARE = 0.8;
+
+    private final NodeSettings settings;
+    private final Surroundings surroundings;
+    private final RetryBounds bounds;
+    private final Mesh mesh;
+    private final Clock clock;
+    private final RouteSpread routes;
+    private final Entry entry;
+    private final List<Server> listeners = new ArrayList<>();
+    private volatile boolean stopping;
+
+    /**
+     * Creates a node that is not started.
+     *
+     * @param settings     the settings
+     * @param bounds       bounds of retries
+     * @param surroundings what the platform brings
+     */
+    public RoutedNode(NodeSettings settings, RetryBounds bounds, Surroundings surroundings) {
+        this.settings = settings;
+        this.surroundings = surroundings;
+        this.bounds = bounds;
+        mesh = new Mesh(
+                settings,
+                made -> WholeAnswerLink.factory(
+                        made.group(),
+                        surroundings.servers(),
+                        reading -> made.gate().observed(reading),
+                        made.clock()),
+                time -> Admission.byTargets(time, USABLE_SHARE),
+                SuspectTable.Rule.COUNT,
+                surroundings::callName);
+        clock = mesh.clock();
+        routes = new RouteSpread(surroundings::decode, mesh.frames(), mesh.timers(), this::routesChanged);
+        TableService table = surroundings.table(mesh.connections());
+        mesh.join(routes, table);
+        mesh.frameServer().on(FrameKind.ROUTES, (CataloguePull question) -> routes.answer(question));
+        Router router = new Router(
+                mesh.directory(),
+                mesh.suspects(),
+                mesh.sightings(),
+                new RetryPolicies.ForWindow(clock, bounds.windowNanos(), this::retryAllowance),
+                mesh.timers(),
+                clock,
+                mesh.metrics());
+        entry = new Entry(router, null, surroundings.callers(routes::current), call -> {}, clock, mesh.metrics());
+        mesh.metrics().gauge("routes.version", () -> routes::revision);
+        mesh.metrics().gauge("entry.inside", () -> entry::inside);
+    }
+
+    /**
+     * Adds a listener; it opens with the node.
+     *
+     * @param host    address to bind
+     * @param port    port to bind
+     * @param service handles requests
+     */
+    public void listen(String host, int port, HttpService service) {
+        listeners.add(Listeners.base(host, port, mesh.group())
+                .maxRequestLength(0)
+                .disableServerHeader()
+                .disableDateHeader()
+                .serviceUnder("/", service)
+                .build());
+    }
+
+    /** Starts the node: listens, meets other nodes, and follows the operator's configuration. */
+    public void start() {
+        String host = settings.getHost();
+        mesh.listen();
+        listen(host, (int) settings.getPorts().getCaller(), entry);
+        listen(
+                host,
+                (int) settings.getPorts().getGate(),
+                Listeners.guard(
+                        (context, request) -> mesh.gate().handle(request, context.whenRequestCancelling()),
+                        mesh.credential()));
+        CompletableFuture<?>[] starts = listeners.stream().map(Server::start).toArray(CompletableFuture<?>[]::new);
+        CompletableFuture.allOf(starts).join();
+        surroundings.watchRoutes(document -> routes.offer(document, "store"));
+        mesh.start();
+        NodeLog.LOG.started(settings.getId(), settings.getFailureDomain());
+    }
+
+    /**
+     * Stops gracefully: lets callers go elsewhere while it still serves them, hands back what waits, lets calls in flight
+     * end, and leaves the membership.
+     *
+     * @return calls that were cut off because the grace time ended
+     */
+    public int stop() {
+        stopping = true;
+        NodeLog.LOG.stopping(settings.getId(), inside());
+        entry.leave();
+        long end = clock.nanoTime() + settings.getStopGraceMillis() * Clock.NANOS_PER_MILLI;
+        pause(bounds.goodbyeMillis());
+        mesh.leave();
+        entry.stop();
+        mesh.awaitIdle(this::inside, (end - clock.nanoTime()) / Clock.NANOS_PER_MILLI);
+        int cutOff = inside();
+        CompletableFuture<?>[] stops = listeners.stream().map(Server::stop).toArray(CompletableFuture<?>[]::new);
+        CompletableFuture.allOf(stops).join();
+        mesh.close();
+        NodeLog.LOG.stopped(settings.getId(), cutOff);
+        return cutOff;
+    }
+
+    /**
+     * Tells whether the node takes calls.
+     *
+     * @return {@code true} if it does
+     */
+    public boolean isReady() {
+        return !stopping && routes.revision() > 0;
+    }
+
+    /**
+     * Takes an announcement of the backend server beside the node. Work that it no longer takes is refused from now on.
+     *
+     * @param announced the announcement
+     */
+    public void announced(Announcement announced) {
+        if (MemberState.of(mesh.members().self()) == MemberState.ALIVE) {
+            mesh.announced(announced, () -> mesh.gate().limits(QUEUE_PER_SLOT, 0));
+        }
+    }
+
+    /**
+     * Returns the calls inside.
+     *
+     * @return calls at the entry and at the gate
+     */
+    public int inside() {
+        return entry.inside() + mesh.gate().inside();
+    }
+
+    private void routesChanged(RouteTable table) {
+        mesh.directory().refresh();
+    }
+
+    private double retryAllowance() {
+        return bounds.allowance() / Math.max(1, mesh.members().members().size());
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Bounds that hold for all nodes together.
+     *
+     * @param windowNanos   length of the window of the retry budget, in nanoseconds
+     * @param allowance     further sends of one service that the window allows without any requests
+     * @param goodbyeMillis time for which a stopping node still serves, so that callers notice, in milliseconds
+     */
+    public record RetryBounds(long windowNanos, double allowance, long goodbyeMillis) {}
+}
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Surroundings.java
@@ -0,0 +1,62 @@
+package io.mustardusher.node;
+
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.common.RequestHeaders;
+import io.mustardusher.call.CallDialect;
+import io.mustardusher.generated.RouteDocument;
+import io.mustardusher.route.RouteTable;
+import io.mustardusher.server.ServerDialect;
+import io.mustardusher.store.TableService;
+
+/** What a platform brings to a node that is driven by routes: its store and its ways to speak. */
+public interface Surroundings {
+
+    /**
+     * Opens the platform's store.
+     *
+     * @param connections connections to use
+     * @return the store
+     */
+    TableService table(ClientFactory connections);
+
+    /**
+     * Follows the operator's configuration until the process ends.
+     *
+     * @param versions told of each version that the store shows
+     */
+    void watchRoutes(Consumer<RouteDocument> versions);
+
+    /**
+     * Reads a version of the operator's configuration.
+     *
+     * @param document the version
+     * @return its routes
+     */
+    RouteTable decode(RouteDocument document);
+
+    /**
+     * Returns how callers state calls.
+     *
+     * @param routes the routes in force
+     * @return the dialect
+     */
+    CallDialect callers(Supplier<RouteTable> routes);
+
+    /**
+     * Returns how backend servers are spoken to.
+     *
+     * @return the dialect
+     */
+    ServerDialect servers();
+
+    /**
+     * Finds the name of a call in its headers, for logs.
+     *
+     * @param call the headers
+     * @return the name
+     */
+    String callName(RequestHeaders call);
+}
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Warmup.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Warmup.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -15,11 +14,13 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
+import io.mustardusher.admission.Admission;
+import io.mustardusher.call.CallDialect;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.catalogue.Catalogue;
 import io.mustardusher.entry.Directory;
 import io.mustardusher.entry.Entry;
-import io.mustardusher.entry.Prober;
+import io.mustardusher.entry.RetryPolicies;
 import io.mustardusher.entry.Router;
 import io.mustardusher.frame.Credential;
 import io.mustardusher.gate.CrashDetector;
@@ -33,6 +34,7 @@
 import io.mustardusher.health.SuspectTable;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
+import io.mustardusher.server.ServerLink;
 import io.mustardusher.time.Clock;
 import io.netty.channel.EventLoopGroup;
 
@@ -91,7 +93,15 @@
         SuspectTable suspects = new SuspectTable(clock);
         CrashDetector crashes =
                 new CrashDetector(0, () -> new InetSocketAddress(LOOPBACK, 0), timers, seen -> {}, () -> {});
-        Gate gate = new Gate(clock, suspects, connections, timers, crashes, metrics);
+        Gate gate = new Gate(
+                clock,
+                suspects,
+                ServerLink.ForStreams.factory(connections),
+                timers,
+                crashes,
+                new Admission(clock),
+                call -> "-",
+                metrics);
         Server backend = listen((context, request) -> HttpResponse.of("warm"));
         Server gates = listen((context, request) -> gate.handle(request, context.whenRequestCancelling()));
         gate.announced(announcement(backend.activeLocalPort()));
@@ -101,10 +111,11 @@
         Directory directory =
                 new Directory(members, gate, new DistanceSettings(), connections, new Credential(SERVICE), clock);
         directory.refresh();
-        Router router = new Router(directory, suspects, seen -> {}, timers, clock, metrics);
+        Router router =
+                new Router(directory, suspects, seen -> {}, RetryPolicies.ForRatio.INSTANCE, timers, clock, metrics);
         Catalogue catalogue = catalogue();
-        Prober prober = new Prober(directory, gate, () -> catalogue, server -> Optional.empty(), null, clock, metrics);
-        Entry entry = new Entry(router, null, () -> catalogue, prober, clock, metrics);
+        Entry entry =
+                new Entry(router, null, new CallDialect.ForCatalogue(() -> catalogue), called -> {}, clock, metrics);
         Server callers = listen(entry);
         send(callers.activeLocalPort(), clock.nanoTime() + millis * Clock.NANOS_PER_MILLI);
         CompletableFuture.allOf(callers.stop(), gates.stop(), backend.stop()).join();
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
@@ -0,0 +1,52 @@
+package io.mustardusher.server;
+
+import java.util.Optional;
+
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
+
+/** What a deployment's backend servers expect in requests and say in answers. */
+public interface ServerDialect {
+
+    /**
+     * Writes the headers of a request to a backend server.
+     *
+     * @param call      headers of the call, without those that only nodes set
+     * @param instance  start of the server that the request is meant for, or {@code null}
+     * @param leftNanos time left for the answer, in nanoseconds
+     * @return the headers
+     */
+    RequestHeaders request(RequestHeaders call, String instance, long leftNanos);
+
+    /**
+     * Judges an answer by its headers.
+     *
+     * @param sent   headers of the request
+     * @param answer headers of the answer
+     * @return what the answer means
+     */
+    Verdict judge(RequestHeaders sent, ResponseHeaders answer);
+
+    /**
+     * Reads what the server says of its own load.
+     *
+     * @param answer headers of an answer
+     * @return the reading, or empty if there is none
+     */
+    Optional<ServerReading> reading(ResponseHeaders answer);
+
+    /** What an answer means. */
+    enum Verdict {
+        /** The server ran the request, and this is its answer. */
+        ANSWER,
+
+        /** The server says that it did not run the request. */
+        NOT_RUN,
+
+        /** The answer belongs to an earlier request on the connection. */
+        FOREIGN,
+
+        /** The answer cannot be the server's own. */
+        SPOILED
+    }
+}
--- a/mustardusher-node/src/main/java/io/mustardusher/spread/CatalogueSpread.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/spread/CatalogueSpread.java
@@ -21,7 +21,7 @@
  * The catalogue in force at this node, and its spread: each new revision is pushed to a few random nodes, gossip shows
  * who is behind, and now and then a node looks at the table service. Copies merge by revision, so that nothing reverts.
  */
-public final class CatalogueSpread {
+public final class CatalogueSpread implements RevisionSpread {
 
     /** Nodes to which a new revision is pushed. */
     private static final int FANOUT = 3;
@@ -94,11 +94,7 @@
         return current;
     }
 
-    /**
-     * Returns the revision in force.
-     *
-     * @return the revision; 0 before the first
-     */
+    @Override
     public long revision() {
         Catalogue present = current;
         return present == null ? 0 : present.revision();
@@ -184,12 +180,7 @@
         return CompletableFuture.completedFuture(new CataloguePull().withSince(revision));
     }
 
-    /**
-     * Compares this node's revision with another's.
-     *
-     * @param peer     the other node
-     * @param revision its revision
-     */
+    @Override
     public void heard(MemberRecord peer, long revision) {
         if (revision > revision()) {
             pull(peer);
--- a/mustardusher-node/src/main/java/io/mustardusher/spread/Gossiper.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/spread/Gossiper.java
@@ -50,7 +50,7 @@
     private final Peers peers;
 
     /** Compares revisions. */
-    private final CatalogueSpread catalogue;
+    private final RevisionSpread configuration;
 
     /** Spreads suspects. */
     private final SuspectSpread suspects;
@@ -70,10 +70,11 @@
      * @param suspects  spreads suspects
      * @param clock     source of time
      */
-    public Gossiper(MemberTable members, Peers peers, CatalogueSpread catalogue, SuspectSpread suspects, Clock clock) {
+    public Gossiper(
+            MemberTable members, Peers peers, RevisionSpread configuration, SuspectSpread suspects, Clock clock) {
         this.members = members;
         this.peers = peers;
-        this.catalogue = catalogue;
+        this.configuration = configuration;
         this.suspects = suspects;
         this.fullTables = new TokenBucket(clock, FULL_PER_SECOND, FULL_BURST);
     }
@@ -213,7 +214,7 @@
      */
     private void take(Gossip message) {
         members.merge(message.getMembers()).forEach(Gossiper::log);
-        members.find(message.getFrom()).ifPresent(peer -> catalogue.heard(peer, message.getRevision()));
+        members.find(message.getFrom()).ifPresent(peer -> configuration.heard(peer, message.getRevision()));
         suspects.take(message.getSuspects());
     }
 
@@ -226,7 +227,7 @@
         List<MemberRecord> records = new ArrayList<>(members.nextUpdates(UPDATES));
         return new Gossip()
                 .withFrom(members.self().getId())
-                .withRevision(catalogue.revision())
+                .withRevision(configuration.revision())
                 .withDigest(members.digest())
                 .withMembers(records)
                 .withSuspects(suspects.some());
--- a/mustardusher-node/src/main/java/io/mustardusher/spread/Meeting.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/spread/Meeting.java
@@ -48,6 +48,8 @@
     /** Source of random order. */
     private final Random random;
 
+    private volatile boolean registered;
+
     /**
      * Creates a meeting.
      *
@@ -67,17 +69,22 @@
     }
 
     /**
-     * Writes this node's row.
+     * Writes the address of this node, unless that was done.
      *
-     * @return completes when it was written, or that failed
+     * @return completes when the table service has answered
      */
     public CompletableFuture<Void> register() {
+        if (registered) {
+            return CompletableFuture.completedFuture(null);
+        }
         MemberRecord self = members.self();
         Address address = new Address(self.getHost(), (int) self.getFramePort(), self.getBoot());
         Transaction write = Transaction.builder()
                 .put(PREFIX + self.getId(), Schema.write(address))
                 .build();
-        return settle(table.commit(write), "register");
+        CompletableFuture<Long> written = table.commit(write);
+        written.thenRun(() -> registered = true);
+        return settle(written, "register");
     }
 
     /**
