Carry calls between nodes in frames, and ask for the answer again when a connection broke

Change: whole calls of up to 512 KiB travel as MessagePack frames with numbered header names; the gate remembers calls, so that an entry can ask for the answer over a new connection or learn that the call never ran; cancellation is a frame.

--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/HeaderPacking.java
@@ -0,0 +1,131 @@
+package io.mustardusher.call;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpHeadersBuilder;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import io.netty.util.AsciiString;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** Packs the headers of a call for a frame; frequent names travel as numbers, as traffic between failure domains is dear. */
+public final class HeaderPacking {
+
+    /** Names that every deployment uses; their order is part of the protocol between nodes. */
+    private static final List<AsciiString> COMMON = List.of(
+            HttpHeaderNames.METHOD,
+            HttpHeaderNames.PATH,
+            HttpHeaderNames.AUTHORITY,
+            HttpHeaderNames.STATUS,
+            HttpHeaderNames.CONTENT_TYPE,
+            HttpHeaderNames.USER_AGENT,
+            HttpHeaderNames.ACCEPT,
+            CallHeaders.SERVICE,
+            CallHeaders.OWNER,
+            CallHeaders.DEPTH,
+            CallHeaders.ATTEMPT,
+            CallHeaders.TIMEOUT,
+            CallHeaders.OUTCOME,
+            CallHeaders.CODE,
+            CallHeaders.LOAD,
+            CallHeaders.FINGERPRINT,
+            CallHeaders.CRASH,
+            CallHeaders.CLASS,
+            CallHeaders.IDEMPOTENT,
+            CallHeaders.TARGET,
+            CallHeaders.MOVABLE);
+
+    /** Headers that the other side sets anew. */
+    private static final Set<AsciiString> DERIVED = Set.of(
+            HttpHeaderNames.SCHEME, HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.DATE, HttpHeaderNames.SERVER);
+
+    private final List<AsciiString> names;
+    private final Map<AsciiString, Integer> numbers = new HashMap<>();
+
+    /**
+     * Creates a packing.
+     *
+     * @param frequent further names that a deployment uses often, the same on all nodes
+     */
+    public HeaderPacking(List<AsciiString> frequent) {
+        names = new ArrayList<>(COMMON);
+        names.addAll(frequent);
+        for (int i = 0; i < names.size(); i++) {
+            numbers.put(names.get(i), i);
+        }
+    }
+
+    /**
+     * Packs headers.
+     *
+     * @param headers the headers
+     * @return the packed form
+     */
+    public byte[] pack(Iterable<Map.Entry<AsciiString, String>> headers) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            for (Map.Entry<AsciiString, String> header : headers) {
+                if (DERIVED.contains(header.getKey())) {
+                    continue;
+                }
+                Integer number = numbers.get(header.getKey());
+                if (number == null) {
+                    packer.packString(header.getKey().toString());
+                } else {
+                    packer.packInt(number);
+                }
+                packer.packString(header.getValue());
+            }
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Unpacks the headers of a request.
+     *
+     * @param packed the packed form
+     * @return the headers
+     */
+    public RequestHeaders request(byte[] packed) {
+        RequestHeadersBuilder headers = RequestHeaders.builder();
+        unpack(packed, headers);
+        return headers.build();
+    }
+
+    /**
+     * Unpacks the headers of an answer.
+     *
+     * @param packed the packed form
+     * @return the headers
+     */
+    public ResponseHeaders response(byte[] packed) {
+        ResponseHeadersBuilder headers = ResponseHeaders.builder();
+        unpack(packed, headers);
+        return headers.build();
+    }
+
+    private void unpack(byte[] packed, HttpHeadersBuilder headers) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(packed)) {
+            while (unpacker.hasNext()) {
+                AsciiString name = unpacker.getNextFormat().getValueType().isIntegerType()
+                        ? names.get(unpacker.unpackInt())
+                        : AsciiString.of(unpacker.unpackString());
+                headers.add(name, unpacker.unpackString());
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Directory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Directory.java
@@ -1,18 +1,22 @@
 package io.mustardusher.entry;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.Endpoint;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.SessionProtocol;
+import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.catalogue.ServiceName;
 import io.mustardusher.frame.Credential;
+import io.mustardusher.frame.Peers;
 import io.mustardusher.gate.Gate;
 import io.mustardusher.generated.DistanceSettings;
 import io.mustardusher.generated.MemberRecord;
@@ -62,6 +66,8 @@
     /** Version of the member table from which this was made. */
     private long version = -1;
 
+    private Frames frames;
+
     /**
      * Creates an empty directory.
      *
@@ -87,6 +93,15 @@
         this.clock = clock;
     }
 
+    /**
+     * Sends calls to other nodes by frames from now on.
+     *
+     * @param by how they are sent
+     */
+    public void useFrames(Frames by) {
+        frames = by;
+    }
+
     /**
      * Returns the servers of a service.
      *
@@ -183,7 +198,13 @@
         WebClient client = WebClient.builder(SessionProtocol.H2C, endpoint)
                 .factory(connections)
                 .build();
-        return new GateLink.ForRemote(client, credential.authorization());
+        GateLink streams = new GateLink.ForRemote(client, credential.authorization());
+        if (frames == null) {
+            return streams;
+        }
+        InetSocketAddress address = new InetSocketAddress(member.getHost(), (int) member.getFramePort());
+        return new GateLink.ForFrames(
+                frames.peers(), address, frames.packing(), frames.numbers()::incrementAndGet, clock, streams);
     }
 
     /**
@@ -214,4 +235,13 @@
      * @param since start of serving, in milliseconds since the epoch
      */
     private record Target(ServerLoad load, GateLink link, long since) {}
+
+    /**
+     * How calls are sent by frames.
+     *
+     * @param peers   other nodes
+     * @param packing packs headers
+     * @param numbers numbers calls; starts anywhere, so that those of two entries differ
+     */
+    public record Frames(Peers peers, HeaderPacking packing, AtomicLong numbers) {}
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
@@ -1,11 +1,25 @@
 package io.mustardusher.entry;
 
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeoutException;
+import java.util.function.LongSupplier;
 
 import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
 import io.mustardusher.call.Exchange;
+import io.mustardusher.call.HeaderPacking;
+import io.mustardusher.frame.CallMessage;
+import io.mustardusher.frame.FrameClient;
+import io.mustardusher.frame.FrameKind;
+import io.mustardusher.frame.Peers;
 import io.mustardusher.gate.Gate;
+import io.mustardusher.result.MustardusherException;
+import io.mustardusher.result.ResultCode;
+import io.mustardusher.time.Clock;
 
 /** Way from an entry to a gate. */
 interface GateLink {
@@ -53,4 +67,89 @@
             return exchange;
         }
     }
+
+    /**
+     * The gate of another node, reached by frames; calls whose body is streamed or large go by another way.
+     *
+     * @param peers   other nodes
+     * @param address frame address of the node
+     * @param packing packs headers
+     * @param numbers numbers calls
+     * @param clock   source of time
+     * @param large   way for what does not fit into a frame
+     */
+    record ForFrames(
+            Peers peers,
+            InetSocketAddress address,
+            HeaderPacking packing,
+            LongSupplier numbers,
+            Clock clock,
+            GateLink large)
+            implements GateLink {
+
+        /** Largest body that travels in a frame, in bytes: half of the largest frame. */
+        private static final long MAX_BODY_BYTES = 512L << 10;
+
+        /** Time by which the gate's own word on a deadline may be later than the deadline, in milliseconds. */
+        private static final long GRACE_MILLIS = 60;
+
+        /** Time allowed for the answer to a cancellation, in milliseconds; nobody waits for it. */
+        private static final long CANCEL_MILLIS = 500;
+
+        @Override
+        public Exchange send(HttpRequest request, long leftNanos, CompletionStage<?> cancelled) {
+            long length = request.isEmpty() ? 0 : request.headers().contentLength();
+            if (length > MAX_BODY_BYTES || length < 0 && !request.isEmpty()) {
+                return large.send(request, leftNanos, cancelled);
+            }
+            long call = numbers.getAsLong();
+            long end = clock.nanoTime() + leftNanos + GRACE_MILLIS * Clock.NANOS_PER_MILLI;
+            CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+            request.aggregate().whenComplete((whole, failure) -> {
+                byte[] body = failure == null ? whole.content().array() : new byte[0];
+                CallMessage message = new CallMessage(call, packing.pack(request.headers()), body);
+                ask(FrameKind.CALL, message, end, answer);
+            });
+            cancelled.thenRun(() -> {
+                if (!answer.isDone()) {
+                    peers.ask(address, FrameKind.CANCEL, CallMessage.about(call), CANCEL_MILLIS);
+                    answer.completeExceptionally(new MustardusherException(ResultCode.CONNECTION_LOST, "cancelled"));
+                }
+            });
+            return Exchange.within(HttpResponse.of(answer));
+        }
+
+        private void ask(FrameKind kind, CallMessage message, long end, CompletableFuture<HttpResponse> answer) {
+            long left = (end - clock.nanoTime()) / Clock.NANOS_PER_MILLI;
+            if (left <= 0) {
+                answer.completeExceptionally(new MustardusherException(ResultCode.DEADLINE_PASSED, "no answer"));
+                return;
+            }
+            CompletableFuture<CallMessage> reply = peers.ask(address, kind, message, left);
+            reply.whenComplete((found, failure) -> {
+                if (failure == null) {
+                    answered(found, answer);
+                } else if (kind == FrameKind.CALL && failure instanceof FrameClient.NotSentException) {
+                    answer.completeExceptionally(
+                            new MustardusherException(ResultCode.SERVER_UNREACHABLE, "cannot connect to the gate"));
+                } else if (failure instanceof TimeoutException) {
+                    answer.completeExceptionally(new MustardusherException(ResultCode.DEADLINE_PASSED, "no answer"));
+                } else if (kind == FrameKind.CALL) {
+                    ask(FrameKind.RESUME, CallMessage.about(message.call()), end, answer);
+                } else {
+                    answer.completeExceptionally(
+                            new MustardusherException(ResultCode.CONNECTION_LOST, "the gate is gone"));
+                }
+            });
+        }
+
+        private void answered(CallMessage found, CompletableFuture<HttpResponse> answer) {
+            if (found.head() == null) {
+                answer.completeExceptionally(
+                        new MustardusherException(ResultCode.SERVER_UNREACHABLE, "the call never reached the gate"));
+                return;
+            }
+            answer.complete(HttpResponse.of(packing.response(found.head()), HttpData.wrap(found.body())));
+        }
+    }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameClient.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameClient.java
@@ -1,9 +1,11 @@
 package io.mustardusher.frame;
 
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -39,7 +41,7 @@
     private final Map<InetSocketAddress, ChannelFuture> connections = new ConcurrentHashMap<>();
 
     /** Questions without an answer, by number. */
-    private final Map<Integer, CompletableFuture<Object>> waiting = new ConcurrentHashMap<>();
+    private final Map<Integer, Pending> waiting = new ConcurrentHashMap<>();
 
     /** Number of the last question. */
     private final AtomicInteger lastNumber = new AtomicInteger();
@@ -67,6 +69,7 @@
                         opened.pipeline().addLast(traffic, new FrameCodec(), new Receiving());
                     }
                 });
+        SilentConnections.limit(bootstrap, type);
     }
 
     @Override
@@ -75,14 +78,16 @@
             InetSocketAddress address, FrameKind kind, Object question, long timeoutMillis) {
         int number = lastNumber.incrementAndGet();
         CompletableFuture<Object> answer = new CompletableFuture<>();
-        waiting.put(number, answer);
-        group.next()
+        Pending pending = new Pending(answer);
+        waiting.put(number, pending);
+        pending.limit = group.next()
                 .schedule(() -> fail(number, new TimeoutException("no answer")), timeoutMillis, TimeUnit.MILLISECONDS);
         connection(address).addListener((ChannelFuture opened) -> {
             if (!opened.isSuccess()) {
-                fail(number, opened.cause());
+                fail(number, new NotSentException(opened.cause()));
                 return;
             }
+            pending.channel = opened.channel();
             opened.channel()
                     .writeAndFlush(new Frame(kind, false, number, question))
                     .addListener(written -> {
@@ -125,7 +130,10 @@
         opening.addListener((ChannelFuture opened) -> {
             if (opened.isSuccess()) {
                 opened.channel().write(credential.greeting());
-                opened.channel().closeFuture().addListener(closed -> connections.remove(address, opening));
+                opened.channel().closeFuture().addListener(closed -> {
+                    connections.remove(address, opening);
+                    failAll(opened.channel());
+                });
             } else {
                 group.next().execute(() -> connections.remove(address, opening));
             }
@@ -149,20 +157,30 @@
      * @param cause  why
      */
     private void fail(int number, Throwable cause) {
-        CompletableFuture<Object> answer = waiting.remove(number);
-        if (answer != null) {
-            answer.completeExceptionally(cause);
+        Pending pending = waiting.remove(number);
+        if (pending != null) {
+            pending.limit.cancel(false);
+            pending.answer.completeExceptionally(cause);
         }
     }
 
+    private void failAll(Channel closed) {
+        waiting.forEach((number, pending) -> {
+            if (pending.channel == closed) {
+                fail(number, new ClosedChannelException());
+            }
+        });
+    }
+
     /** Receives the answers of one connection. */
     private final class Receiving extends SimpleChannelInboundHandler<Frame> {
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, Frame frame) {
-            CompletableFuture<Object> answer = frame.reply() ? waiting.remove(frame.number()) : null;
-            if (answer != null) {
-                answer.complete(frame.message());
+            Pending pending = frame.reply() ? waiting.remove(frame.number()) : null;
+            if (pending != null) {
+                pending.limit.cancel(false);
+                pending.answer.complete(frame.message());
             }
         }
 
@@ -171,4 +189,26 @@
             context.close();
         }
     }
+
+    /** A question without an answer. */
+    private static final class Pending {
+
+        private final CompletableFuture<Object> answer;
+        private ScheduledFuture<?> limit;
+        private volatile Channel channel;
+
+        Pending(CompletableFuture<Object> answer) {
+            this.answer = answer;
+        }
+    }
+
+    /** Says that a question never left this node. */
+    public static final class NotSentException extends Exception {
+
+        private static final long serialVersionUID = 1L;
+
+        NotSentException(Throwable cause) {
+            super(cause);
+        }
+    }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
@@ -40,7 +40,16 @@
     SUSPECT(SuspectRecord.class, SuspectRecord.class),
 
     /** Question for a newer version of the routes. */
-    ROUTES(CataloguePull.class, RouteDocument.class);
+    ROUTES(CataloguePull.class, RouteDocument.class),
+
+    /** A call for the gate of the receiver, and its answer. */
+    CALL(CallMessage.class, CallMessage.class),
+
+    /** Question for the answer of a call whose connection broke. */
+    RESUME(CallMessage.class, CallMessage.class),
+
+    /** Word that nobody waits for a call any more. */
+    CANCEL(CallMessage.class, CallMessage.class);
 
     /** Type of the question. */
     private final Class<?> question;
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Mesh.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Mesh.java
@@ -26,6 +26,7 @@
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.frame.FrameServer;
 import io.mustardusher.frame.FrameTraffic;
+import io.mustardusher.frame.SilentConnections;
 import io.mustardusher.gate.CrashDetector;
 import io.mustardusher.gate.Gate;
 import io.mustardusher.generated.Announcement;
@@ -60,9 +61,6 @@
     /** Time for which an idle connection is kept, in milliseconds. */
     private static final long IDLE_MILLIS = 60_000;
 
-    /** Time for which sent bytes may stay unacknowledged before a connection counts as lost, in milliseconds. */
-    private static final int UNACKNOWLEDGED_MILLIS = 1_500;
-
     /** Time between two looks whether the member table has changed, in milliseconds. */
     private static final long REFRESH_MILLIS = 50;
 
@@ -366,7 +364,7 @@
                 .idleTimeoutMillis(IDLE_MILLIS)
                 .meterRegistry(NoopMeterRegistry.get());
         if (group instanceof EpollEventLoopGroup) {
-            builder.channelOption(EpollChannelOption.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLIS);
+            builder.channelOption(EpollChannelOption.TCP_USER_TIMEOUT, SilentConnections.UNACKNOWLEDGED_MILLIS);
         }
         return builder.build();
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -3,14 +3,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import io.mustardusher.admission.Admission;
+import io.mustardusher.call.HeaderPacking;
+import io.mustardusher.entry.Directory;
 import io.mustardusher.entry.Entry;
 import io.mustardusher.entry.RetryPolicies;
 import io.mustardusher.entry.Router;
+import io.mustardusher.frame.CallMessage;
 import io.mustardusher.frame.FrameKind;
+import io.mustardusher.gate.FramedGate;
 import io.mustardusher.generated.Announcement;
 import io.mustardusher.generated.CataloguePull;
 import io.mustardusher.generated.NodeSettings;
@@ -67,6 +72,14 @@
         routes = new RouteSpread(surroundings::decode, mesh.frames(), mesh.timers(), this::routesChanged);
         TableService table = surroundings.table(mesh.connections());
         mesh.join(routes, table);
+        HeaderPacking packing = new HeaderPacking(surroundings.frequentHeaders());
+        FramedGate gate = new FramedGate(mesh.gate(), packing, clock);
+        mesh.frameServer().on(FrameKind.CALL, (CallMessage call) -> gate.call(call));
+        mesh.frameServer().on(FrameKind.RESUME, (CallMessage question) -> gate.resume(question));
+        mesh.frameServer().on(FrameKind.CANCEL, (CallMessage call) -> gate.cancel(call));
+        mesh.directory()
+                .useFrames(new Directory.Frames(
+                        mesh.frames(), packing, new AtomicLong(mesh.random().nextLong())));
         mesh.frameServer().on(FrameKind.ROUTES, (CataloguePull question) -> routes.answer(question));
         Router router = new Router(
                 mesh.directory(),
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Surroundings.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Surroundings.java
@@ -1,5 +1,6 @@
 package io.mustardusher.node;
 
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -10,6 +11,7 @@
 import io.mustardusher.route.RouteTable;
 import io.mustardusher.server.ServerDialect;
 import io.mustardusher.store.TableService;
+import io.netty.util.AsciiString;
 
 /** What a platform brings to a node that is driven by routes: its store and its ways to speak. */
 public interface Surroundings {
@@ -52,6 +54,13 @@
      */
     ServerDialect servers();
 
+    /**
+     * Returns the names of headers that calls and answers often carry, to be shortened between nodes.
+     *
+     * @return the names, in an order that is the same on all nodes
+     */
+    List<AsciiString> frequentHeaders();
+
     /**
      * Finds the name of a call in its headers, for logs.
      *
