Begin no call on a server that is slow at the moment: ask it, send light calls on, hold the others

Failed answers also kept an entry from its own failure domain for good, because the failure rate never faded without calls. Change: the gate asks its server when the last word on its slowness is 40 ms old; a slow gate refuses light calls so that their entry asks the next one, and holds others for as long as they would lose by beginning. What a route moves over the network sets what leaving the failure domain costs. Failure rates fade; an unreachable server is left out at once.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -178,8 +178,40 @@
      *
      * @param percent time that work takes, as a percentage of the usual time
      */
-    public synchronized void observed(int percent) {
-        times.said(percent, clock.nanoTime());
+    public void observed(int percent) {
+        List<Runnable> told = new ArrayList<>(2);
+        synchronized (this) {
+            times.said(percent, clock.nanoTime());
+            dispatch(told);
+        }
+        told.forEach(Runnable::run);
+    }
+
+    /** Dispatches calls that have waited long enough for a slow server. */
+    public void poll() {
+        List<Runnable> told = new ArrayList<>(2);
+        synchronized (this) {
+            dispatch(told);
+        }
+        told.forEach(Runnable::run);
+    }
+
+    /**
+     * Tells whether calls wait although there is room, because the server is slow at the moment.
+     *
+     * @return {@code true} if they do
+     */
+    public synchronized boolean isHolding() {
+        return queue.size() > 0 && busy < effectiveLimit();
+    }
+
+    /**
+     * Tells whether the server's word on its slowness is too old to be believed.
+     *
+     * @return {@code true} if it is
+     */
+    public synchronized boolean isStale() {
+        return times.isStale(clock.nanoTime());
     }
 
     /**
@@ -218,8 +250,11 @@
         int ahead = queue.ahead(ticket.serviceClass) + aloneQueue.size();
         int free = effectiveLimit() - busy;
         double rounds = Math.max(0, ahead + 1 - free) / (double) effectiveLimit();
-        double expected = now + times.expected(ticket.owner, now) + times.overall() * rounds;
-        if (ticket.wish.movable() && expected > ticket.wish.targetNanos()) {
+        double held =
+                Math.min(times.expected(ticket.owner, now), times.holdNanos(ticket.owner) + times.usual(ticket.owner));
+        double expected = now + held + times.overall() * rounds;
+        boolean better = times.isSlow(now) || expected > ticket.wish.targetNanos();
+        if (ticket.wish.movable() && better) {
             return ResultCode.SLOWER_THAN_TARGET;
         }
         return busy > 0 && expected > ticket.deadlineNanos ? ResultCode.DEADLINE_UNREACHABLE : null;
@@ -264,10 +299,22 @@
             if (ticket == null) {
                 return;
             }
+            if (mayHold(ticket)) {
+                queue.add(ticket);
+                return;
+            }
             start(ticket, told);
         }
     }
 
+    private boolean mayHold(Ticket ticket) {
+        long now = clock.nanoTime();
+        return !ticket.alone
+                && ticket.wish.hasTarget()
+                && times.isSlow(now)
+                && now - ticket.arrivedNanos < times.holdNanos(ticket.owner);
+    }
+
     /**
      * Starts a call, or refuses it if its deadline can no longer be met.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
@@ -6,7 +6,7 @@
 import io.mustardusher.time.Clock;
 
 /**
- * Expected service times by kind of call, and how much longer they are while the server says that it is slow. Not safe for
+ * Expected service times by kind of call, longer while the server says that it is slow. Not safe for
  * threads.
  */
 final class ServiceTimes {
@@ -20,16 +20,21 @@
     /** Time for which a server's word on its slowness is believed, in nanoseconds; neighbours come and go in 150 ms. */
     private static final long BELIEVED_NANOS = 100 * Clock.NANOS_PER_MILLI;
 
-    /** Factor assumed of a slow server before one was measured. */
-    private static final double INITIAL_SLOW_FACTOR = 3;
+    /** Age from which a server's word is better asked for anew, in nanoseconds: a quarter of the time of a neighbour. */
+    private static final long STALE_NANOS = 40 * Clock.NANOS_PER_MILLI;
+
+    /** Factor by which a call takes longer that begins while its server is slow. */
+    private static final double SLOW_FACTOR = 5;
+
+    /** Longest wait for a slow server to be itself again, in nanoseconds: the time that a neighbour stays. */
+    private static final long MAX_HOLD_NANOS = 150 * Clock.NANOS_PER_MILLI;
 
     private static final double USUAL_PERCENT = 100;
 
     private final Map<String, Double> usual = new HashMap<>();
     private double overall;
-    private double slowFactor = INITIAL_SLOW_FACTOR;
     private int slownessPercent = (int) USUAL_PERCENT;
-    private long saidNanos;
+    private long saidNanos = Long.MIN_VALUE / 2;
 
     /**
      * Takes over how slow the server says it is.
@@ -52,6 +57,16 @@
         return slownessPercent >= SLOW_PERCENT && now - saidNanos < BELIEVED_NANOS;
     }
 
+    /**
+     * Tells whether the server's word is too old to choose by.
+     *
+     * @param now present time, in nanoseconds
+     * @return {@code true} if it is
+     */
+    boolean isStale(long now) {
+        return now - saidNanos >= STALE_NANOS;
+    }
+
     /**
      * Learns from a call.
      *
@@ -61,11 +76,8 @@
      */
     void ended(String kind, double nanos, boolean slow) {
         overall = overall == 0 ? nanos : overall + WEIGHT * (nanos - overall);
-        Double known = usual.get(kind);
-        if (!slow || known == null) {
+        if (!slow || !usual.containsKey(kind)) {
             usual.merge(kind, nanos, (before, took) -> before + WEIGHT * (took - before));
-        } else {
-            slowFactor += WEIGHT * (Math.max(1, nanos / known) - slowFactor);
         }
     }
 
@@ -78,6 +90,26 @@
         return overall;
     }
 
+    /**
+     * Returns how long a call may well wait for a slow server: as long as it would lose by beginning at once.
+     *
+     * @param kind its kind
+     * @return time in nanoseconds
+     */
+    long holdNanos(String kind) {
+        return (long) Math.min(MAX_HOLD_NANOS, usual.getOrDefault(kind, 0.0) * (SLOW_FACTOR - 1));
+    }
+
+    /**
+     * Returns the service time of a call on a server that is not slow.
+     *
+     * @param kind its kind
+     * @return time in nanoseconds; 0 before the first answer
+     */
+    double usual(String kind) {
+        return usual.getOrDefault(kind, 0.0);
+    }
+
     /**
      * Returns the expected service time of a call.
      *
@@ -86,7 +118,7 @@
      * @return time in nanoseconds; 0 before the first answer
      */
     double expected(String kind, long now) {
-        double known = usual.getOrDefault(kind, 0.0);
-        return isSlow(now) ? known * slowFactor : known;
+        double known = usual(kind);
+        return isSlow(now) ? known * SLOW_FACTOR : known;
     }
 }
--- a/mustardusher-core/src/main/java/io/mustardusher/health/Ejection.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/health/Ejection.java
@@ -8,6 +8,9 @@
  */
 public final class Ejection {
 
+    /** Time in which the share of failed calls halves by itself, in nanoseconds. */
+    private static final double FADE_NANOS = 1e9;
+
     /** Weight of the latest call in the failure rate. */
     private static final double WEIGHT = 0.2;
 
@@ -23,6 +26,8 @@
     /** Smoothed share of failed calls. */
     private volatile double failureRate;
 
+    private volatile long ratedNanos;
+
     /** Present phase. */
     private volatile Phase phase = Phase.IN_SERVICE;
 
@@ -39,7 +44,9 @@
      * @param now     present time, in nanoseconds
      */
     public synchronized void ended(boolean success, long now) {
+        failureRate = failureRate(now);
         failureRate += WEIGHT * ((success ? 0 : 1) - failureRate);
+        ratedNanos = now;
         if (phase == Phase.TRIAL) {
             endTrial(success, now);
         } else if (phase == Phase.IN_SERVICE && failureRate > EJECT_RATE) {
@@ -48,12 +55,26 @@
     }
 
     /**
-     * Returns the smoothed share of failed calls.
+     * Takes the server out at once, because it could not be reached.
      *
+     * @param now present time, in nanoseconds
+     */
+    public synchronized void unreachable(long now) {
+        if (phase != Phase.EJECTED || now - untilNanos >= 0) {
+            eject(now);
+        }
+    }
+
+    /**
+     * Returns the smoothed share of failed calls, which fades without calls: a server that is left alone after a failure
+     * would never show that it has recovered.
+     *
+     * @param now present time, in nanoseconds
      * @return share between 0 and 1
      */
-    public double failureRate() {
-        return failureRate;
+    public double failureRate(long now) {
+        double rate = failureRate;
+        return rate == 0 ? 0 : rate * Math.pow(0.5, (now - ratedNanos) / FADE_NANOS);
     }
 
     /**
--- a/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
@@ -14,13 +14,21 @@
 public final class RouteTable {
 
     /** Table without routes, older than every version. */
-    public static final RouteTable EMPTY = new RouteTable(0, Map.of(), RequestLimits.DEFAULT);
+    public static final RouteTable EMPTY = new RouteTable(0, Map.of(), RequestLimits.DEFAULT, Map.of());
+
+    private static final String DEFAULT_HEALTH_PATH = "/health";
 
     private final long version;
     private final Map<String, Map<String, Route>> hosts;
     private final RequestLimits limits;
-
-    private RouteTable(long version, Map<String, Map<String, Route>> hosts, RequestLimits limits) {
+    private final Map<String, String> healthPaths;
+
+    private RouteTable(
+            long version,
+            Map<String, Map<String, Route>> hosts,
+            RequestLimits limits,
+            Map<String, String> healthPaths) {
+        this.healthPaths = healthPaths;
         this.version = version;
         this.hosts = hosts;
         this.limits = limits;
@@ -80,6 +88,16 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns where the servers of a service tell their health.
+     *
+     * @param service the service
+     * @return path of the probe
+     */
+    public String healthPath(String service) {
+        return healthPaths.getOrDefault(service, DEFAULT_HEALTH_PATH);
+    }
+
     /**
      * Returns all routes.
      *
@@ -115,6 +133,7 @@
 
         private final long version;
         private final Map<String, Map<String, Route>> hosts = new HashMap<>();
+        private final Map<String, String> healthPaths = new HashMap<>();
         private RequestLimits limits = RequestLimits.DEFAULT;
 
         private Builder(long version) {
@@ -144,6 +163,18 @@
             return this;
         }
 
+        /**
+         * Sets where the servers of a service tell their health.
+         *
+         * @param service the service
+         * @param path    path of the probe
+         * @return this builder
+         */
+        public Builder healthPath(String service, String path) {
+            healthPaths.put(service, path);
+            return this;
+        }
+
         /**
          * Builds the table.
          *
@@ -152,7 +183,7 @@
         public RouteTable build() {
             Map<String, Map<String, Route>> copy = new HashMap<>();
             hosts.forEach((host, prefixes) -> copy.put(host, Map.copyOf(prefixes)));
-            return new RouteTable(version, Map.copyOf(copy), limits);
+            return new RouteTable(version, Map.copyOf(copy), limits, Map.copyOf(healthPaths));
         }
     }
 }
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/RoutingPolicy.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/RoutingPolicy.java
@@ -7,7 +7,7 @@
     /** Each server in turn. */
     ROUND_ROBIN("round-robin") {
         @Override
-        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now, double distanceCost) {
             return pool.firstServing(pool.nextTurn(), exclusion);
         }
     },
@@ -15,7 +15,7 @@
     /** Any server. */
     RANDOM("random") {
         @Override
-        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now, double distanceCost) {
             return pool.firstServing(random.nextInt(pool.size()), exclusion);
         }
     },
@@ -23,7 +23,7 @@
     /** Of two random servers the one with fewer calls of this entry in flight. */
     LEAST_IN_FLIGHT_OF_TWO("least-in-flight-of-two") {
         @Override
-        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now, double distanceCost) {
             int first = pool.firstServing(random.nextInt(pool.size()), exclusion);
             if (first < 0 || pool.size() == 1) {
                 return first;
@@ -39,7 +39,7 @@
      */
     MUSTARDUSHER("mustardusher") {
         @Override
-        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now, double distanceCost) {
             int trial = pool.findTrial(random.nextInt(pool.size()), exclusion, now);
             if (trial >= 0) {
                 return trial;
@@ -52,12 +52,12 @@
     /** The server of the least cost, where leaving the failure domain costs too; for pools of a few servers. */
     LEAST_COST("least-cost") {
         @Override
-        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+        int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now, double distanceCost) {
             int trial = pool.findTrial(random.nextInt(pool.size()), exclusion, now);
             if (trial >= 0) {
                 return trial;
             }
-            int best = pickByCost(pool, exclusion, random, now);
+            int best = pickByCost(pool, exclusion, random, now, distanceCost);
             return best >= 0 ? best : pool.firstServing(random.nextInt(pool.size()), exclusion);
         }
     };
@@ -117,10 +117,25 @@
      * @return the server, or {@code null} if none takes calls
      */
     public ServerLoad choose(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+        return choose(pool, exclusion, random, now, 0);
+    }
+
+    /**
+     * Chooses a server for a call that is dear to move.
+     *
+     * @param pool         servers of the service
+     * @param exclusion    servers that were tried
+     * @param random       source of random choice
+     * @param now          present time, in nanoseconds
+     * @param distanceCost cost of leaving the failure domain, in service times
+     * @return the server, or {@code null} if none takes calls
+     */
+    public ServerLoad choose(
+            ServerPool pool, Exclusion exclusion, RandomGenerator random, long now, double distanceCost) {
         if (pool.size() == 0) {
             return null;
         }
-        int index = pick(pool, exclusion, random, now);
+        int index = pick(pool, exclusion, random, now, distanceCost);
         return index < 0 ? null : pool.get(index);
     }
 
@@ -131,9 +146,10 @@
      * @param exclusion servers that were tried
      * @param random    source of random choice
      * @param now       present time, in nanoseconds
+     * @param distanceCost cost of leaving the failure domain, in service times
      * @return the index, or a negative number if none takes calls
      */
-    abstract int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now);
+    abstract int pick(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now, double distanceCost);
 
     /**
      * Chooses the server of the least cost among some, starting anywhere.
@@ -142,9 +158,11 @@
      * @param exclusion servers that were tried
      * @param random    source of random choice
      * @param now       present time, in nanoseconds
+     * @param distanceCost cost of leaving the failure domain, in service times
      * @return the index, or a negative number if every server is left out
      */
-    private static int pickByCost(ServerPool pool, Exclusion exclusion, RandomGenerator random, long now) {
+    private static int pickByCost(
+            ServerPool pool, Exclusion exclusion, RandomGenerator random, long now, double distanceCost) {
         long nearest = pool.nearestNanos();
         int best = -1;
         double bestCost = Double.MAX_VALUE;
@@ -154,7 +172,7 @@
             if (index < 0) {
                 return -1;
             }
-            double cost = pool.get(index).cost(now, nearest);
+            double cost = pool.get(index).cost(now, nearest, distanceCost);
             if (cost < bestCost) {
                 bestCost = cost;
                 best = index;
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
@@ -32,10 +32,7 @@
     private static final long SLOW_NANOS = 100 * Clock.NANOS_PER_MILLI;
 
     /** Cost of a slow server, in service times: it takes about five times as long. */
-    private static final double SLOW_COST = 2.5;
-
-    /** Cost of leaving the failure domain, in service times. */
-    private static final double DISTANCE_COST = 0.3;
+    private static final double SLOW_COST = 4;
 
     private final NodeId node;
 
@@ -184,7 +181,7 @@
         double busy = busy(now) + 1;
         double waiting = Math.max(0, busy - limit) / limit;
         double crowding = busy / limit;
-        double failing = ejection.failureRate() * FAILURE_COST;
+        double failing = ejection.failureRate(now) * FAILURE_COST;
         double slow = now - slowUntilNanos < 0 ? SLOW_COST : 0;
         return roundTripNanos + last.serviceNanos * (1 + waiting + crowding / 2 + failing + slow);
     }
@@ -195,11 +192,12 @@
      *
      * @param now           present time, in nanoseconds
      * @param nearestNanos  round trip to the nearest server, in nanoseconds
+     * @param distanceCost  cost of leaving the failure domain, in service times
      * @return cost as time in nanoseconds
      */
-    double cost(long now, long nearestNanos) {
+    double cost(long now, long nearestNanos, double distanceCost) {
         double score = score(now);
-        return roundTripNanos > nearestNanos ? score + known.serviceNanos * DISTANCE_COST : score;
+        return roundTripNanos > nearestNanos ? score + known.serviceNanos * distanceCost : score;
     }
 
     long roundTripNanos() {
--- a/mustardusher-node/src/main/java/io/mustardusher/admin/NodeResource.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/admin/NodeResource.java
@@ -209,7 +209,7 @@
                     load.node().value(),
                     load.isServing(),
                     load.ejection().isEjected(now),
-                    load.ejection().failureRate(),
+                    load.ejection().failureRate(now),
                     load.inFlight(),
                     load.busy(now),
                     (long) (load.score(now) / Clock.NANOS_PER_MICRO),
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -30,6 +30,7 @@
 import io.mustardusher.routing.LoadReport;
 import io.mustardusher.routing.ServerLoad;
 import io.mustardusher.routing.ServerPool;
+import io.mustardusher.routing.Transfer;
 import io.mustardusher.time.Clock;
 
 /** One call at the entry, from the first choice to the answer that is passed on. */
@@ -39,7 +40,7 @@
     private static final long WHOLE_ANSWER_BYTES = 1L << 20;
 
     /** Gates that may send a call on to a better one; the next one has to take it. */
-    private static final int MOVES = 2;
+    private static final int MOVES = 3;
 
     /** Refusals by the backend server itself. */
     private static final Set<ResultCode> REACHED = EnumSet.of(ResultCode.SERVER_REFUSED);
@@ -73,6 +74,8 @@
 
     private final long begunNanos;
 
+    private final Transfer transfer;
+
     /** Number of the present send, from 1. */
     private int attempt;
 
@@ -112,6 +115,7 @@
         this.retries = retries;
         this.cancelled = cancelled;
         this.begunNanos = router.clock().nanoTime();
+        this.transfer = router.transfer(call.owner());
         this.fingerprint = Fingerprint.of(call.service().value(), call.headers(), body.forFingerprint());
     }
 
@@ -162,7 +166,8 @@
         }
         long now = router.clock().nanoTime();
         ServerPool pool = router.directory().pool(call.service());
-        ServerLoad server = call.entry().policy().choose(pool, exclusion, ThreadLocalRandom.current(), now);
+        ServerLoad server =
+                call.entry().policy().choose(pool, exclusion, ThreadLocalRandom.current(), now, transfer.cost());
         Optional<GateLink> link =
                 server == null ? Optional.empty() : router.directory().link(server);
         if (link.isEmpty()) {
@@ -204,7 +209,7 @@
         long target = call.terms().targetNanos();
         if (target != Long.MAX_VALUE) {
             headers.set(CallHeaders.TARGET, Timeout.format(begunNanos + target - now));
-            if (attempt <= MOVES && body.isReplayable()) {
+            if (attempt <= MOVES && body.isReplayable() && transfer.isLight()) {
                 headers.set(CallHeaders.MOVABLE, "1");
             }
         }
@@ -229,7 +234,9 @@
         }
         ResultCode code = codeOf(headers);
         boolean healthy = code.outcome() == Outcome.NOT_RUN && code != ResultCode.SERVER_UNREACHABLE;
-        if (!healthy) {
+        if (code == ResultCode.SERVER_UNREACHABLE) {
+            server.ejection().unreachable(now);
+        } else if (!healthy) {
             server.ejection().ended(false, now);
         }
         if (code == ResultCode.SERVER_CRASHED) {
@@ -277,6 +284,7 @@
                 lost(server, new MustardusherException(ResultCode.CONNECTION_LOST, "the answer was cut short"));
                 return;
             }
+            transfer.moved(body.forFingerprint().length() + headers.getLong(HttpHeaderNames.CONTENT_LENGTH, 0));
             Reply reply = new Reply(whole, Outcome.RAN);
             reached++;
             if (failure
@@ -309,7 +317,9 @@
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         MustardusherException coded = (MustardusherException) cause;
         long now = router.clock().nanoTime();
-        if (!cancelled.toCompletableFuture().isDone()) {
+        if (coded.code() == ResultCode.SERVER_UNREACHABLE) {
+            server.ejection().unreachable(now);
+        } else if (!cancelled.toCompletableFuture().isDone()) {
             server.ejection().ended(false, now);
         }
         retryOrRefuse(coded.code(), coded.getMessage(), now);
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
@@ -16,6 +16,7 @@
 import io.mustardusher.health.SuspectTable;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.retry.RetryPolicy;
+import io.mustardusher.routing.Transfer;
 import io.mustardusher.time.Clock;
 
 /** Brings calls to gates: chooses, sends, and sends again where that is safe. */
@@ -35,6 +36,8 @@
 
     private final RetryPolicies policies;
 
+    private final Map<String, Transfer> transfers = new ConcurrentHashMap<>();
+
     /** Retry policies by service. */
     private final Map<ServiceName, RetryPolicy> retries = new ConcurrentHashMap<>();
 
@@ -102,6 +105,16 @@
         return new HedgedCall(sends, budget, timers, cancelled).start();
     }
 
+    /**
+     * Returns what the calls of a route move.
+     *
+     * @param route name of the route
+     * @return what they move
+     */
+    Transfer transfer(String route) {
+        return transfers.computeIfAbsent(route, name -> new Transfer());
+    }
+
     /**
      * Returns the servers and the ways to their gates.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -15,6 +15,7 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.admission.Ticket;
+import io.mustardusher.budget.TokenBucket;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Problem;
 import io.mustardusher.call.Timeout;
@@ -53,6 +54,10 @@
 
     private final Function<RequestHeaders, String> callNames;
 
+    private final TokenBucket probes;
+
+    private volatile Function<String, String> healthPaths = service -> "/";
+
     /** Time of calls at the gate. */
     private final Timer served;
 
@@ -86,6 +91,7 @@
         this.timers = timers;
         this.crashes = crashes;
         this.callNames = callNames;
+        this.probes = new TokenBucket(clock, 0, 0);
         this.admission = admission;
         this.served = metrics.timer("gate.calls");
         metrics.gauge("gate.busy", () -> () -> load().busy());
@@ -203,13 +209,44 @@
                 dispatch,
                 wish(request.headers(), now));
         dispatch.bind(ticket);
-        admission.offer(ticket);
-        if (!answer.isDone() && !dispatch.isStarted()) {
-            awaitTurn(ticket, answer, request.headers(), left, cancelled);
+        Runnable offer = () -> {
+            admission.offer(ticket);
+            if (!answer.isDone() && !dispatch.isStarted()) {
+                awaitTurn(ticket, answer, request.headers(), left, cancelled);
+            }
+        };
+        boolean hasTarget = request.headers().contains(CallHeaders.TARGET);
+        if (hasTarget && admission.isStale() && probes.tryTake()) {
+            present.link().probe(healthPaths.apply(service)).thenRun(offer);
+        } else {
+            offer.run();
         }
         return HttpResponse.of(answer);
     }
 
+    /** Looks after calls that wait for a slow server. */
+    public void poll() {
+        if (!admission.isHolding()) {
+            return;
+        }
+        Target present = target;
+        if (present != null && admission.isStale() && probes.tryTake()) {
+            present.link().probe(healthPaths.apply(present.announced().getService()));
+        }
+        admission.poll();
+    }
+
+    /**
+     * Sets where servers tell their health; without it they are not asked.
+     *
+     * @param paths     path of each service
+     * @param perSecond most probes of the server beside the node in a second
+     */
+    public void probeAt(Function<String, String> paths, double perSecond) {
+        healthPaths = paths;
+        probes.resize(perSecond, perSecond / 4);
+    }
+
     private static Ticket.Wish wish(RequestHeaders call, long now) {
         String target = call.get(CallHeaders.TARGET);
         if (target == null) {
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -37,6 +37,12 @@
     /** Share of a server's slots that is used: beyond four fifths of them servers take much longer for each call. */
     private static final double USABLE_SHARE = 0.8;
 
+    /** Time between two looks after calls that wait for a slow server, in milliseconds. */
+    private static final long POLL_MILLIS = 20;
+
+    /** Most probes of a server in a second: half of what its operator allows. */
+    private static final double PROBES_PER_SECOND = 30;
+
     private final NodeSettings settings;
     private final Surroundings surroundings;
     private final RetryBounds bounds;
@@ -69,6 +75,7 @@
                 SuspectTable.Rule.COUNT,
                 surroundings::callName);
         clock = mesh.clock();
+        mesh.gate().probeAt(service -> routes().current().healthPath(service), PROBES_PER_SECOND);
         routes = new RouteSpread(surroundings::decode, mesh.frames(), mesh.timers(), this::routesChanged);
         TableService table = surroundings.table(mesh.connections());
         mesh.join(routes, table);
@@ -124,6 +131,7 @@
         CompletableFuture<?>[] starts = listeners.stream().map(Server::start).toArray(CompletableFuture<?>[]::new);
         CompletableFuture.allOf(starts).join();
         surroundings.watchRoutes(document -> routes.offer(document, "store"));
+        mesh.repeat(mesh.gate()::poll, POLL_MILLIS, POLL_MILLIS);
         mesh.start();
         NodeLog.LOG.started(settings.getId(), settings.getFailureDomain());
     }
@@ -180,6 +188,10 @@
         return entry.inside() + mesh.gate().inside();
     }
 
+    private RouteSpread routes() {
+        return routes;
+    }
+
     private void routesChanged(RouteTable table) {
         mesh.directory().refresh();
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -23,6 +23,7 @@
     private RequestHeaders sent;
     private ServerConnection connection;
     private ScheduledFuture<?> timeout;
+    private boolean probe;
 
     ServerExchange(ServerDialect dialect, Consumer<ServerReading> readings, CompletableFuture<HttpResponse> answer) {
         this.dialect = dialect;
@@ -30,6 +31,14 @@
         this.answer = answer;
     }
 
+    /** Creates the exchange of a probe, whose answer is of use for its reading only. */
+    static ServerExchange ofProbe(
+            ServerDialect dialect, Consumer<ServerReading> readings, CompletableFuture<HttpResponse> answer) {
+        ServerExchange exchange = new ServerExchange(dialect, readings, answer);
+        exchange.probe = true;
+        return exchange;
+    }
+
     boolean isOver() {
         return answer.isDone();
     }
@@ -41,12 +50,12 @@
     /** Writes the headers for the server and notes where they go. */
     RequestHeaders sentOn(ServerConnection used, RequestHeaders call, String instance, long leftNanos) {
         connection = used;
-        sent = dialect.request(CallHeaders.forServer(call), instance, leftNanos);
+        sent = probe ? call : dialect.request(CallHeaders.forServer(call), instance, leftNanos);
         return sent;
     }
 
     ServerDialect.Verdict judge(ResponseHeaders head) {
-        ServerDialect.Verdict verdict = dialect.judge(sent, head);
+        ServerDialect.Verdict verdict = probe ? ServerDialect.Verdict.ANSWER : dialect.judge(sent, head);
         if (verdict != ServerDialect.Verdict.FOREIGN) {
             dialect.reading(head).ifPresent(readings);
         }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerLink.java
@@ -1,5 +1,7 @@
 package io.mustardusher.server;
 
+import java.util.concurrent.CompletableFuture;
+
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.Endpoint;
 import com.linecorp.armeria.client.WebClient;
@@ -21,6 +23,14 @@
      */
     Exchange send(HttpRequest call, long leftNanos);
 
+    /**
+     * Asks the server for its load; what it says goes where answers' readings go.
+     *
+     * @param path path at which the server tells its health
+     * @return completes with the answer, or soon without one
+     */
+    CompletableFuture<Void> probe(String path);
+
     /** Lets the exchanges in flight end, and keeps no connection after them. */
     void close();
 
@@ -64,6 +74,11 @@
             return Exchange.send(client, call.withHeaders(ServerRequest.headers(call.headers(), leftNanos)), leftNanos);
         }
 
+        @Override
+        public CompletableFuture<Void> probe(String path) {
+            return CompletableFuture.completedFuture(null);
+        }
+
         @Override
         public void close() {
             // the connections belong to the client factory
--- a/mustardusher-node/src/main/java/io/mustardusher/server/WholeAnswerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/WholeAnswerLink.java
@@ -8,8 +8,10 @@
 import java.util.function.Consumer;
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.util.TransportType;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
@@ -46,6 +48,9 @@
      */
     private static final long FRESH_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
 
+    /** Time allowed for the answer to a probe, in nanoseconds; a call waits for it. */
+    private static final long PROBE_NANOS = 20 * Clock.NANOS_PER_MILLI;
+
     /** Time by which the server's own word on a deadline may be later than the deadline, in milliseconds. */
     private static final long GRACE_MILLIS = 30;
 
@@ -130,6 +135,18 @@
         return Exchange.within(response);
     }
 
+    @Override
+    public CompletableFuture<Void> probe(String path) {
+        CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+        RequestHeaders headers = RequestHeaders.builder(HttpMethod.GET, path)
+                .authority(address.getHostString())
+                .build();
+        ServerExchange exchange = ServerExchange.ofProbe(dialect, readings, answer);
+        long deadline = clock.nanoTime() + PROBE_NANOS;
+        loop.execute(() -> begin(exchange, AggregatedHttpRequest.of(headers), deadline, true));
+        return answer.handle((done, failure) -> null);
+    }
+
     @Override
     public void close() {
         loop.execute(() -> {
