Leave the body of a refused request to the server

Cause: aborting it kept the refusal from being written until the connection timed out; WholePathTest found calls left inside. Change: the abort that came with the callers' dialect is gone.

--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -117,7 +117,6 @@
         try {
             response = accept(context, request);
         } catch (MustardusherException e) {
-            request.abort();
             response = Problem.response(refusal(request, e));
         }
         response = dialect.write(request.headers(), response);
