--- a/mustardusher-node/src/main/java/io/mustardusher/call/Call.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Call.java
@@ -110,9 +110,7 @@
      * @return the headers
      */
     public RequestHeadersBuilder toNode(int attempt, long leftNanos, long fingerprint) {
-        RequestHeadersBuilder next = headers.toBuilder();
-        CallHeaders.stripHop(next);
-        CallHeaders.stripBetweenNodes(next);
+        RequestHeadersBuilder next = CallHeaders.ofCaller(headers);
         next.set(CallHeaders.SERVICE, entry.service().value());
         next.set(CallHeaders.OWNER, owner);
         next.set(CallHeaders.CLASS, serviceClass.token());
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -1,6 +1,9 @@
 package io.mustardusher.call;
 
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.RequestHeaders;
@@ -86,44 +89,64 @@
     /** Headers of answers that only nodes may set. */
     private static final List<AsciiString> OF_ANSWERS = List.of(OUTCOME, CODE, LOAD, CRASH);
 
-    /** Not instantiated. */
+    private static final Set<AsciiString> NOT_OF_CALLERS = union(HOP_BY_HOP, BETWEEN_NODES);
+
+    private static final Set<AsciiString> NOT_FOR_SERVERS = union(
+            HOP_BY_HOP, BETWEEN_NODES, OWN_INTERFACE, List.of(AsciiString.of(ServerRequest.CALLER_AUTHORIZATION)));
+
+    private static final Set<AsciiString> NOT_OF_SERVERS =
+            union(HOP_BY_HOP, OF_ANSWERS, List.of(HttpHeaderNames.CONTENT_LENGTH));
+
     private CallHeaders() {}
 
-    /**
-     * Removes what concerns the last connection from a request.
-     *
-     * @param headers the headers
-     */
-    static void stripHop(RequestHeadersBuilder headers) {
-        HOP_BY_HOP.forEach(headers::remove);
+    @SafeVarargs
+    private static Set<AsciiString> union(List<AsciiString>... parts) {
+        return Stream.of(parts).flatMap(List::stream).collect(Collectors.toUnmodifiableSet());
     }
 
     /**
-     * Removes what only nodes may set from a request.
+     * Copies what a caller sent: without the headers that concern one connection or that nodes add.
      *
-     * @param headers the headers
+     * @param call headers of a request
+     * @return the copy
      */
-    static void stripBetweenNodes(RequestHeadersBuilder headers) {
-        BETWEEN_NODES.forEach(headers::remove);
+    static RequestHeadersBuilder ofCaller(RequestHeaders call) {
+        return copy(call, NOT_OF_CALLERS);
     }
 
     /**
-     * Leaves what a caller sent: without the headers that concern one connection or that nodes add.
+     * Copies what a caller sent without the headers of the product's own interface.
      *
      * @param call headers of a call at the gate
-     * @return the headers
+     * @return the copy
      */
-    public static RequestHeaders forServer(RequestHeaders call) {
-        RequestHeadersBuilder passed = call.toBuilder();
-        stripHop(passed);
-        stripBetweenNodes(passed);
-        OWN_INTERFACE.forEach(passed::remove);
+    public static RequestHeadersBuilder forServer(RequestHeaders call) {
+        RequestHeadersBuilder passed = copy(call, NOT_FOR_SERVERS);
         String authorization = call.get(ServerRequest.CALLER_AUTHORIZATION);
-        passed.remove(ServerRequest.CALLER_AUTHORIZATION);
         if (authorization != null) {
             passed.set(HttpHeaderNames.AUTHORIZATION, authorization);
         }
-        return passed.build();
+        return passed;
+    }
+
+    /**
+     * Tells whether a header of a server's answer concerns only the connection, or may be set by nodes only.
+     *
+     * @param name its name
+     * @return {@code true} if it is not passed on
+     */
+    public static boolean isNotOfServers(CharSequence name) {
+        return NOT_OF_SERVERS.contains(AsciiString.of(name));
+    }
+
+    private static RequestHeadersBuilder copy(RequestHeaders from, Set<AsciiString> without) {
+        RequestHeadersBuilder copy = RequestHeaders.builder();
+        from.forEach((name, value) -> {
+            if (!without.contains(name)) {
+                copy.add(name, value);
+            }
+        });
+        return copy;
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
@@ -11,6 +11,7 @@
 import com.linecorp.armeria.client.ResponseTimeoutException;
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
@@ -21,46 +22,25 @@
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
 
-/** One request to the next hop: its answer's headers, and its body as a stream. */
-public final class Exchange {
-
-    /** The answer. */
-    private final HttpResponse response;
-
-    /** The answer in two parts. */
-    private final SplitHttpResponse split;
-
-    /** Context of the request; {@code null} if no connection is used. */
-    private final ClientRequestContext context;
-
-    /**
-     * Creates an exchange.
-     *
-     * @param response the answer
-     * @param context  context of the request, or {@code null}
-     */
-    private Exchange(HttpResponse response, ClientRequestContext context) {
-        this.response = response;
-        this.split = response.split();
-        this.context = context;
-    }
+/** One request to the next hop and its answer. */
+public interface Exchange {
 
     /**
-     * Sends a request.
+     * Sends a request, whose answer is streamed.
      *
      * @param client    client of the next hop
      * @param request   the request
      * @param leftNanos time until the answer must begin, in nanoseconds
      * @return the exchange
      */
-    public static Exchange send(WebClient client, HttpRequest request, long leftNanos) {
+    static Exchange send(WebClient client, HttpRequest request, long leftNanos) {
         RequestOptions options = RequestOptions.builder()
                 .responseTimeoutMillis(Math.max(1, leftNanos / Clock.NANOS_PER_MILLI))
                 .maxResponseLength(0)
                 .build();
         try (ClientRequestContextCaptor captor = Clients.newContextCaptor()) {
             HttpResponse response = client.execute(request, options);
-            return new Exchange(response, captor.getOrNull());
+            return new ForStream(response, captor.getOrNull());
         }
     }
 
@@ -70,8 +50,19 @@
      * @param response the answer
      * @return the exchange
      */
-    public static Exchange within(HttpResponse response) {
-        return new Exchange(response, null);
+    static Exchange within(HttpResponse response) {
+        return new ForStream(response, null);
+    }
+
+    /**
+     * Wraps an answer that comes as a whole.
+     *
+     * @param answer the answer
+     * @param abort  gives up the request
+     * @return the exchange
+     */
+    static Exchange ofWhole(CompletableFuture<AggregatedHttpResponse> answer, Runnable abort) {
+        return new ForWhole(answer, abort);
     }
 
     /**
@@ -79,20 +70,7 @@
      *
      * @return the headers; fails with a {@link MustardusherException}
      */
-    public CompletableFuture<ResponseHeaders> headers() {
-        return split.headers().handle((headers, failure) -> {
-            if (failure != null) {
-                throw new MustardusherException(codeOf(failure), describe(failure));
-            }
-            if (headers.status().equals(HttpStatus.UNKNOWN)) {
-                throw new MustardusherException(ResultCode.CONNECTION_LOST, "no headers");
-            }
-            if (context != null) {
-                context.clearResponseTimeout();
-            }
-            return headers;
-        });
-    }
+    CompletableFuture<ResponseHeaders> headers();
 
     /**
      * Passes the answer on under other headers. If it is given up before anyone reads it, the exchange ends too.
@@ -100,15 +78,7 @@
      * @param headers the headers
      * @return the answer
      */
-    public HttpResponse answer(ResponseHeaders headers) {
-        HttpResponse passed = HttpResponse.of(headers, split.body());
-        passed.whenComplete().whenComplete((done, failure) -> {
-            if (failure != null) {
-                discard();
-            }
-        });
-        return passed;
-    }
+    HttpResponse answer(ResponseHeaders headers);
 
     /**
      * Collects the whole answer under other headers.
@@ -116,48 +86,148 @@
      * @param headers the headers
      * @return the answer once it is whole; fails if it is cut short
      */
-    public CompletableFuture<HttpResponse> whole(ResponseHeaders headers) {
-        return split.body().collect().thenApply(parts -> {
-            int length = parts.stream().mapToInt(HttpData::length).sum();
-            byte[] bytes = new byte[length];
-            int at = 0;
-            for (HttpData part : parts) {
-                System.arraycopy(part.array(), 0, bytes, at, part.length());
-                at += part.length();
-            }
-            return HttpResponse.of(headers, HttpData.wrap(bytes));
-        });
-    }
+    CompletableFuture<HttpResponse> whole(ResponseHeaders headers);
 
     /**
      * Returns the end of the answer.
      *
      * @return completes with the last byte, fails if the answer is cut short
      */
-    public CompletableFuture<Void> whenComplete() {
-        return split.body().whenComplete();
-    }
+    CompletableFuture<?> whenComplete();
 
     /** Drops the rest of the answer. */
-    public void discard() {
-        split.body().abort();
-        response.abort();
-    }
+    void discard();
 
     /** Gives up the request. */
-    public void abort() {
-        response.abort();
-    }
+    void abort();
 
     /**
      * Gives up the request when a stage completes.
      *
      * @param cancelled the stage
      */
-    public void abortOn(CompletionStage<?> cancelled) {
+    default void abortOn(CompletionStage<?> cancelled) {
         cancelled.thenRun(this::abort);
     }
 
+    /** An answer that comes as a stream. */
+    final class ForStream implements Exchange {
+
+        private final HttpResponse response;
+        private final SplitHttpResponse split;
+        private final ClientRequestContext context;
+
+        private ForStream(HttpResponse response, ClientRequestContext context) {
+            this.response = response;
+            this.split = response.split();
+            this.context = context;
+        }
+
+        @Override
+        public CompletableFuture<ResponseHeaders> headers() {
+            return split.headers().handle((headers, failure) -> {
+                if (failure != null) {
+                    throw new MustardusherException(codeOf(failure), describe(failure));
+                }
+                if (headers.status().equals(HttpStatus.UNKNOWN)) {
+                    throw new MustardusherException(ResultCode.CONNECTION_LOST, "no headers");
+                }
+                if (context != null) {
+                    context.clearResponseTimeout();
+                }
+                return headers;
+            });
+        }
+
+        @Override
+        public HttpResponse answer(ResponseHeaders headers) {
+            HttpResponse passed = HttpResponse.of(headers, split.body());
+            passed.whenComplete().whenComplete((done, failure) -> {
+                if (failure != null) {
+                    discard();
+                }
+            });
+            return passed;
+        }
+
+        @Override
+        public CompletableFuture<HttpResponse> whole(ResponseHeaders headers) {
+            return split.body().collect().thenApply(parts -> {
+                int length = parts.stream().mapToInt(HttpData::length).sum();
+                byte[] bytes = new byte[length];
+                int at = 0;
+                for (HttpData part : parts) {
+                    System.arraycopy(part.array(), 0, bytes, at, part.length());
+                    at += part.length();
+                }
+                return HttpResponse.of(headers, HttpData.wrap(bytes));
+            });
+        }
+
+        @Override
+        public CompletableFuture<?> whenComplete() {
+            return split.body().whenComplete();
+        }
+
+        @Override
+        public void discard() {
+            split.body().abort();
+            response.abort();
+        }
+
+        @Override
+        public void abort() {
+            response.abort();
+        }
+    }
+
+    /** An answer that comes as a whole. */
+    final class ForWhole implements Exchange {
+
+        private final CompletableFuture<AggregatedHttpResponse> answer;
+        private final Runnable abort;
+
+        private ForWhole(CompletableFuture<AggregatedHttpResponse> answer, Runnable abort) {
+            this.answer = answer;
+            this.abort = abort;
+        }
+
+        @Override
+        public CompletableFuture<ResponseHeaders> headers() {
+            return answer.handle((whole, failure) -> {
+                if (failure != null) {
+                    throw new MustardusherException(codeOf(failure), describe(failure));
+                }
+                return whole.headers();
+            });
+        }
+
+        @Override
+        public HttpResponse answer(ResponseHeaders headers) {
+            return HttpResponse.of(headers, answer.join().content());
+        }
+
+        @Override
+        public CompletableFuture<HttpResponse> whole(ResponseHeaders headers) {
+            return CompletableFuture.completedFuture(answer(headers));
+        }
+
+        @Override
+        public CompletableFuture<?> whenComplete() {
+            return answer;
+        }
+
+        @Override
+        public void discard() {
+            // the answer is here, or has failed
+        }
+
+        @Override
+        public void abort() {
+            abort.run();
+        }
+    }
+
     /**
      * Maps a failure before the headers. Only a request that never left this process is proven not to have run.
      *
@@ -182,7 +252,10 @@
      * @return the name of its class
      */
     private static String describe(Throwable failure) {
-        return unwrap(failure).getClass().getSimpleName();
+        Throwable cause = unwrap(failure);
+        return cause instanceof MustardusherException
+                ? cause.getMessage()
+                : cause.getClass().getSimpleName();
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/call/ServerRequest.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/ServerRequest.java
@@ -21,9 +21,7 @@
      * @return the headers
      */
     public static RequestHeaders headers(RequestHeaders headers, long leftNanos) {
-        RequestHeadersBuilder next = headers.toBuilder();
-        CallHeaders.stripHop(next);
-        CallHeaders.stripBetweenNodes(next);
+        RequestHeadersBuilder next = CallHeaders.ofCaller(headers);
         String authorization = headers.get(CALLER_AUTHORIZATION);
         next.remove(CALLER_AUTHORIZATION);
         if (authorization != null) {
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
@@ -7,9 +7,9 @@
 import java.util.function.LongSupplier;
 
 import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.HttpResponse;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.frame.CallMessage;
@@ -104,22 +104,24 @@
             }
             long call = numbers.getAsLong();
             long end = clock.nanoTime() + leftNanos + GRACE_MILLIS * Clock.NANOS_PER_MILLI;
-            CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+            CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
             request.aggregate().whenComplete((whole, failure) -> {
                 byte[] body = failure == null ? whole.content().array() : new byte[0];
                 CallMessage message = new CallMessage(call, packing.pack(request.headers()), body);
                 ask(FrameKind.CALL, message, end, answer);
             });
-            cancelled.thenRun(() -> {
+            Exchange exchange = Exchange.ofWhole(answer, () -> {
                 if (!answer.isDone()) {
                     peers.ask(address, FrameKind.CANCEL, CallMessage.about(call), CANCEL_MILLIS);
                     answer.completeExceptionally(new MustardusherException(ResultCode.CONNECTION_LOST, "cancelled"));
                 }
             });
-            return Exchange.within(HttpResponse.of(answer));
+            exchange.abortOn(cancelled);
+            return exchange;
         }
 
-        private void ask(FrameKind kind, CallMessage message, long end, CompletableFuture<HttpResponse> answer) {
+        private void ask(
+                FrameKind kind, CallMessage message, long end, CompletableFuture<AggregatedHttpResponse> answer) {
             long left = (end - clock.nanoTime()) / Clock.NANOS_PER_MILLI;
             if (left <= 0) {
                 answer.completeExceptionally(new MustardusherException(ResultCode.DEADLINE_PASSED, "no answer"));
@@ -143,13 +145,13 @@
             });
         }
 
-        private void answered(CallMessage found, CompletableFuture<HttpResponse> answer) {
+        private void answered(CallMessage found, CompletableFuture<AggregatedHttpResponse> answer) {
             if (found.head() == null) {
                 answer.completeExceptionally(
                         new MustardusherException(ResultCode.SERVER_UNREACHABLE, "the call never reached the gate"));
                 return;
             }
-            answer.complete(HttpResponse.of(packing.response(found.head()), HttpData.wrap(found.body())));
+            answer.complete(AggregatedHttpResponse.of(packing.response(found.head()), HttpData.wrap(found.body())));
         }
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -159,6 +159,10 @@
     /** Chooses a server and sends the call. */
     private void send() {
         attempt++;
+        if (cancelled.toCompletableFuture().isDone()) {
+            refuse(ResultCode.CANCELLED, "the caller has left");
+            return;
+        }
         ResultCode refusal = router.refusal(fingerprint);
         if (refusal != null) {
             refuse(refusal, "the call was in flight in two crashes");
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
@@ -109,6 +109,11 @@
     @Override
     public void admitted() {
         started = true;
+        if (cancelled.toCompletableFuture().isDone()) {
+            gate.admission().release(ticket, CallEnd.ABANDONED);
+            answer.complete(gate.refuse(ResultCode.CANCELLED, request.headers()));
+            return;
+        }
         dispatchedNanos = gate.clock().nanoTime();
         long left = deadlineNanos - dispatchedNanos;
         gate.crashes().dispatched(ticket, fingerprint);
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -206,6 +206,15 @@
     @Message(id = 2003, value = "call %s: gate of %s refuses with %d; busy %d, queued %d, limit %d")
     void gateRefused(String call, String service, int code, int busy, int queued, int limit);
 
+    /**
+     * The settings were read again.
+     *
+     * @param outcome what came of it
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 1006, value = "settings read again: %s")
+    void reloaded(String outcome);
+
     /**
      * An announcement was left out.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -211,9 +211,11 @@
     private static ResponseHeaders headers(HttpResponse response) {
         ResponseHeadersBuilder headers =
                 ResponseHeaders.builder(response.status().code());
-        response.headers().forEach(field -> headers.add(field.getKey(), field.getValue()));
-        CallHeaders.stripAnswer(headers);
-        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        response.headers().forEach(field -> {
+            if (!CallHeaders.isNotOfServers(field.getKey())) {
+                headers.add(field.getKey(), field.getValue());
+            }
+        });
         return headers.build();
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
 
 /** What a deployment's backend servers expect in requests and say in answers. */
@@ -16,7 +17,7 @@
      * @param leftNanos time left for the answer, in nanoseconds
      * @return the headers
      */
-    RequestHeaders request(RequestHeaders call, String instance, long leftNanos);
+    RequestHeaders request(RequestHeadersBuilder call, String instance, long leftNanos);
 
     /**
      * Judges an answer by its headers.
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -4,8 +4,8 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.function.Consumer;
 
+import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
-import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.call.CallHeaders;
@@ -19,13 +19,14 @@
 
     private final ServerDialect dialect;
     private final Consumer<ServerReading> readings;
-    private final CompletableFuture<HttpResponse> answer;
+    private final CompletableFuture<AggregatedHttpResponse> answer;
     private RequestHeaders sent;
     private ServerConnection connection;
     private ScheduledFuture<?> timeout;
     private boolean probe;
 
-    ServerExchange(ServerDialect dialect, Consumer<ServerReading> readings, CompletableFuture<HttpResponse> answer) {
+    ServerExchange(
+            ServerDialect dialect, Consumer<ServerReading> readings, CompletableFuture<AggregatedHttpResponse> answer) {
         this.dialect = dialect;
         this.readings = readings;
         this.answer = answer;
@@ -33,7 +34,7 @@
 
     /** Creates the exchange of a probe, whose answer is of use for its reading only. */
     static ServerExchange ofProbe(
-            ServerDialect dialect, Consumer<ServerReading> readings, CompletableFuture<HttpResponse> answer) {
+            ServerDialect dialect, Consumer<ServerReading> readings, CompletableFuture<AggregatedHttpResponse> answer) {
         ServerExchange exchange = new ServerExchange(dialect, readings, answer);
         exchange.probe = true;
         return exchange;
@@ -64,13 +65,13 @@
 
     void complete(ServerDialect.Verdict verdict, ResponseHeaders head, HttpData body) {
         switch (verdict) {
-            case ANSWER -> end(() -> answer.complete(HttpResponse.of(
+            case ANSWER -> end(() -> answer.complete(AggregatedHttpResponse.of(
                     head.toBuilder()
                             .set(CallHeaders.OUTCOME, Outcome.RAN.token())
                             .build(),
                     body)));
-            case NOT_RUN -> end(() -> answer.complete(
-                    Problem.response(ResultCode.SERVER_REFUSED, "the backend server did not run the call")));
+            case NOT_RUN -> end(() -> answer.complete(AggregatedHttpResponse.of(
+                    Problem.headers(ResultCode.SERVER_REFUSED).build())));
             default -> fail(ResultCode.CONNECTION_LOST, "the answer is spoiled");
         }
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/WholeAnswerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/WholeAnswerLink.java
@@ -8,9 +8,9 @@
 import java.util.function.Consumer;
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.util.TransportType;
 import io.mustardusher.call.CallHeaders;
@@ -113,14 +113,9 @@
 
     @Override
     public Exchange send(HttpRequest call, long leftNanos) {
-        CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+        CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
         boolean idempotent = "1".equals(call.headers().get(CallHeaders.IDEMPOTENT));
         ServerExchange exchange = new ServerExchange(dialect, readings, answer);
-        HttpResponse response = HttpResponse.of(answer);
-        response.whenComplete().exceptionally(failure -> {
-            loop.execute(exchange::cancel);
-            return null;
-        });
         long deadline = clock.nanoTime() + leftNanos;
         call.aggregate()
                 .whenCompleteAsync(
@@ -132,12 +127,12 @@
                             }
                         },
                         loop);
-        return Exchange.within(response);
+        return Exchange.ofWhole(answer, () -> loop.execute(exchange::cancel));
     }
 
     @Override
     public CompletableFuture<Void> probe(String path) {
-        CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+        CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
         RequestHeaders headers = RequestHeaders.builder(HttpMethod.GET, path)
                 .authority(address.getHostString())
                 .build();
