--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -152,11 +152,16 @@
         entry.stop();
         mesh.awaitIdle(this::inside, (end - clock.nanoTime()) / Clock.NANOS_PER_MILLI);
         int cutOff = inside();
+        close();
+        NodeLog.LOG.stopped(settings.getId(), cutOff);
+        return cutOff;
+    }
+
+    /** Ends at once. */
+    public void close() {
         CompletableFuture<?>[] stops = listeners.stream().map(Server::stop).toArray(CompletableFuture<?>[]::new);
         CompletableFuture.allOf(stops).join();
         mesh.close();
-        NodeLog.LOG.stopped(settings.getId(), cutOff);
-        return cutOff;
     }
 
     /**
