--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -15,6 +15,7 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
+import io.mustardusher.admission.Stall;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallDialect;
 import io.mustardusher.call.CallHeaders;
@@ -48,6 +49,8 @@
     /** Told of the entry of each call. */
     private final Consumer<CatalogueEntry> called;
 
+    private final Stall stall;
+
     /** Source of time. */
     private final Clock clock;
 
@@ -69,6 +72,7 @@
      * @param homes     brings calls with keys to their homes
      * @param dialect how callers state calls
      * @param called  told of the entry of each call
+     * @param stall   how far the node is behind
      * @param clock     source of time
      * @param metrics   registry of metrics
      */
@@ -77,12 +81,14 @@
             HomeRouter homes,
             CallDialect dialect,
             Consumer<CatalogueEntry> called,
+            Stall stall,
             Clock clock,
             MetricRegistry metrics) {
         this.router = router;
         this.homes = homes;
         this.dialect = dialect;
         this.called = called;
+        this.stall = stall;
         this.clock = clock;
         this.served = metrics.timer("entry.served");
     }
@@ -156,6 +162,9 @@
             throw new MustardusherException(ResultCode.NODE_STOPPING, "this node is stopping");
         }
         Call call = dialect.read(request.headers(), clock.nanoTime());
+        if (stall.refuses(call.serviceClass())) {
+            throw new MustardusherException(ResultCode.OVERLOADED, "this node is behind with its work");
+        }
         called.accept(call.entry());
         boolean idempotent = call.isIdempotent();
         boolean keyed = !idempotent && call.key().isPresent();
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -14,6 +14,7 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
 import io.mustardusher.admission.Admission;
+import io.mustardusher.admission.Stall;
 import io.mustardusher.admission.Ticket;
 import io.mustardusher.budget.TokenBucket;
 import io.mustardusher.call.CallHeaders;
@@ -54,6 +55,8 @@
 
     private final Function<RequestHeaders, String> callNames;
 
+    private final Stall stall;
+
     private final TokenBucket probes;
 
     private volatile Function<String, String> healthPaths = service -> "/";
@@ -73,6 +76,7 @@
      * @param timers      runs timers
      * @param crashes     detects crashes
      * @param admission   admits calls
+     * @param stall       how far the node is behind
      * @param callNames   finds the name of a call in its headers
      * @param metrics     registry of metrics
      */
@@ -83,6 +87,7 @@
             ScheduledExecutorService timers,
             CrashDetector crashes,
             Admission admission,
+            Stall stall,
             Function<RequestHeaders, String> callNames,
             MetricRegistry metrics) {
         this.clock = clock;
@@ -93,6 +98,7 @@
         this.callNames = callNames;
         this.probes = new TokenBucket(clock, 0, 0);
         this.admission = admission;
+        this.stall = stall;
         this.served = metrics.timer("gate.calls");
         metrics.gauge("gate.busy", () -> () -> load().busy());
         metrics.gauge("gate.queued", () -> () -> load().queued());
@@ -189,6 +195,10 @@
         if (present == null || !present.announced().getService().equals(service)) {
             return Problem.response(ResultCode.NO_SERVER, "no such backend server here");
         }
+        ServiceClass serviceClass = ServiceClass.of(request.headers().get(CallHeaders.CLASS, DEFAULT_CLASS));
+        if (stall.refuses(serviceClass)) {
+            return refuse(ResultCode.OVERLOADED, request.headers());
+        }
         long fingerprint = Long.parseUnsignedLong(request.headers().get(CallHeaders.FINGERPRINT, "0"), 16);
         SuspectTable.Judgement judgement = suspects.judge(fingerprint);
         if (judgement == SuspectTable.Judgement.REFUSE) {
@@ -203,7 +213,7 @@
                 new Dispatch(this, present.link(), request, now + left, fingerprint, alone, answer, cancelled);
         Ticket ticket = new Ticket(
                 request.headers().get(CallHeaders.OWNER, ""),
-                ServiceClass.of(request.headers().get(CallHeaders.CLASS, DEFAULT_CLASS)),
+                serviceClass,
                 now + left,
                 alone,
                 dispatch,
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Mesh.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Mesh.java
@@ -20,6 +20,7 @@
 import com.linecorp.armeria.common.util.EventLoopGroups;
 import com.linecorp.armeria.common.util.TransportType;
 import io.mustardusher.admission.Admission;
+import io.mustardusher.admission.Stall;
 import io.mustardusher.entry.Directory;
 import io.mustardusher.frame.Credential;
 import io.mustardusher.frame.FrameClient;
@@ -87,6 +88,7 @@
     private final ScheduledExecutorService timers =
             Executors.newScheduledThreadPool(1, task -> daemon(task, "mushd-timers"));
     private final ClientFactory connections = connections(group);
+    private final Stall stall = new Stall(clock);
     private final FrameTraffic traffic = new FrameTraffic();
     private final Credential credential;
     private final MemberTable members;
@@ -125,7 +127,15 @@
         CrashDetector crashes = new CrashDetector(
                 crashOrigin(self), this::serverAddress, timers, suspectSpread::add, this::serverCrashed);
         gate = new Gate(
-                clock, suspects, servers.apply(this), timers, crashes, admission.apply(clock), callNames, metrics);
+                clock,
+                suspects,
+                servers.apply(this),
+                timers,
+                crashes,
+                admission.apply(clock),
+                stall,
+                callNames,
+                metrics);
         directory = new Directory(members, gate, settings.getRegionDistancesMicros(), connections, credential, clock);
         frameServer
                 .on(FrameKind.GOSSIP, (Gossip question) -> gossiper.answer(question))
@@ -320,6 +330,15 @@
         return suspectSpread::add;
     }
 
+    Stall stall() {
+        return stall;
+    }
+
+    /** Begins to measure how far the node is behind, on the event loop that handles calls. */
+    void measureStall() {
+        group.next().scheduleWithFixedDelay(stall::beat, Stall.BEAT_MILLIS, Stall.BEAT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     Gate gate() {
         return gate;
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
@@ -102,7 +102,7 @@
                 clock,
                 mesh.metrics());
         CallDialect dialect = new CallDialect.ForCatalogue(catalogue::current);
-        entry = new Entry(router, homes, dialect, prober::called, clock, mesh.metrics());
+        entry = new Entry(router, homes, dialect, prober::called, mesh.stall(), clock, mesh.metrics());
         answerFrames();
         listeners = Listeners.of(
                 settings.getHost(),
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -96,7 +96,8 @@
                 mesh.timers(),
                 clock,
                 mesh.metrics());
-        entry = new Entry(router, null, surroundings.callers(routes::current), call -> {}, clock, mesh.metrics());
+        entry = new Entry(
+                router, null, surroundings.callers(routes::current), call -> {}, mesh.stall(), clock, mesh.metrics());
         mesh.metrics().gauge("routes.version", () -> routes::revision);
         mesh.metrics().gauge("entry.inside", () -> entry::inside);
     }
@@ -131,6 +132,7 @@
         CompletableFuture<?>[] starts = listeners.stream().map(Server::start).toArray(CompletableFuture<?>[]::new);
         CompletableFuture.allOf(starts).join();
         surroundings.watchRoutes(document -> routes.offer(document, "store"));
+        mesh.measureStall();
         mesh.repeat(mesh.gate()::poll, POLL_MILLIS, POLL_MILLIS);
         mesh.start();
         NodeLog.LOG.started(settings.getId(), settings.getFailureDomain());
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Warmup.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Warmup.java
@@ -15,6 +15,7 @@
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import io.mustardusher.admission.Admission;
+import io.mustardusher.admission.Stall;
 import io.mustardusher.call.CallDialect;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.catalogue.Catalogue;
@@ -100,6 +101,7 @@
                 timers,
                 crashes,
                 new Admission(clock),
+                new Stall(clock),
                 call -> "-",
                 metrics);
         Server backend = listen((context, request) -> HttpResponse.of("warm"));
@@ -114,8 +116,14 @@
         Router router =
                 new Router(directory, suspects, seen -> {}, RetryPolicies.ForRatio.INSTANCE, timers, clock, metrics);
         Catalogue catalogue = catalogue();
-        Entry entry =
-                new Entry(router, null, new CallDialect.ForCatalogue(() -> catalogue), called -> {}, clock, metrics);
+        Entry entry = new Entry(
+                router,
+                null,
+                new CallDialect.ForCatalogue(() -> catalogue),
+                called -> {},
+                new Stall(clock),
+                clock,
+                metrics);
         Server callers = listen(entry);
         send(callers.activeLocalPort(), clock.nanoTime() + millis * Clock.NANOS_PER_MILLI);
         CompletableFuture.allOf(callers.stop(), gates.stop(), backend.stop()).join();
