--- a/mustardusher-core/src/main/java/io/mustardusher/budget/WindowBudget.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/budget/WindowBudget.java
@@ -16,7 +16,9 @@
     private final Clock clock;
     private final long bucketNanos;
     private final DoubleSupplier allowance;
-    private final double[] earned = new double[BUCKETS];
+    /** Hundredths of a send. */
+    private final long[] earned = new long[BUCKETS];
+
     private final int[] spent = new int[BUCKETS];
     private long newest;
 
@@ -38,19 +40,19 @@
     @Override
     public synchronized void earn(int percent) {
         advance();
-        earned[index(newest)] += percent / PERCENT;
+        earned[index(newest)] += percent;
     }
 
     @Override
     public synchronized boolean trySpend() {
         advance();
-        double credit = allowance.getAsDouble();
+        double credit = allowance.getAsDouble() * PERCENT;
         int debit = 1;
         for (int i = 0; i < BUCKETS; i++) {
             credit += earned[i];
             debit += spent[i];
         }
-        if (debit > credit) {
+        if (debit * PERCENT > credit) {
             return false;
         }
         spent[index(newest)]++;
--- /dev/null
+++ b/mustardusher-core/src/test/java/io/mustardusher/budget/WindowBudgetTest.java
@@ -0,0 +1,84 @@
+package io.mustardusher.budget;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Random;
+
+import io.mustardusher.time.Clock;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class WindowBudgetTest {
+
+    private static final long WINDOW_MILLIS = 10_000;
+
+    private final Clock.Manual clock = new Clock.Manual();
+
+    @Test
+    void allowanceHoldsWithoutRequests() {
+        WindowBudget budget = budget(3);
+        assertThat(spend(budget, 10)).isEqualTo(3);
+    }
+
+    @Test
+    void requestsOfTheWindowEarn() {
+        WindowBudget budget = budget(0);
+        for (int i = 0; i < 100; i++) {
+            budget.earn(20);
+        }
+        assertThat(spend(budget, 100)).isEqualTo(20);
+    }
+
+    @Test
+    void whatWasSpentCountsForAWholeWindow() {
+        WindowBudget budget = budget(2);
+        assertThat(spend(budget, 5)).isEqualTo(2);
+        clock.advanceMillis(WINDOW_MILLIS - 1);
+        assertThat(spend(budget, 5)).isEqualTo(0);
+        clock.advanceMillis(WINDOW_MILLIS / 5);
+        assertThat(spend(budget, 5)).isEqualTo(2);
+    }
+
+    /** However a window is laid over time, its further sends stay below a fifth of its requests and those just before it. */
+    @Test
+    void noWindowExceedsTheRatioUnderChangingLoad() {
+        Random random = new Random(4711);
+        WindowBudget budget = budget(0);
+        Deque<Long> requests = new ArrayDeque<>();
+        Deque<Long> sends = new ArrayDeque<>();
+        for (int step = 0; step < 60_000; step++) {
+            clock.advanceMillis(1);
+            long now = clock.nanoTime();
+            if (random.nextInt(100) < (step / 7_000 % 2 == 0 ? 60 : 5)) {
+                budget.earn(20);
+                requests.add(now);
+            }
+            if (random.nextInt(100) < 50 && budget.trySpend()) {
+                sends.add(now);
+            }
+            // The window before the present one counts too, so that load that falls does not make past sends wrong.
+            trim(requests, now - 2 * WINDOW_MILLIS * Clock.NANOS_PER_MILLI);
+            trim(sends, now - WINDOW_MILLIS * Clock.NANOS_PER_MILLI);
+            assertThat(sends.size()).isAtMost((int) (requests.size() * 0.2) + 1);
+        }
+    }
+
+    private static void trim(Deque<Long> times, long before) {
+        while (!times.isEmpty() && times.peekFirst() < before) {
+            times.removeFirst();
+        }
+    }
+
+    private WindowBudget budget(double allowance) {
+        return new WindowBudget(clock, WINDOW_MILLIS * Clock.NANOS_PER_MILLI, () -> allowance);
+    }
+
+    private static int spend(WindowBudget budget, int tries) {
+        int spent = 0;
+        for (int i = 0; i < tries; i++) {
+            spent += budget.trySpend() ? 1 : 0;
+        }
+        return spent;
+    }
+}
--- /dev/null
+++ b/mustardusher-core/src/test/java/io/mustardusher/route/DestinationTest.java
@@ -0,0 +1,52 @@
+package io.mustardusher.route;
+
+import java.util.List;
+import java.util.Random;
+
+import io.mustardusher.catalogue.ServiceName;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class DestinationTest {
+
+    private static final ServiceName HEAVY = ServiceName.of("heavy");
+    private static final ServiceName LIGHT = ServiceName.of("light");
+
+    /** Fourteen nodes that send twenty requests each keep the shares of 90 to 10 within three hundredths. */
+    @Test
+    void splitKeepsItsSharesOverManyNodesWithFewRequests() {
+        int light = 0;
+        for (int node = 0; node < 14; node++) {
+            Destination split = split(90, 10, node);
+            for (int i = 0; i < 20; i++) {
+                light += split.next().equals(LIGHT) ? 1 : 0;
+            }
+        }
+        assertThat(light / 280.0).isWithin(0.03).of(0.1);
+    }
+
+    @Test
+    void wholeTurnOfARotationIsExact() {
+        Destination split = split(3, 1, 5);
+        long light = 0;
+        for (int i = 0; i < 40; i++) {
+            light += split.next().equals(LIGHT) ? 1 : 0;
+        }
+        assertThat(light).isEqualTo(10);
+    }
+
+    @Test
+    void partWithoutWeightGetsNothing() {
+        Destination split = split(5, 0, 1);
+        for (int i = 0; i < 20; i++) {
+            assertThat(split.next()).isEqualTo(HEAVY);
+        }
+    }
+
+    private static Destination split(int heavy, int light, long seed) {
+        return Destination.Split.of(
+                List.of(new Destination.Split.Part(HEAVY, heavy), new Destination.Split.Part(LIGHT, light)),
+                new Random(seed));
+    }
+}
