--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/call/HeaderPackingTest.java
@@ -0,0 +1,49 @@
+package io.mustardusher.call;
+
+import java.util.List;
+
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
+import io.netty.util.AsciiString;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class HeaderPackingTest {
+
+    private static final AsciiString FREQUENT = AsciiString.of("x-frequent");
+
+    private final HeaderPacking packing = new HeaderPacking(List.of(FREQUENT));
+
+    @Test
+    void requestComesBackWithRepeatedAndUnknownNames() {
+        RequestHeaders headers = RequestHeaders.builder(HttpMethod.DELETE, "/a/?b=1")
+                .authority("h.example")
+                .add(FREQUENT, "1")
+                .add("x-unknown", "first")
+                .add("x-unknown", "second")
+                .build();
+        RequestHeaders back = packing.request(packing.pack(headers));
+        assertThat(back.method()).isEqualTo(HttpMethod.DELETE);
+        assertThat(back.path()).isEqualTo("/a/?b=1");
+        assertThat(back.authority()).isEqualTo("h.example");
+        assertThat(back.getAll("x-unknown")).containsExactly("first", "second").inOrder();
+    }
+
+    @Test
+    void lengthIsLeftToTheOtherSide() {
+        ResponseHeaders headers = ResponseHeaders.of(HttpStatus.OK, HttpHeaderNames.CONTENT_LENGTH, "3");
+        assertThat(packing.response(packing.pack(headers)).contains(HttpHeaderNames.CONTENT_LENGTH))
+                .isFalse();
+    }
+
+    @Test
+    void frequentNameTakesOneByte() {
+        byte[] frequent = packing.pack(ResponseHeaders.of(HttpStatus.OK, FREQUENT, "v"));
+        byte[] unknown = packing.pack(ResponseHeaders.of(HttpStatus.OK, "x-frequenu", "v"));
+        assertThat(unknown.length - frequent.length).isEqualTo(FREQUENT.length());
+    }
+}
