--- a/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
@@ -20,7 +20,9 @@
     /** Time for which a server's word on its slowness is believed, in nanoseconds; neighbours come and go in 150 ms. */
     private static final long BELIEVED_NANOS = 100 * Clock.NANOS_PER_MILLI;
 
-    /** Age from which a server's word is better asked for anew, in nanoseconds: a quarter of the time of a neighbour. */
+    /**
+     * Age from which a server's word is better asked for anew, in nanoseconds: a quarter of the time of a neighbour.
+     */
     private static final long STALE_NANOS = 40 * Clock.NANOS_PER_MILLI;
 
     /** Factor by which a call takes longer that begins while its server is slow. */
--- a/mustardusher-core/src/main/java/io/mustardusher/health/Ejection.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/health/Ejection.java
@@ -66,7 +66,8 @@
     }
 
     /**
-     * Returns the smoothed share of failed calls, which fades without calls: a server that is left alone after a failure
+     * Returns the smoothed share of failed calls, which fades without calls: a server that is left alone after a
+     * failure
      * would never show that it has recovered.
      *
      * @param now present time, in nanoseconds
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
@@ -131,7 +131,7 @@
         return -1;
     }
 
-    /** Returns the shortest round trip to a server, in nanoseconds. */
+    // Returns the shortest round trip to a server, in nanoseconds.
     long nearestNanos() {
         long nearest = Long.MAX_VALUE;
         for (ServerLoad server : servers) {
--- a/mustardusher-node/src/main/java/io/mustardusher/call/HeaderPacking.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/HeaderPacking.java
@@ -19,7 +19,10 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 
-/** Packs the headers of a call for a frame; frequent names travel as numbers, as traffic between failure domains is dear. */
+/**
+ * Packs the headers of a call for a frame; frequent names travel as numbers, as traffic between failure domains is
+ * dear.
+ */
 public final class HeaderPacking {
 
     /** Names that every deployment uses; their order is part of the protocol between nodes. */
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/CallMessage.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/CallMessage.java
@@ -1,7 +1,8 @@
 package io.mustardusher.frame;
 
 /**
- * A call from an entry to a gate, its answer, or a question about a call. Not generated from a schema, because the generator
+ * A call from an entry to a gate, its answer, or a question about a call. Not generated from a schema, because the
+ * generator
  * knows no bytes.
  *
  * @param call number of the call, unique among entries for as long as it is remembered
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
@@ -16,12 +16,16 @@
 
 /**
  * The gate as other nodes reach it by frames. It remembers calls for a while after their end, so that an entry whose
- * connection broke can ask for the answer; and what it is asked about but does not know, it never runs. Not run and answered are
+ * connection broke can ask for the answer; and what it is asked about but does not know, it never runs. Not run and
+ * answered are
  * thus the only two outcomes as long as both nodes live.
  */
 public final class FramedGate {
 
-    /** Time for which an ended or refused call is remembered, in nanoseconds: longer than an entry waits for an answer. */
+    /**
+     * Time for which an ended or refused call is remembered, in nanoseconds: longer than an entry waits for an
+     * answer.
+     */
     private static final long REMEMBERED_NANOS = 5_000 * Clock.NANOS_PER_MILLI;
 
     /** Ended calls remembered at most; the memory for their answers is bounded by it. */
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -168,6 +168,7 @@
     /**
      * A call was routed.
      *
+     * @param call       its name
      * @param service    its service
      * @param node       node beside the chosen backend server
      * @param policy     routing policy
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Mesh.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Mesh.java
@@ -50,7 +50,9 @@
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollEventLoopGroup;
 
-/** What every node has whatever its interface: threads, connections, the other nodes, and the gate beside its server. */
+/**
+ * What every node has whatever its interface: threads, connections, the other nodes, and the gate beside its server.
+ */
 final class Mesh {
 
     /** Event loops of a node; with a single one, no step of a call waits for another thread. */
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -32,7 +32,7 @@
         this.answer = answer;
     }
 
-    /** Creates the exchange of a probe, whose answer is of use for its reading only. */
+    // Creates the exchange of a probe, whose answer is of use for its reading only.
     static ServerExchange ofProbe(
             ServerDialect dialect, Consumer<ServerReading> readings, CompletableFuture<AggregatedHttpResponse> answer) {
         ServerExchange exchange = new ServerExchange(dialect, readings, answer);
@@ -48,7 +48,7 @@
         timeout = limit;
     }
 
-    /** Writes the headers for the server and notes where they go. */
+    // Writes the headers for the server and notes where they go.
     RequestHeaders sentOn(ServerConnection used, RequestHeaders call, String instance, long leftNanos) {
         connection = used;
         sent = probe ? call : dialect.request(CallHeaders.forServer(call), instance, leftNanos);
--- a/mustardusher-node/src/main/java/io/mustardusher/spread/Gossiper.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/spread/Gossiper.java
@@ -66,7 +66,7 @@
      *
      * @param members   what is known of nodes
      * @param peers     asks other nodes
-     * @param catalogue compares revisions
+     * @param configuration compares revisions
      * @param suspects  spreads suspects
      * @param clock     source of time
      */
