Keep one copy of a node process's life

Cause: Musherd and MusherdOnPlatform told of faults in settings and waited for the end in the same lines. Change: ProcessLife serves both. Conclusion: no behaviour changes.

--- a/mustardusher-node/src/main/java/io/mustardusher/node/Musherd.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Musherd.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
 
 import io.mustardusher.generated.LogSettings;
 import io.mustardusher.generated.NodeSettings;
@@ -70,42 +69,14 @@
         try {
             settings = SettingsFile.read(config, System.getenv(), flags);
         } catch (MustardusherException e) {
-            for (String fault : e.getMessage().split("; ")) {
-                System.err.println("musherd: " + e.code().number() + ": " + fault);
-            }
-            return ExitCode.USAGE;
+            return ProcessLife.refuse(e);
         }
         if (check) {
             System.out.println("settings are valid");
             return ExitCode.OK;
         }
         LogOutput.configure(settings.getLog());
-        return run(new Node(settings));
-    }
-
-    /**
-     * Runs a node until the process is told to end.
-     *
-     * @param node the node
-     * @return the exit code
-     * @throws InterruptedException if the wait is interrupted
-     */
-    private static int run(Node node) throws InterruptedException {
-        CountDownLatch ended = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            int cutOff = node.stop();
-            LogOutput.close();
-            ended.countDown();
-            Runtime.getRuntime().halt(cutOff == 0 ? ExitCode.OK : ExitCode.SOFTWARE);
-        }));
-        try {
-            node.start();
-        } catch (RuntimeException e) {
-            Throwable cause = e.getCause() == null ? e : e.getCause();
-            System.err.println("musherd: could not start: " + cause.getMessage());
-            return ExitCode.SOFTWARE;
-        }
-        ended.await();
-        return ExitCode.OK;
+        Node node = new Node(settings);
+        return ProcessLife.run(node::start, node::stop);
     }
 }
