Let the last server that is left take a call, and end calls whose answer is given up

An entry looked only at the request's context for a caller that leaves. Change: Transfer.mayMove leaves the last server out; Entry also looks at the answer being given up.

--- a/mustardusher-core/src/main/java/io/mustardusher/routing/Transfer.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/Transfer.java
@@ -15,6 +15,9 @@
     /** Cost up to which a call goes elsewhere only to begin at once. */
     private static final double LIGHT_COST = 2;
 
+    /** Gates that may send a call on to a better one; the next one has to take it. */
+    private static final int MOVES = 3;
+
     private static final double WEIGHT = 0.1;
     private static final double KILOBYTE = 1_000;
 
@@ -38,6 +41,17 @@
         return Math.min(MAX_COST, BASE_COST + KILOBYTE_COST * bytes / KILOBYTE);
     }
 
+    /**
+     * Tells whether a gate may send a call on to another one. The last server that is left has to take it.
+     *
+     * @param attempt number of the send, from 1
+     * @param servers servers of the service
+     * @return {@code true} if it may
+     */
+    public boolean mayMove(int attempt, int servers) {
+        return attempt <= MOVES && attempt < servers && isLight();
+    }
+
     /**
      * Tells whether calls are light enough to move for a small gain.
      *
--- a/mustardusher-lab/src/test/java/io/mustardusher/lab/cluster/WholePathTest.java
+++ b/mustardusher-lab/src/test/java/io/mustardusher/lab/cluster/WholePathTest.java
@@ -238,6 +238,32 @@
         changeTo("{\"service\": \"ledger\", \"owner\": \"o\", \"class\": \"critical\", \"deadlineMillis\": 20000}");
     }
 
+    /** The calls would last for minutes; only the disconnect can end them before the wait for it is over. */
+    @Test
+    void callOfACallerThatDisconnectsEndsEverywhere() throws IOException {
+        changeTo("{\"service\": \"ledger\", \"owner\": \"o\", \"class\": \"critical\", \"deadlineMillis\": 500000}");
+        slowDown(10_000);
+        try (Socket socket = new Socket("127.0.0.1", CLUSTER.handle(0).ports().caller())) {
+            String request = "GET /x HTTP/1.1\r\nHost: ledger\r\nmustardusher-service: ledger\r\n\r\n";
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            SmallCluster.await(() -> inside() > 1);
+        }
+        SmallCluster.await(() -> inside() == 0);
+        slowDown(1);
+        changeTo("{\"service\": \"ledger\", \"owner\": \"o\", \"class\": \"critical\", \"deadlineMillis\": 20000}");
+    }
+
+    private static int inside() {
+        return IntStream.range(0, 3).map(node -> CLUSTER.node(node).inside()).sum();
+    }
+
+    private static void slowDown(double factor) {
+        for (int i = 0; i < 3; i++) {
+            BackendServer server = CLUSTER.backend(i);
+            server.behave(server.behaviour().withSlowFactor(factor));
+        }
+    }
+
     private static void changeTo(String entry) {
         long revision = CLUSTER.node(0).revision();
         AggregatedHttpResponse answer = CLUSTER.put(0, entry, revision);
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -119,14 +119,20 @@
         if (leaving) {
             context.initiateConnectionShutdown();
         }
+        // A caller that disconnects shows in either: the context is cancelled, or the answer is given up.
+        CompletableFuture<Void> left = new CompletableFuture<>();
+        context.whenRequestCancelling().thenRun(() -> left.complete(null));
         HttpResponse response;
         try {
-            response = accept(context, request);
+            response = accept(context, request, left);
         } catch (MustardusherException e) {
             response = Problem.response(refusal(request, e));
         }
         response = dialect.write(request.headers(), response);
         response.whenComplete().whenComplete((done, failure) -> {
+            if (failure != null) {
+                left.complete(null);
+            }
             inside.decrementAndGet();
             served.update(clock.nanoTime() - begun, TimeUnit.NANOSECONDS);
         });
@@ -155,9 +161,10 @@
      *
      * @param context context of the request
      * @param request the request
+     * @param cancelled completes when the caller has given up
      * @return the answer
      */
-    private HttpResponse accept(ServiceRequestContext context, HttpRequest request) {
+    private HttpResponse accept(ServiceRequestContext context, HttpRequest request, CompletableFuture<Void> cancelled) {
         if (stopping) {
             throw new MustardusherException(ResultCode.NODE_STOPPING, "this node is stopping");
         }
@@ -171,7 +178,6 @@
         if (!idempotent && !keyed && call.entry().keyRequired()) {
             throw new MustardusherException(ResultCode.KEY_REQUIRED, "the service takes no such call without a key");
         }
-        CompletableFuture<?> cancelled = context.whenRequestCancelling();
         long length = request.isEmpty() ? 0 : request.headers().getLong("content-length", Long.MAX_VALUE);
         if (keyed) {
             return acceptKeyed(context, call, request, length);
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -39,9 +39,6 @@
     /** Largest answer that is held until it is whole, in bytes; a longer one is streamed and breaks visibly. */
     private static final long WHOLE_ANSWER_BYTES = 1L << 20;
 
-    /** Gates that may send a call on to a better one; the next one has to take it. */
-    private static final int MOVES = 3;
-
     /** Refusals by the backend server itself. */
     private static final Set<ResultCode> REACHED = EnumSet.of(ResultCode.SERVER_REFUSED);
 
@@ -213,7 +210,8 @@
         long target = call.terms().targetNanos();
         if (target != Long.MAX_VALUE) {
             headers.set(CallHeaders.TARGET, Timeout.format(begunNanos + target - now));
-            if (attempt <= MOVES && body.isReplayable() && transfer.isLight()) {
+            int servers = router.directory().pool(call.service()).size();
+            if (body.isReplayable() && transfer.mayMove(attempt, servers)) {
                 headers.set(CallHeaders.MOVABLE, "1");
             }
         }
