Learn of a caller's disconnect at its connection

Cause: the HTTP server tells a service of a closed HTTP/1 connection a second later (HttpServerHandler schedules its clean-up; a small program saw 1,009 ms between close and cancellation), so calls whose callers had left were sent on (GONE). Change: CallerConnections watches callers' connections in the pipeline and ends the calls on them at once.

--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -54,6 +54,8 @@
     /** Source of time. */
     private final Clock clock;
 
+    private final CallerConnections connections = new CallerConnections();
+
     /** Calls whose answer has not ended. */
     private final AtomicInteger inside = new AtomicInteger();
 
@@ -93,6 +95,15 @@
         this.served = metrics.timer("entry.served");
     }
 
+    /**
+     * Returns the watch over callers' connections, for the listener that accepts them.
+     *
+     * @return the watch
+     */
+    public CallerConnections connections() {
+        return connections;
+    }
+
     /** Closes callers' connections after their next answer, and still takes calls. */
     public void leave() {
         leaving = true;
@@ -119,8 +130,10 @@
         if (leaving) {
             context.initiateConnectionShutdown();
         }
-        // A caller that disconnects shows in either: the context is cancelled, or the answer is given up.
+        // A caller that leaves shows first at its connection; on a connection of many calls, in the context or the
+        // answer.
         CompletableFuture<Void> left = new CompletableFuture<>();
+        Runnable unwatch = connections.watch(context.remoteAddress(), left);
         context.whenRequestCancelling().thenRun(() -> left.complete(null));
         HttpResponse response;
         try {
@@ -133,6 +146,7 @@
             if (failure != null) {
                 left.complete(null);
             }
+            unwatch.run();
             inside.decrementAndGet();
             served.update(clock.nanoTime() - begun, TimeUnit.NANOSECONDS);
         });
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Listeners.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Listeners.java
@@ -73,6 +73,7 @@
             NodeResource node,
             Credential credential) {
         Server callers = base(host, ports[0], group)
+                .childChannelPipelineCustomizer(entry.connections()::accept)
                 .maxRequestLength(0)
                 .serviceUnder("/", entry)
                 .build();
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
@@ -27,6 +28,7 @@
 import io.mustardusher.spread.RouteSpread;
 import io.mustardusher.store.TableService;
 import io.mustardusher.time.Clock;
+import io.netty.channel.ChannelPipeline;
 
 /** A running node that is driven by routes on a platform of its users. It keeps no keys and changes no catalogue. */
 public final class RoutedNode {
@@ -110,7 +112,12 @@
      * @param service handles requests
      */
     public void listen(String host, int port, HttpService service) {
+        listen(host, port, service, pipeline -> {});
+    }
+
+    private void listen(String host, int port, HttpService service, Consumer<ChannelPipeline> connections) {
         listeners.add(Listeners.base(host, port, mesh.group())
+                .childChannelPipelineCustomizer(connections::accept)
                 .maxRequestLength(0)
                 .disableServerHeader()
                 .disableDateHeader()
@@ -122,7 +129,7 @@
     public void start() {
         String host = settings.getHost();
         mesh.listen();
-        listen(host, (int) settings.getPorts().getCaller(), entry);
+        listen(host, (int) settings.getPorts().getCaller(), entry, entry.connections());
         listen(
                 host,
                 (int) settings.getPorts().getGate(),
