--- a/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
@@ -31,11 +31,11 @@
     /** Longest wait for a slow server to be itself again, in nanoseconds: the time that a neighbour stays. */
     private static final long MAX_HOLD_NANOS = 150 * Clock.NANOS_PER_MILLI;
 
-    private static final double USUAL_PERCENT = 100;
+    private static final int USUAL_PERCENT = 100;
 
     private final Map<String, Double> usual = new HashMap<>();
     private double overall;
-    private int slownessPercent = (int) USUAL_PERCENT;
+    private int slownessPercent = USUAL_PERCENT;
     private long saidNanos = Long.MIN_VALUE / 2;
 
     /**
