Start without parts that a node on the platform does not use

Cause: the load times of classes showed what a start's processor time goes to: an HTTP client with TLS and name lookups that only the store's calls used (a quarter), reading flags that are not given (a seventh), a default log output that is thrown away at once (a tenth), and a server object for each of four listeners. After a loss of power every node pays this in full before it serves. Store connections now also end when the other side falls silent.

--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Directory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Directory.java
@@ -8,12 +8,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.Endpoint;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.SessionProtocol;
 import io.mustardusher.call.HeaderPacking;
+import io.mustardusher.call.OnFirstUse;
 import io.mustardusher.catalogue.ServiceName;
 import io.mustardusher.frame.Credential;
 import io.mustardusher.frame.Peers;
@@ -46,7 +48,7 @@
     private final DistanceSettings distances;
 
     /** Connections to other nodes. */
-    private final ClientFactory connections;
+    private final Supplier<ClientFactory> connections;
 
     /** Shared secret. */
     private final Credential credential;
@@ -74,7 +76,7 @@
      * @param members     the member table
      * @param gate        gate of this node
      * @param distances   distances of failure domains
-     * @param connections connections to other nodes
+     * @param connections connections to other nodes for what is streamed
      * @param credential  shared secret
      * @param clock       source of time
      */
@@ -82,7 +84,7 @@
             MemberTable members,
             Gate gate,
             DistanceSettings distances,
-            ClientFactory connections,
+            Supplier<ClientFactory> connections,
             Credential credential,
             Clock clock) {
         this.members = members;
@@ -195,9 +197,9 @@
             return new GateLink.ForLocal(gate);
         }
         Endpoint endpoint = Endpoint.of(member.getHost(), (int) member.getGatePort());
-        WebClient client = WebClient.builder(SessionProtocol.H2C, endpoint)
-                .factory(connections)
-                .build();
+        Supplier<WebClient> client = new OnFirstUse<>(() -> WebClient.builder(SessionProtocol.H2C, endpoint)
+                .factory(connections.get())
+                .build());
         GateLink streams = new GateLink.ForRemote(client, credential.authorization());
         if (frames == null) {
             return streams;
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeoutException;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -53,7 +54,7 @@
      * @param client        client of that node
      * @param authorization value of the authorization header
      */
-    record ForRemote(WebClient client, String authorization) implements GateLink {
+    record ForRemote(Supplier<WebClient> client, String authorization) implements GateLink {
 
         /** Time by which the gate's own word on a deadline may be later than the deadline, in nanoseconds. */
         private static final long GRACE_NANOS = 100_000_000L;
@@ -62,7 +63,7 @@
         public Exchange send(HttpRequest request, long leftNanos, CompletionStage<?> cancelled) {
             HttpRequest signed =
                     request.withHeaders(request.headers().toBuilder().set("authorization", authorization));
-            Exchange exchange = Exchange.send(client, signed, leftNanos + GRACE_NANOS);
+            Exchange exchange = Exchange.send(client.get(), signed, leftNanos + GRACE_NANOS);
             exchange.abortOn(cancelled);
             return exchange;
         }
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/SilentConnections.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/SilentConnections.java
@@ -29,7 +29,7 @@
      * @param bootstrap opens the connections
      * @param type      type of their channels
      */
-    static void limit(Bootstrap bootstrap, Class<? extends Channel> type) {
+    public static void limit(Bootstrap bootstrap, Class<? extends Channel> type) {
         if (type != EpollSocketChannel.class) {
             return;
         }
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NoDefaultOutput.java
@@ -0,0 +1,17 @@
+package io.mustardusher.log;
+
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.core.spi.ContextAwareBase;
+
+/**
+ * Keeps the logging library from looking for configuration files and from preparing an output of its own, which takes
+ * a tenth of a node's start; {@link LogOutput} says where events go.
+ */
+public final class NoDefaultOutput extends ContextAwareBase implements Configurator {
+
+    @Override
+    public ExecutionStatus configure(LoggerContext context) {
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+}
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Listeners.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Listeners.java
@@ -114,7 +114,7 @@
     }
 
     /**
-     * Returns what the listeners have in common.
+     * Returns what the listeners have in common, at an address.
      *
      * @param host  address to bind
      * @param port  port to bind
@@ -122,8 +122,17 @@
      * @return a builder
      */
     static ServerBuilder base(String host, int port, EventLoopGroup group) {
+        return base(group).http(new InetSocketAddress(host, port));
+    }
+
+    /**
+     * Returns what the listeners have in common.
+     *
+     * @param group event loops
+     * @return a builder without an address
+     */
+    static ServerBuilder base(EventLoopGroup group) {
         return Server.builder()
-                .http(new InetSocketAddress(host, port))
                 .workerGroup(group, false)
                 .meterRegistry(NoopMeterRegistry.get())
                 .requestTimeoutMillis(0)
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Mesh.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Mesh.java
@@ -21,6 +21,7 @@
 import com.linecorp.armeria.common.util.TransportType;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.admission.Stall;
+import io.mustardusher.call.OnFirstUse;
 import io.mustardusher.entry.Directory;
 import io.mustardusher.frame.Credential;
 import io.mustardusher.frame.FrameClient;
@@ -89,7 +90,7 @@
     private final EventLoopGroup group = EventLoopGroups.newEventLoopGroup(EVENT_LOOPS, "mushd", true);
     private final ScheduledExecutorService timers =
             Executors.newScheduledThreadPool(1, task -> daemon(task, "mushd-timers"));
-    private final ClientFactory connections = connections(group);
+    private final OnFirstUse<ClientFactory> connections = new OnFirstUse<>(() -> connections(group));
     private final Stall stall = new Stall(clock);
     private final FrameTraffic traffic = new FrameTraffic();
     private final Credential credential;
@@ -234,7 +235,7 @@
         timers.shutdownNow();
         frameServer.close();
         frames.close();
-        connections.close();
+        connections.ifMade(ClientFactory::close);
         group.shutdownGracefully();
     }
 
@@ -304,7 +305,7 @@
         return timers;
     }
 
-    ClientFactory connections() {
+    OnFirstUse<ClientFactory> connections() {
         return connections;
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
@@ -70,7 +70,7 @@
         this.settings = settings;
         mesh = new Mesh(
                 settings,
-                made -> ServerLink.ForStreams.factory(made.connections()),
+                made -> ServerLink.ForStreams.factory(made.connections().get()),
                 Admission::new,
                 SuspectTable.Rule.ISOLATE,
                 call -> "-");
@@ -127,8 +127,9 @@
     public void start() {
         mesh.listen();
         listeners.start();
-        LogOutput.withoutDecisions(() ->
-                new Warmup(mesh.group(), mesh.connections(), mesh.timers(), clock).run(settings.getWarmUpMillis()));
+        LogOutput.withoutDecisions(
+                () -> new Warmup(mesh.group(), mesh.connections().get(), mesh.timers(), clock)
+                        .run(settings.getWarmUpMillis()));
         warm = true;
         long gossip = settings.getGossipIntervalMillis();
         mesh.repeat(catalogue::tick, gossip, gossip);
@@ -265,7 +266,7 @@
      */
     private TableService table(NodeSettings settings) {
         WebClient client = WebClient.builder(settings.getPlatform().getUrl())
-                .factory(mesh.connections())
+                .factory(mesh.connections().get())
                 .responseTimeoutMillis(settings.getPlatform().getTimeoutMillis())
                 .build();
         return new HttpTableService(client);
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -1,13 +1,11 @@
 package io.mustardusher.node;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.CompletableFuture;
+import java.net.InetSocketAddress;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
 
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServerBuilder;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.entry.Directory;
@@ -28,7 +26,6 @@
 import io.mustardusher.spread.RouteSpread;
 import io.mustardusher.store.TableService;
 import io.mustardusher.time.Clock;
-import io.netty.channel.ChannelPipeline;
 
 /** A running node that is driven by routes on a platform of its users. It keeps no keys and changes no catalogue. */
 public final class RoutedNode {
@@ -52,7 +49,8 @@
     private final Clock clock;
     private final RouteSpread routes;
     private final Entry entry;
-    private final List<Server> listeners = new ArrayList<>();
+    private final ServerBuilder listeners;
+    private Server server;
     private volatile boolean stopping;
 
     /**
@@ -79,7 +77,7 @@
         clock = mesh.clock();
         mesh.gate().probeAt(service -> routes().current().healthPath(service), PROBES_PER_SECOND);
         routes = new RouteSpread(surroundings::decode, mesh.frames(), mesh.timers(), this::routesChanged);
-        TableService table = surroundings.table(mesh.connections());
+        TableService table = surroundings.table(mesh.group());
         mesh.join(routes, table);
         HeaderPacking packing = new HeaderPacking(surroundings.frequentHeaders());
         FramedGate gate = new FramedGate(mesh.gate(), packing, clock);
@@ -100,6 +98,11 @@
                 mesh.metrics());
         entry = new Entry(
                 router, null, surroundings.callers(routes::current), call -> {}, mesh.stall(), clock, mesh.metrics());
+        listeners = Listeners.base(mesh.group())
+                .childChannelPipelineCustomizer(entry.connections()::accept)
+                .maxRequestLength(0)
+                .disableServerHeader()
+                .disableDateHeader();
         mesh.metrics().gauge("routes.version", () -> routes::revision);
         mesh.metrics().gauge("entry.inside", () -> entry::inside);
     }
@@ -112,32 +115,23 @@
      * @param service handles requests
      */
     public void listen(String host, int port, HttpService service) {
-        listen(host, port, service, pipeline -> {});
-    }
-
-    private void listen(String host, int port, HttpService service, Consumer<ChannelPipeline> connections) {
-        listeners.add(Listeners.base(host, port, mesh.group())
-                .childChannelPipelineCustomizer(connections::accept)
-                .maxRequestLength(0)
-                .disableServerHeader()
-                .disableDateHeader()
-                .serviceUnder("/", service)
-                .build());
+        // One server for all listeners: each further one would take a twentieth of a node's start.
+        listeners.http(new InetSocketAddress(host, port)).virtualHost(port).serviceUnder("/", service);
     }
 
     /** Starts the node: listens, meets other nodes, and follows the operator's configuration. */
     public void start() {
         String host = settings.getHost();
         mesh.listen();
-        listen(host, (int) settings.getPorts().getCaller(), entry, entry.connections());
+        listen(host, (int) settings.getPorts().getCaller(), entry);
         listen(
                 host,
                 (int) settings.getPorts().getGate(),
                 Listeners.guard(
                         (context, request) -> mesh.gate().handle(request, context.whenRequestCancelling()),
                         mesh.credential()));
-        CompletableFuture<?>[] starts = listeners.stream().map(Server::start).toArray(CompletableFuture<?>[]::new);
-        CompletableFuture.allOf(starts).join();
+        server = listeners.build();
+        server.start().join();
         surroundings.watchRoutes(document -> routes.offer(document, "store"));
         mesh.measureStall();
         mesh.repeat(mesh.gate()::poll, POLL_MILLIS, POLL_MILLIS);
@@ -169,8 +163,7 @@
 
     /** Ends at once. */
     public void close() {
-        CompletableFuture<?>[] stops = listeners.stream().map(Server::stop).toArray(CompletableFuture<?>[]::new);
-        CompletableFuture.allOf(stops).join();
+        server.stop().join();
         mesh.close();
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Surroundings.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Surroundings.java
@@ -4,13 +4,13 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
-import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.common.RequestHeaders;
 import io.mustardusher.call.CallDialect;
 import io.mustardusher.generated.RouteDocument;
 import io.mustardusher.route.RouteTable;
 import io.mustardusher.server.ServerDialect;
 import io.mustardusher.store.TableService;
+import io.netty.channel.EventLoopGroup;
 import io.netty.util.AsciiString;
 
 /** What a platform brings to a node that is driven by routes: its store and its ways to speak. */
@@ -19,10 +19,10 @@
     /**
      * Opens the platform's store.
      *
-     * @param connections connections to use
+     * @param group event loops to use
      * @return the store
      */
-    TableService table(ClientFactory connections);
+    TableService table(EventLoopGroup group);
 
     /**
      * Follows the operator's configuration until the process ends.
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Warmup.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Warmup.java
@@ -111,7 +111,7 @@
         MemberTable members = new MemberTable(member("warm-entry", 0, null), clock, new Random());
         members.merge(List.of(member("warm-gate", gates.activeLocalPort(), SERVICE)));
         Directory directory =
-                new Directory(members, gate, new DistanceSettings(), connections, new Credential(SERVICE), clock);
+                new Directory(members, gate, new DistanceSettings(), () -> connections, new Credential(SERVICE), clock);
         directory.refresh();
         Router router =
                 new Router(directory, suspects, seen -> {}, RetryPolicies.ForRatio.INSTANCE, timers, clock, metrics);
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
@@ -36,6 +36,27 @@
      */
     Optional<ServerReading> reading(ResponseHeaders answer);
 
+    /** Services that are asked plainly and say nothing of their load. */
+    enum Plain implements ServerDialect {
+        /** The only instance. */
+        INSTANCE;
+
+        @Override
+        public RequestHeaders request(RequestHeadersBuilder call, String instance, long leftNanos) {
+            return call.build();
+        }
+
+        @Override
+        public Verdict judge(RequestHeaders sent, ResponseHeaders answer) {
+            return Verdict.ANSWER;
+        }
+
+        @Override
+        public Optional<ServerReading> reading(ResponseHeaders answer) {
+            return Optional.empty();
+        }
+    }
+
     /** What an answer means. */
     enum Verdict {
         /** The server ran the request, and this is its answer. */
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -23,7 +23,7 @@
     private RequestHeaders sent;
     private ServerConnection connection;
     private ScheduledFuture<?> timeout;
-    private boolean probe;
+    private boolean plain;
 
     ServerExchange(
             ServerDialect dialect, Consumer<ServerReading> readings, CompletableFuture<AggregatedHttpResponse> answer) {
@@ -32,11 +32,11 @@
         this.answer = answer;
     }
 
-    // Creates the exchange of a probe, whose answer is of use for its reading only.
-    static ServerExchange ofProbe(
+    // Creates an exchange whose request is sent and whose answer is taken as they are.
+    static ServerExchange ofPlain(
             ServerDialect dialect, Consumer<ServerReading> readings, CompletableFuture<AggregatedHttpResponse> answer) {
         ServerExchange exchange = new ServerExchange(dialect, readings, answer);
-        exchange.probe = true;
+        exchange.plain = true;
         return exchange;
     }
 
@@ -51,12 +51,12 @@
     // Writes the headers for the server and notes where they go.
     RequestHeaders sentOn(ServerConnection used, RequestHeaders call, String instance, long leftNanos) {
         connection = used;
-        sent = probe ? call : dialect.request(CallHeaders.forServer(call), instance, leftNanos);
+        sent = plain ? call : dialect.request(CallHeaders.forServer(call), instance, leftNanos);
         return sent;
     }
 
     ServerDialect.Verdict judge(ResponseHeaders head) {
-        ServerDialect.Verdict verdict = probe ? ServerDialect.Verdict.ANSWER : dialect.judge(sent, head);
+        ServerDialect.Verdict verdict = plain ? ServerDialect.Verdict.ANSWER : dialect.judge(sent, head);
         if (verdict != ServerDialect.Verdict.FOREIGN) {
             dialect.reading(head).ifPresent(readings);
         }
@@ -65,17 +65,17 @@
 
     void complete(ServerDialect.Verdict verdict, ResponseHeaders head, HttpData body) {
         switch (verdict) {
-            case ANSWER -> end(() -> answer.complete(AggregatedHttpResponse.of(
-                    head.toBuilder()
-                            .set(CallHeaders.OUTCOME, Outcome.RAN.token())
-                            .build(),
-                    body)));
+            case ANSWER -> end(() -> answer.complete(AggregatedHttpResponse.of(plain ? head : marked(head), body)));
             case NOT_RUN -> end(() -> answer.complete(AggregatedHttpResponse.of(
                     Problem.headers(ResultCode.SERVER_REFUSED).build())));
             default -> fail(ResultCode.CONNECTION_LOST, "the answer is spoiled");
         }
     }
 
+    private static ResponseHeaders marked(ResponseHeaders head) {
+        return head.toBuilder().set(CallHeaders.OUTCOME, Outcome.RAN.token()).build();
+    }
+
     void fail(ResultCode code, String detail) {
         end(() -> answer.completeExceptionally(new MustardusherException(code, detail)));
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/WholeAnswerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/WholeAnswerLink.java
@@ -15,6 +15,7 @@
 import com.linecorp.armeria.common.util.TransportType;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
+import io.mustardusher.frame.SilentConnections;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
 import io.netty.bootstrap.Bootstrap;
@@ -115,6 +116,39 @@
                 clock);
     }
 
+    /**
+     * Opens a link to a service that is no backend server.
+     *
+     * @param group   event loops
+     * @param address address of the service
+     * @param clock   source of time
+     * @return the link; only {@link #exchange} is of use on it
+     */
+    public static WholeAnswerLink toService(EventLoopGroup group, InetSocketAddress address, Clock clock) {
+        WholeAnswerLink link =
+                new WholeAnswerLink(group, address, null, ServerDialect.Plain.INSTANCE, reading -> {}, clock);
+        SilentConnections.limit(link.bootstrap, TransportType.socketChannelType(group));
+        return link;
+    }
+
+    /**
+     * Sends a request as it is.
+     *
+     * @param request    the request, with its authority
+     * @param leftNanos  time until the whole answer must be there, in nanoseconds
+     * @param repeatable whether it does no harm if it is carried out more than once
+     * @return the answer; fails with a {@link MustardusherException}, {@link ResultCode#SERVER_UNREACHABLE} if nothing
+     *     was sent
+     */
+    public CompletableFuture<AggregatedHttpResponse> exchange(
+            AggregatedHttpRequest request, long leftNanos, boolean repeatable) {
+        CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
+        ServerExchange exchange = ServerExchange.ofPlain(dialect, readings, answer);
+        long deadline = clock.nanoTime() + leftNanos;
+        loop.execute(() -> begin(exchange, request, deadline, repeatable));
+        return answer;
+    }
+
     @Override
     public Exchange send(HttpRequest call, long leftNanos) {
         CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
@@ -136,14 +170,10 @@
 
     @Override
     public CompletableFuture<Void> probe(String path) {
-        CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
         RequestHeaders headers = RequestHeaders.builder(HttpMethod.GET, path)
                 .authority(address.getHostString())
                 .build();
-        ServerExchange exchange = ServerExchange.ofProbe(dialect, readings, answer);
-        long deadline = clock.nanoTime() + PROBE_NANOS;
-        loop.execute(() -> begin(exchange, AggregatedHttpRequest.of(headers), deadline, true));
-        return answer.handle((done, failure) -> null);
+        return exchange(AggregatedHttpRequest.of(headers), PROBE_NANOS, true).handle((done, failure) -> null);
     }
 
     @Override
