Apply the operator's limits on headers and bodies

Cause: the limits of the manifest were read and not applied; the HTTP server's own bound of 16 KiB of headers held, which would refuse what an operator with a higher limit allows, and idle callers were cut off after 60 s whatever the limit. Change: the entry checks both limits before anything is sent on (431 and 413, not run); the listener reads 64 KiB of headers and keeps idle connections for 300 s. A header block that trickles in has no limit of time yet.

--- a/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
@@ -26,7 +26,7 @@
     KEY_REQUIRED(1006, 400, Outcome.NOT_RUN, "The service asks for an Idempotency-Key.", "Send a key (UUIDv7)."),
 
     /** The body is too large for a call with a key. */
-    BODY_TOO_LARGE(1007, 413, Outcome.NOT_RUN, "The body is too large for a call with a key.", "Send less than 1 MiB."),
+    BODY_TOO_LARGE(1007, 413, Outcome.NOT_RUN, "The body is too large.", "Send less than the detail says."),
 
     /** The chain of calls is too deep. */
     DEPTH_EXCEEDED(1008, 400, Outcome.NOT_RUN, "The chain of calls is too deep.", "Look for a loop between services."),
@@ -35,6 +35,8 @@
     REQUEST_MALFORMED(1009, 400, Outcome.NOT_RUN, "The request is malformed.", "Correct the request."),
 
     /** No backend server of the service takes calls. */
+    HEADERS_TOO_LARGE(1010, 431, Outcome.NOT_RUN, "The headers are too large.", "Send shorter headers."),
+
     NO_SERVER(2001, 503, Outcome.NOT_RUN, "No backend server takes calls.", "Come back after Retry-After."),
 
     /** The queue of the gate is full. */
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallDialect.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallDialect.java
@@ -7,6 +7,7 @@
 import io.mustardusher.catalogue.Catalogue;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
+import io.mustardusher.route.RequestLimits;
 
 /** How callers state a call, and how they are answered. */
 public interface CallDialect {
@@ -21,6 +22,13 @@
      */
     Call read(RequestHeaders headers, long now);
 
+    /**
+     * Returns the limits on what callers may send.
+     *
+     * @return the limits in force
+     */
+    RequestLimits limits();
+
     /**
      * Writes an answer in the callers' terms.
      *
@@ -46,6 +54,11 @@
             return Call.read(headers, present, now);
         }
 
+        @Override
+        public RequestLimits limits() {
+            return RequestLimits.NONE;
+        }
+
         @Override
         public HttpResponse write(RequestHeaders request, HttpResponse answer) {
             return answer;
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -192,6 +192,7 @@
         if (!idempotent && !keyed && call.entry().keyRequired()) {
             throw new MustardusherException(ResultCode.KEY_REQUIRED, "the service takes no such call without a key");
         }
+        CallLimits.check(request.headers(), dialect.limits());
         long length = request.isEmpty() ? 0 : request.headers().getLong("content-length", Long.MAX_VALUE);
         if (keyed) {
             return acceptKeyed(context, call, request, length);
@@ -235,7 +236,7 @@
      */
     private HttpResponse acceptKeyed(ServiceRequestContext context, Call call, HttpRequest request, long length) {
         if (length > KEYED_BYTES) {
-            throw new MustardusherException(ResultCode.BODY_TOO_LARGE, "a body of known length, at most 1 MiB");
+            throw new MustardusherException(ResultCode.BODY_TOO_LARGE, "send a body of known length, at most 1 MiB");
         }
         return HttpResponse.of(whole(context, call, request)
                 .thenCompose(body -> homes.route(call, body))
@@ -262,6 +263,7 @@
                         ? late
                         : new MustardusherException(ResultCode.REQUEST_MALFORMED, "the body was cut short");
             }
+            CallLimits.check(aggregated.content().length(), dialect.limits());
             return body(aggregated);
         });
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -42,6 +42,12 @@
     /** Most probes of a server in a second: half of what its operator allows. */
     private static final double PROBES_PER_SECOND = 30;
 
+    /** Largest header block that is read at all, in bytes; the operator's limit lies below and is told with 431. */
+    private static final int MAX_HEADER_BYTES = 64 << 10;
+
+    /** Time for which an idle connection is kept, in milliseconds: longer than callers trust one to be open. */
+    private static final long IDLE_MILLIS = 300_000;
+
     private final NodeSettings settings;
     private final Surroundings surroundings;
     private final RetryBounds bounds;
@@ -101,6 +107,8 @@
         listeners = Listeners.base(mesh.group())
                 .childChannelPipelineCustomizer(entry.connections()::accept)
                 .maxRequestLength(0)
+                .http1MaxHeaderSize(MAX_HEADER_BYTES)
+                .idleTimeoutMillis(IDLE_MILLIS)
                 .disableServerHeader()
                 .disableDateHeader();
         mesh.metrics().gauge("routes.version", () -> routes::revision);
