Ask the server beside a node for itself when the node starts

Cause: a node that starts anew beside a running server waits for the server's next announcement, which is up to 1.5 s away, and a drained or departed server was forgotten by a restart.

--- a/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceLedger.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceLedger.java
@@ -80,8 +80,8 @@
             current = new Sighting(instance, start, Long.MAX_VALUE, Sighting.Phase.GONE);
             return true;
         }
-        if (current == null && born.isPresent()) {
-            current = new Sighting(instance, born.get(), Long.MAX_VALUE, Sighting.Phase.GONE);
+        if (current == null) {
+            current = new Sighting(instance, born.orElse(0L), Long.MAX_VALUE, Sighting.Phase.GONE);
         }
         return false;
     }
--- a/mustardusher-core/src/test/java/io/mustardusher/instance/InstanceLedgerTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/instance/InstanceLedgerTest.java
@@ -54,6 +54,13 @@
         assertThat(ledger.offer(new Sighting("a", 100, 6, Phase.SERVING))).isFalse();
     }
 
+    @Test
+    void farewellBeforeAnyAnnouncementCounts() {
+        ledger.leave("a", Optional.empty());
+        assertThat(ledger.offer(new Sighting("a", 0, 6, Phase.SERVING))).isFalse();
+        assertThat(ledger.offer(new Sighting("b", 0, 1, Phase.SERVING))).isTrue();
+    }
+
     @Test
     void farewellOfAnEarlierStartLeavesTheLaterOne() {
         ledger.offer(new Sighting("a", 200, 1, Phase.SERVING));
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -56,7 +56,8 @@
     private final RouteSpread routes;
     private final Entry entry;
     private final ServerBuilder listeners;
-    private Server server;
+    private final ServerWatch server;
+    private Server httpServer;
     private volatile boolean stopping;
 
     /**
@@ -82,6 +83,7 @@
                 surroundings::callName);
         clock = mesh.clock();
         mesh.gate().probeAt(service -> routes().current().healthPath(service), PROBES_PER_SECOND);
+        server = new ServerWatch(clock, this::announced);
         routes = new RouteSpread(surroundings::decode, mesh.frames(), mesh.timers(), this::routesChanged);
         TableService table = surroundings.table(mesh.group());
         mesh.join(routes, table);
@@ -138,10 +140,18 @@
                 Listeners.guard(
                         (context, request) -> mesh.gate().handle(request, context.whenRequestCancelling()),
                         mesh.credential()));
-        server = listeners.build();
-        server.start().join();
+        httpServer = listeners.build();
+        httpServer.start().join();
         surroundings.watchRoutes(document -> routes.offer(document, "store"));
         mesh.measureStall();
+        Surroundings.Neighbour neighbour = surroundings.neighbour();
+        FirstLook look = new FirstLook(
+                neighbour,
+                surroundings.servers(),
+                service -> routes.current().healthPath(service),
+                WholeAnswerLink.toService(mesh.group(), neighbour.address(), clock),
+                server);
+        mesh.repeat(look::tick, 0, FirstLook.EVERY_MILLIS);
         mesh.repeat(mesh.gate()::poll, POLL_MILLIS, POLL_MILLIS);
         mesh.start();
         NodeLog.LOG.started(settings.getId(), settings.getFailureDomain());
@@ -171,7 +181,7 @@
 
     /** Ends at once. */
     public void close() {
-        server.stop().join();
+        httpServer.stop().join();
         mesh.close();
     }
 
@@ -185,11 +195,15 @@
     }
 
     /**
-     * Takes an announcement of the backend server beside the node. Work that it no longer takes is refused from now on.
+     * Returns the watch over the backend server beside the node, to be told of its announcements.
      *
-     * @param announced the announcement
+     * @return the watch
      */
-    public void announced(Announcement announced) {
+    public ServerWatch server() {
+        return server;
+    }
+
+    private void announced(Announcement announced) {
         if (MemberState.of(mesh.members().self()) == MemberState.ALIVE) {
             mesh.announced(announced, () -> mesh.gate().limits(QUEUE_PER_SLOT, 0));
         }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Surroundings.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Surroundings.java
@@ -1,5 +1,6 @@
 package io.mustardusher.node;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -54,6 +55,13 @@
      */
     ServerDialect servers();
 
+    /**
+     * Returns where the server beside the node is.
+     *
+     * @return its place, as settings tell
+     */
+    Neighbour neighbour();
+
     /**
      * Returns the names of headers that calls and answers often carry, to be shortened between nodes.
      *
@@ -68,4 +76,12 @@
      * @return the name
      */
     String callName(RequestHeaders call);
+
+    /**
+     * The place of the server beside a node.
+     *
+     * @param address its address
+     * @param service its service
+     */
+    record Neighbour(InetSocketAddress address, String service) {}
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
@@ -36,6 +36,14 @@
      */
     Optional<ServerReading> reading(ResponseHeaders answer);
 
+    /**
+     * Reads which start of the server has answered.
+     *
+     * @param answer headers of an answer to a question after its health
+     * @return name of the start, or empty if it does not tell
+     */
+    Optional<String> instance(ResponseHeaders answer);
+
     /** Services that are asked plainly and say nothing of their load. */
     enum Plain implements ServerDialect {
         /** The only instance. */
@@ -55,6 +63,11 @@
         public Optional<ServerReading> reading(ResponseHeaders answer) {
             return Optional.empty();
         }
+
+        @Override
+        public Optional<String> instance(ResponseHeaders answer) {
+            return Optional.empty();
+        }
     }
 
     /** What an answer means. */
--- a/mustardusher-node/src/test/java/io/mustardusher/server/GarbledAnswerTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/GarbledAnswerTest.java
@@ -207,6 +207,11 @@
             return sent.get("id").equals(answer.get("id")) ? Verdict.ANSWER : Verdict.FOREIGN;
         }
 
+        @Override
+        public Optional<String> instance(ResponseHeaders answer) {
+            return Optional.empty();
+        }
+
         @Override
         public Optional<ServerReading> reading(ResponseHeaders answer) {
             return Optional.empty();
