Count answers by route and result, and show metrics on the platform

Cause: on the platform a node had no address for its metrics, and none of them told how calls ended. Finding a result code by its number no longer writes each number anew for every answer. Not kept: callers would be served later to save bytes.

--- a/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
@@ -1,6 +1,10 @@
 package io.mustardusher.result;
 
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /** Numbered results of calls and of operators' requests. */
 public enum ResultCode {
@@ -129,6 +133,13 @@
     /** The settings are invalid. */
     SETTINGS_INVALID(4008, 400, Outcome.NOT_RUN, "The settings are invalid.", "Correct what the detail names.");
 
+    private static final Map<String, ResultCode> BY_NUMBER = Arrays.stream(values())
+            .collect(Collectors.toUnmodifiableMap(code -> Integer.toString(code.number), code -> code));
+
+    private static final Map<ResultCode, String> LABELS = Arrays.stream(values())
+            .collect(Collectors.toUnmodifiableMap(
+                    code -> code, code -> code.name().toLowerCase(Locale.ROOT)));
+
     /** Number of the code. */
     private final int number;
 
@@ -206,6 +217,15 @@
         return advice;
     }
 
+    /**
+     * Returns the name of the code in metrics.
+     *
+     * @return the name in lower case
+     */
+    public String label() {
+        return LABELS.get(this);
+    }
+
     /**
      * Finds a code by its number.
      *
@@ -213,11 +233,6 @@
      * @return the code, or empty for any other text
      */
     public static Optional<ResultCode> of(String text) {
-        for (ResultCode code : values()) {
-            if (Integer.toString(code.number).equals(text)) {
-                return Optional.of(code);
-            }
-        }
-        return Optional.empty();
+        return text == null ? Optional.empty() : Optional.ofNullable(BY_NUMBER.get(text));
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/admin/NodeResource.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/admin/NodeResource.java
@@ -1,7 +1,5 @@
 package io.mustardusher.admin;
 
-import java.io.IOException;
-import java.io.StringWriter;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -33,9 +31,6 @@
 import io.mustardusher.schema.Schema;
 import io.mustardusher.spread.CatalogueSpread;
 import io.mustardusher.time.Clock;
-import io.prometheus.client.CollectorRegistry;
-import io.prometheus.client.dropwizard.DropwizardExports;
-import io.prometheus.client.exporter.common.TextFormat;
 
 /** Health, metrics, members and servers as a node sees them, and the announcements of its backend server. */
 public final class NodeResource {
@@ -65,9 +60,6 @@
     private final ObjectMapper metricsMapper =
             new ObjectMapper().registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MICROSECONDS, false));
 
-    /** Metrics in the form of Prometheus. */
-    private final CollectorRegistry collectors = new CollectorRegistry();
-
     /**
      * Creates a resource.
      *
@@ -94,7 +86,6 @@
         this.ready = ready;
         this.announcements = announcements;
         this.clock = clock;
-        new DropwizardExports(metrics).register(collectors);
     }
 
     /**
@@ -105,7 +96,7 @@
     public void addTo(ServerBuilder server) {
         server.route().get("/health").build((context, request) -> HttpResponse.of("alive\n"));
         server.route().get("/ready").build((context, request) -> readiness());
-        server.route().get("/metrics").build((context, request) -> prometheus());
+        server.route().get("/metrics").build(new MetricsResource(metrics));
         server.route().get("/metrics.json").build((context, request) -> metricsJson());
         server.route().get("/v1/nodes").build((context, request) -> Json.of(members.members()));
         server.route().get("/v1/servers").build((context, request) -> servers());
@@ -124,21 +115,6 @@
         return HttpResponse.of(status, MediaType.JSON, Schema.write(body));
     }
 
-    /**
-     * Writes the metrics in the form of Prometheus.
-     *
-     * @return the answer
-     */
-    private HttpResponse prometheus() {
-        StringWriter text = new StringWriter();
-        try {
-            TextFormat.write004(text, collectors.metricFamilySamples());
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-        return HttpResponse.of(HttpStatus.OK, MediaType.parse(TextFormat.CONTENT_TYPE_004), text.toString());
-    }
-
     /**
      * Writes the metrics as JSON.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -42,6 +42,9 @@
     /** Refusals by the backend server itself. */
     private static final Set<ResultCode> REACHED = EnumSet.of(ResultCode.SERVER_REFUSED);
 
+    private static final String OK = "ok";
+    private static final String SERVER_ERROR = "server_error";
+
     /** The router. */
     private final Router router;
 
@@ -272,7 +275,7 @@
         boolean failure = headers.status().isServerError();
         server.ejection().ended(!failure, now);
         if (headers.getLong(HttpHeaderNames.CONTENT_LENGTH, Long.MAX_VALUE) > WHOLE_ANSWER_BYTES) {
-            answer.complete(new Reply(exchange.answer(forCaller(headers)), Outcome.RAN));
+            complete(new Reply(exchange.answer(forCaller(headers)), Outcome.RAN), failure);
             return;
         }
         NodeLog.DECISIONS.answered(
@@ -298,11 +301,12 @@
                 send();
                 return;
             }
-            complete(reply);
+            complete(reply, failure);
         });
     }
 
-    private void complete(Reply reply) {
+    private void complete(Reply reply, boolean failure) {
+        router.countAnswer(call.owner(), failure ? SERVER_ERROR : OK);
         if (failed != null && failed != reply) {
             failed.response().abort();
         }
@@ -371,11 +375,12 @@
      */
     private void refuse(ResultCode code, String detail) {
         if (failed != null) {
-            complete(failed);
+            complete(failed, true);
             return;
         }
         boolean proven = !mayHaveRun || code.outcome() != Outcome.NOT_RUN;
         ResultCode told = proven ? code : ResultCode.RETRY_REFUSED;
+        router.countAnswer(call.owner(), told.label());
         NodeLog.DECISIONS.notRouted(call.terms().id(), call.service().value(), told.number(), attempt, detail);
         answer.complete(new Reply(Problem.response(told, detail), told.outcome()));
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
@@ -47,6 +47,8 @@
     /** Runs timers. */
     private final ScheduledExecutorService timers;
 
+    private final MetricRegistry metrics;
+
     /** Fresh calls. */
     private final Meter calls;
 
@@ -78,6 +80,7 @@
         this.policies = policies;
         this.timers = timers;
         this.clock = clock;
+        this.metrics = metrics;
         this.calls = metrics.meter("entry.calls");
         this.resends = metrics.meter("entry.resends");
     }
@@ -138,6 +141,17 @@
         resends.mark();
     }
 
+    /**
+     * Counts an answer.
+     *
+     * @param route  name of its route
+     * @param result how it ended: {@code ok}, {@code server_error} or the name of a code
+     */
+    void countAnswer(String route, String result) {
+        metrics.counter("entry.answers." + route.replace('.', '_') + "." + result)
+                .inc();
+    }
+
     /**
      * Notes that a call was in flight in a crash.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -6,6 +6,7 @@
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
+import io.mustardusher.admin.MetricsResource;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.entry.Directory;
@@ -134,6 +135,7 @@
         String host = settings.getHost();
         mesh.listen();
         listen(host, (int) settings.getPorts().getCaller(), entry);
+        listen(host, (int) settings.getPorts().getAdmin(), new MetricsResource(mesh.metrics()));
         listen(
                 host,
                 (int) settings.getPorts().getGate(),
