Keep the shared allowance of retries when nodes start together

Cause: each node divided the allowance by the nodes that it knew at the moment. Change: SharedAllowance divides by the most nodes ever known, eight at least, and gives nothing in the first two seconds.

--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -8,6 +8,7 @@
 import com.linecorp.armeria.server.ServerBuilder;
 import io.mustardusher.admin.MetricsResource;
 import io.mustardusher.admission.Admission;
+import io.mustardusher.budget.SharedAllowance;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.entry.Directory;
 import io.mustardusher.entry.Entry;
@@ -101,7 +102,10 @@
                 mesh.directory(),
                 mesh.suspects(),
                 mesh.sightings(),
-                new RetryPolicies.ForWindow(clock, bounds.windowNanos(), this::retryAllowance),
+                new RetryPolicies.ForWindow(
+                        clock, bounds.windowNanos(), new SharedAllowance(clock, bounds.allowance(), () -> mesh.members()
+                                .members()
+                                .size())),
                 mesh.timers(),
                 clock,
                 mesh.metrics());
@@ -228,10 +232,6 @@
         mesh.directory().refresh();
     }
 
-    private double retryAllowance() {
-        return bounds.allowance() / Math.max(1, mesh.members().members().size());
-    }
-
     private static void pause(long millis) {
         try {
             Thread.sleep(millis);
