Do not take a gate that has started anew for one that never saw a call

Cause: an entry whose connection broke asks the gate what became of its call. A gate that had died with the call running and started anew at the same address answered that the call never came, and the entry sent it elsewhere: run twice. The same followed where the gate had forgotten the call: five seconds after its arrival, or at once beyond 600 calls. Change: the answer names the start of the gate's process, and the entry believes it only from the start that it sent to and for four seconds after sending, by the steady clock and by the time of day, as a suspended process does not see the first run. Gates remember calls by the time of their end, and of those beyond 600 answers still the number.

--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Directory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Directory.java
@@ -206,7 +206,13 @@
         }
         InetSocketAddress address = new InetSocketAddress(member.getHost(), (int) member.getFramePort());
         return new GateLink.ForFrames(
-                frames.peers(), address, frames.packing(), frames.numbers()::incrementAndGet, clock, streams);
+                frames.peers(),
+                address,
+                member.getBoot(),
+                frames.packing(),
+                frames.numbers()::incrementAndGet,
+                clock,
+                streams);
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
@@ -17,6 +17,7 @@
 import io.mustardusher.frame.FrameClient;
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.frame.Peers;
+import io.mustardusher.gate.FramedGate;
 import io.mustardusher.gate.Gate;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
@@ -74,6 +75,7 @@
      *
      * @param peers   other nodes
      * @param address frame address of the node
+     * @param boot    start of its process
      * @param packing packs headers
      * @param numbers numbers calls
      * @param clock   source of time
@@ -82,6 +84,7 @@
     record ForFrames(
             Peers peers,
             InetSocketAddress address,
+            long boot,
             HeaderPacking packing,
             LongSupplier numbers,
             Clock clock,
@@ -105,11 +108,12 @@
             }
             long call = numbers.getAsLong();
             long end = clock.nanoTime() + leftNanos + GRACE_MILLIS * Clock.NANOS_PER_MILLI;
+            Sent sent = new Sent(clock.nanoTime(), clock.epochMillis());
             CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
             request.aggregate().whenComplete((whole, failure) -> {
                 byte[] body = failure == null ? whole.content().array() : new byte[0];
                 CallMessage message = new CallMessage(call, packing.pack(request.headers()), body);
-                ask(FrameKind.CALL, message, end, answer);
+                ask(FrameKind.CALL, message, sent, end, answer);
             });
             Exchange exchange = Exchange.ofWhole(answer, () -> {
                 if (!answer.isDone()) {
@@ -122,7 +126,11 @@
         }
 
         private void ask(
-                FrameKind kind, CallMessage message, long end, CompletableFuture<AggregatedHttpResponse> answer) {
+                FrameKind kind,
+                CallMessage message,
+                Sent sent,
+                long end,
+                CompletableFuture<AggregatedHttpResponse> answer) {
             long left = (end - clock.nanoTime()) / Clock.NANOS_PER_MILLI;
             if (left <= 0) {
                 answer.completeExceptionally(new MustardusherException(ResultCode.DEADLINE_PASSED, "no answer"));
@@ -131,14 +139,14 @@
             CompletableFuture<CallMessage> reply = peers.ask(address, kind, message, left);
             reply.whenComplete((found, failure) -> {
                 if (failure == null) {
-                    answered(found, answer);
+                    answered(found, sent, answer);
                 } else if (kind == FrameKind.CALL && failure instanceof FrameClient.NotSentException) {
                     answer.completeExceptionally(
                             new MustardusherException(ResultCode.SERVER_UNREACHABLE, "cannot connect to the gate"));
                 } else if (failure instanceof TimeoutException) {
                     answer.completeExceptionally(new MustardusherException(ResultCode.DEADLINE_PASSED, "no answer"));
                 } else if (kind == FrameKind.CALL) {
-                    ask(FrameKind.RESUME, CallMessage.about(message.call()), end, answer);
+                    ask(FrameKind.RESUME, CallMessage.about(message.call()), sent, end, answer);
                 } else {
                     answer.completeExceptionally(
                             new MustardusherException(ResultCode.CONNECTION_LOST, "the gate is gone"));
@@ -146,13 +154,28 @@
             });
         }
 
-        private void answered(CallMessage found, CompletableFuture<AggregatedHttpResponse> answer) {
-            if (found.head() == null) {
+        private void answered(CallMessage found, Sent sent, CompletableFuture<AggregatedHttpResponse> answer) {
+            if (found.neverCameTo(boot) && sent.age(clock) < FramedGate.VOUCHED_NANOS) {
                 answer.completeExceptionally(
                         new MustardusherException(ResultCode.SERVER_UNREACHABLE, "the call never reached the gate"));
                 return;
             }
+            if (found.head() == null) {
+                answer.completeExceptionally(new MustardusherException(
+                        ResultCode.CONNECTION_LOST, "the gate has started anew or may have forgotten the call"));
+                return;
+            }
             answer.complete(AggregatedHttpResponse.of(packing.response(found.head()), HttpData.wrap(found.body())));
         }
+
+        // A process that was suspended does not see the time on its steady clock, one whose time was set back does not
+        // see it on the other; the longer of both counts.
+        private record Sent(long steadyNanos, long epochMillis) {
+
+            long age(Clock clock) {
+                long byDate = (clock.epochMillis() - epochMillis) * Clock.NANOS_PER_MILLI;
+                return Math.max(clock.nanoTime() - steadyNanos, byDate);
+            }
+        }
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/CallMessage.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/CallMessage.java
@@ -1,5 +1,7 @@
 package io.mustardusher.frame;
 
+import java.nio.ByteBuffer;
+
 /**
  * A call from an entry to a gate, its answer, or a question about a call. Not generated from a schema, because the
  * generator
@@ -22,4 +24,28 @@
     public static CallMessage about(long call) {
         return new CallMessage(call, null, NOTHING);
     }
+
+    /**
+     * Creates the answer about a call that a process has not seen and will not run.
+     *
+     * @param call number of the call
+     * @param boot start of the process
+     * @return the message
+     */
+    public static CallMessage neverCame(long call, long boot) {
+        return new CallMessage(
+                call, null, ByteBuffer.allocate(Long.BYTES).putLong(boot).array());
+    }
+
+    /**
+     * Tells whether this says that a start of a process has not seen the call. Another start knows nothing of it.
+     *
+     * @param boot start of the process
+     * @return {@code true} if it does
+     */
+    public boolean neverCameTo(long boot) {
+        return head == null
+                && body.length == Long.BYTES
+                && ByteBuffer.wrap(body).getLong() == boot;
+    }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameClient.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameClient.java
@@ -207,7 +207,12 @@
 
         private static final long serialVersionUID = 1L;
 
-        NotSentException(Throwable cause) {
+        /**
+         * Creates a failure.
+         *
+         * @param cause why nothing was sent
+         */
+        public NotSentException(Throwable cause) {
             super(cause);
         }
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
@@ -1,6 +1,9 @@
 package io.mustardusher.gate;
 
-import java.util.LinkedHashMap;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
@@ -9,9 +12,11 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.call.Problem;
 import io.mustardusher.frame.CallMessage;
+import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
 
 /**
@@ -23,29 +28,40 @@
 public final class FramedGate {
 
     /**
-     * Time for which an ended or refused call is remembered, in nanoseconds: longer than an entry waits for an
-     * answer.
+     * Time for which a call is remembered after its end, in nanoseconds; an entry believes that a call never came only
+     * if it was sent less than {@link #VOUCHED_NANOS} ago.
      */
     private static final long REMEMBERED_NANOS = 5_000 * Clock.NANOS_PER_MILLI;
 
-    /** Ended calls remembered at most; the memory for their answers is bounded by it. */
-    private static final int REMEMBERED = 600;
+    /** Time after sending for which a gate is sure to remember a call, in nanoseconds, with a second for the way. */
+    public static final long VOUCHED_NANOS = REMEMBERED_NANOS - 1_000 * Clock.NANOS_PER_MILLI;
+
+    /** Answers kept at most; of further ended calls only the number is remembered. */
+    private static final int ANSWERS = 600;
 
     private final Gate gate;
     private final HeaderPacking packing;
+    private final long boot;
     private final Clock clock;
-    private final Map<Long, Remembered> calls = new LinkedHashMap<>();
+    private final Map<Long, Remembered> calls = new HashMap<>();
+
+    /** Ended calls in the order of their ends: those without their answers before those with them. */
+    private final Deque<Remembered> bare = new ArrayDeque<>();
+
+    private final Deque<Remembered> answered = new ArrayDeque<>();
 
     /**
      * Creates a framed gate.
      *
      * @param gate    the gate
      * @param packing packs headers
+     * @param boot    start of this process
      * @param clock   source of time
      */
-    public FramedGate(Gate gate, HeaderPacking packing, Clock clock) {
+    public FramedGate(Gate gate, HeaderPacking packing, long boot, Clock clock) {
         this.gate = gate;
         this.packing = packing;
+        this.boot = boot;
         this.clock = clock;
     }
 
@@ -63,7 +79,7 @@
             if (known != null) {
                 return known.answer;
             }
-            fresh = new Remembered(clock.nanoTime());
+            fresh = new Remembered(message.call());
             calls.put(message.call(), fresh);
         }
         RequestHeaders headers = packing.request(message.head());
@@ -73,7 +89,7 @@
                     ? whole
                     : Problem.response(failure).aggregate().join();
             byte[] body = answer.content().array();
-            fresh.answer.complete(new CallMessage(message.call(), packing.pack(answer.headers()), body));
+            end(fresh, new CallMessage(message.call(), packing.pack(answer.headers()), body));
         });
         return fresh.answer;
     }
@@ -84,8 +100,19 @@
      * @param question names the call
      * @return the answer of the call; without headers if it has not run and never will
      */
-    public synchronized CompletableFuture<CallMessage> resume(CallMessage question) {
-        return calls.computeIfAbsent(question.call(), call -> Remembered.refused(call, clock.nanoTime())).answer;
+    public CompletableFuture<CallMessage> resume(CallMessage question) {
+        Remembered fresh;
+        synchronized (this) {
+            forget();
+            Remembered known = calls.get(question.call());
+            if (known != null) {
+                return known.answer;
+            }
+            fresh = new Remembered(question.call());
+            calls.put(question.call(), fresh);
+        }
+        end(fresh, CallMessage.neverCame(question.call(), boot));
+        return fresh.answer;
     }
 
     /**
@@ -105,27 +132,43 @@
         return CompletableFuture.completedFuture(message);
     }
 
+    private void end(Remembered call, CallMessage answer) {
+        synchronized (this) {
+            call.endedNanos = clock.nanoTime();
+            answered.addLast(call);
+            if (answered.size() > ANSWERS) {
+                Remembered oldest = answered.removeFirst();
+                oldest.answer = CompletableFuture.completedFuture(answerGone(oldest.number));
+                bare.addLast(oldest);
+            }
+        }
+        // Outside the lock: whoever waits for the answer runs now.
+        call.answer.complete(answer);
+    }
+
+    private CallMessage answerGone(long call) {
+        ResponseHeaders lost = Problem.headers(ResultCode.CONNECTION_LOST).build();
+        return new CallMessage(call, packing.pack(lost), new byte[0]);
+    }
+
     private void forget() {
         long now = clock.nanoTime();
-        calls.values()
-                .removeIf(known -> known.answer.isDone()
-                        && (now - known.sinceNanos > REMEMBERED_NANOS || calls.size() > REMEMBERED));
+        for (Deque<Remembered> ended : List.of(bare, answered)) {
+            while (!ended.isEmpty() && now - ended.peekFirst().endedNanos > REMEMBERED_NANOS) {
+                calls.remove(ended.removeFirst().number);
+            }
+        }
     }
 
     private static final class Remembered {
 
-        private final long sinceNanos;
-        private final CompletableFuture<CallMessage> answer = new CompletableFuture<>();
+        private final long number;
         private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
+        private volatile CompletableFuture<CallMessage> answer = new CompletableFuture<>();
+        private long endedNanos;
 
-        Remembered(long sinceNanos) {
-            this.sinceNanos = sinceNanos;
-        }
-
-        static Remembered refused(long call, long now) {
-            Remembered refused = new Remembered(now);
-            refused.answer.complete(CallMessage.about(call));
-            return refused;
+        Remembered(long number) {
+            this.number = number;
         }
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -90,7 +90,8 @@
         TableService table = surroundings.table(mesh.group());
         mesh.join(routes, table);
         HeaderPacking packing = new HeaderPacking(surroundings.frequentHeaders());
-        FramedGate gate = new FramedGate(mesh.gate(), packing, clock);
+        FramedGate gate =
+                new FramedGate(mesh.gate(), packing, mesh.members().self().getBoot(), clock);
         mesh.frameServer().on(FrameKind.CALL, (CallMessage call) -> gate.call(call));
         mesh.frameServer().on(FrameKind.RESUME, (CallMessage question) -> gate.resume(question));
         mesh.frameServer().on(FrameKind.CANCEL, (CallMessage call) -> gate.cancel(call));
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/FramedGateTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/FramedGateTest.java
@@ -65,7 +65,7 @@
                 .withSlots(1)
                 .withState(Announcement.State.SERVING));
         gate.limits(1, 0);
-        framed = new FramedGate(gate, packing, clock);
+        framed = new FramedGate(gate, packing, 1, clock);
     }
 
     @AfterEach
