Let a slow server take a call when no other is left

A gate was told that others could take the call by the number of servers known, which counts those that are away, and the node itself. Calls made by running requests failed so, and with them the requests (500). Change: others are servers that take calls now; when none is left, the call goes back to those that were slow and one of them has to take it. Transfer no longer guesses the last one from the number of the send.

--- a/mustardusher-core/src/main/java/io/mustardusher/routing/Exclusion.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/Exclusion.java
@@ -23,6 +23,20 @@
         }
     }
 
+    /**
+     * Lets a server be tried again.
+     *
+     * @param server the server
+     */
+    public void remove(ServerLoad server) {
+        for (int i = 0; i < size; i++) {
+            if (tried[i] == server) {
+                tried[i] = tried[--size];
+                return;
+            }
+        }
+    }
+
     /**
      * Adds the servers that another call has tried.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
@@ -58,6 +58,21 @@
         return servers[index];
     }
 
+    /**
+     * Tells whether there is a server that takes calls.
+     *
+     * @param exclusion servers to leave out
+     * @return {@code true} if there is one besides those
+     */
+    public boolean hasServing(Exclusion exclusion) {
+        for (ServerLoad server : servers) {
+            if (server.isServing() && !exclusion.contains(server)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Takes a turn.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/Transfer.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/Transfer.java
@@ -42,14 +42,13 @@
     }
 
     /**
-     * Tells whether a gate may send a call on to another one. The last server that is left has to take it.
+     * Tells whether a gate may send a call on to another one.
      *
      * @param attempt number of the send, from 1
-     * @param servers servers of the service
      * @return {@code true} if it may
      */
-    public boolean mayMove(int attempt, int servers) {
-        return attempt <= MOVES && attempt < servers && isLight();
+    public boolean mayMove(int attempt) {
+        return attempt <= MOVES && isLight();
     }
 
     /**
--- a/mustardusher-core/src/test/java/io/mustardusher/routing/TransferTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/routing/TransferTest.java
@@ -23,17 +23,10 @@
         assertThat(transfer.cost()).isGreaterThan(small);
     }
 
-    /** Three servers that are all slow once refused a call one after the other, and none was left to hold it. */
-    @Test
-    void lastServerHasToTakeTheCall() {
-        assertThat(transfer.mayMove(2, 3)).isTrue();
-        assertThat(transfer.mayMove(3, 3)).isFalse();
-        assertThat(transfer.mayMove(1, 1)).isFalse();
-    }
-
     @Test
     void callIsNotSentOnForEver() {
-        assertThat(transfer.mayMove(4, 100)).isFalse();
+        assertThat(transfer.mayMove(3)).isTrue();
+        assertThat(transfer.mayMove(4)).isFalse();
     }
 
     @Test
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -1,6 +1,8 @@
 package io.mustardusher.entry;
 
+import java.util.ArrayList;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -69,6 +71,12 @@
     /** Servers tried. */
     private final Exclusion exclusion = new Exclusion();
 
+    /** Servers whose gates sent the call on because others may be faster. */
+    private final List<ServerLoad> slow = new ArrayList<>(2);
+
+    /** Whether the next gate has to take the call. */
+    private boolean settled;
+
     /** The answer. */
     private final CompletableFuture<Reply> answer = new CompletableFuture<>();
 
@@ -170,6 +178,12 @@
         }
         long now = router.clock().nanoTime();
         ServerPool pool = router.directory().pool(call.service());
+        if (!pool.hasServing(exclusion) && !slow.isEmpty()) {
+            // All that are left are slow at the moment, and one of them has to take the call.
+            settled = true;
+            slow.forEach(exclusion::remove);
+            slow.clear();
+        }
         ServerLoad server =
                 call.entry().policy().choose(pool, exclusion, ThreadLocalRandom.current(), now, transfer.cost());
         Optional<GateLink> link =
@@ -213,8 +227,8 @@
         long target = call.terms().targetNanos();
         if (target != Long.MAX_VALUE) {
             headers.set(CallHeaders.TARGET, Timeout.format(begunNanos + target - now));
-            int servers = router.directory().pool(call.service()).size();
-            if (body.isReplayable() && transfer.mayMove(attempt, servers)) {
+            boolean others = router.directory().pool(call.service()).hasServing(exclusion);
+            if (others && !settled && body.isReplayable() && transfer.mayMove(attempt)) {
                 headers.set(CallHeaders.MOVABLE, "1");
             }
         }
@@ -247,6 +261,9 @@
         if (code == ResultCode.SERVER_CRASHED) {
             router.suspect(fingerprint, headers.getLong(CallHeaders.CRASH, 0));
         }
+        if (code == ResultCode.SLOWER_THAN_TARGET) {
+            slow.add(server);
+        }
         exchange.discard();
         retryOrRefuse(code, "after " + attempt + " sends", now);
     }
--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/RoutedCallTest.java
@@ -0,0 +1,184 @@
+package io.mustardusher.entry;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+
+import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.Call;
+import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.CallTerms;
+import io.mustardusher.call.HeaderPacking;
+import io.mustardusher.call.Problem;
+import io.mustardusher.catalogue.CatalogueEntry;
+import io.mustardusher.catalogue.Idempotence;
+import io.mustardusher.catalogue.ServiceClass;
+import io.mustardusher.catalogue.ServiceName;
+import io.mustardusher.frame.CallMessage;
+import io.mustardusher.frame.Credential;
+import io.mustardusher.frame.FrameKind;
+import io.mustardusher.frame.Peers;
+import io.mustardusher.generated.DistanceSettings;
+import io.mustardusher.generated.MemberRecord;
+import io.mustardusher.health.SuspectTable;
+import io.mustardusher.membership.MemberState;
+import io.mustardusher.membership.MemberTable;
+import io.mustardusher.result.Outcome;
+import io.mustardusher.result.ResultCode;
+import io.mustardusher.routing.RoutingPolicy;
+import io.mustardusher.time.Clock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Pattern of load: all servers of a service are slow for a moment, and some of them are away. */
+class RoutedCallTest {
+
+    private static final ServiceName SERVICE = ServiceName.of("s");
+    private static final long SECOND = 1_000 * Clock.NANOS_PER_MILLI;
+
+    private final Clock.Manual clock = new Clock.Manual();
+    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+    private final HeaderPacking packing = new HeaderPacking(List.of());
+    private final MemberTable members = new MemberTable(member(0, false), clock, new Random(1));
+    private final SlowGates gates = new SlowGates();
+
+    @AfterEach
+    void close() {
+        timers.shutdownNow();
+    }
+
+    @Test
+    void lastServerHasToTakeTheCall() {
+        assertThat(call(true, true, true)).isEqualTo(Outcome.RAN);
+        assertThat(gates.movable).containsExactly(true, true, false).inOrder();
+    }
+
+    @Test
+    void serversThatAreAwayAreNotCountedOn() {
+        assertThat(call(true, false, false)).isEqualTo(Outcome.RAN);
+        assertThat(gates.movable).containsExactly(false);
+    }
+
+    @Test
+    void slowServerTakesTheCallWhenTheLastOneLeaves() {
+        gates.leaving = 3;
+
+        assertThat(call(true, true, true)).isEqualTo(Outcome.RAN);
+        assertThat(gates.movable).containsExactly(true, true, false, false).inOrder();
+    }
+
+    private Outcome call(boolean... serving) {
+        members.merge(IntStream.range(0, serving.length)
+                .mapToObj(i -> member(i + 1, serving[i]))
+                .toList());
+        Directory directory = new Directory(
+                members,
+                null,
+                new DistanceSettings(),
+                () -> {
+                    throw new AssertionError("nothing is streamed");
+                },
+                new Credential("secret"),
+                clock);
+        directory.useFrames(new Directory.Frames(gates, packing, new AtomicLong()));
+        directory.refresh();
+        Router router = new Router(
+                directory,
+                new SuspectTable(clock),
+                seen -> {},
+                new RetryPolicies.ForWindow(clock, SECOND, () -> 0),
+                timers,
+                clock,
+                new MetricRegistry());
+        CompletableFuture<Void> staying = new CompletableFuture<>();
+        AggregatedHttpResponse answer = router.route(call(), CallBody.Whole.EMPTY, true, staying)
+                .aggregate()
+                .join();
+        return Outcome.of(answer.headers().get(CallHeaders.OUTCOME)).orElseThrow();
+    }
+
+    private Call call() {
+        CatalogueEntry entry = new CatalogueEntry(
+                SERVICE,
+                "route",
+                ServiceClass.STANDARD,
+                RoutingPolicy.LEAST_COST,
+                Idempotence.ALWAYS,
+                1_000,
+                0,
+                0,
+                0,
+                0,
+                0,
+                0,
+                false);
+        RequestHeaders headers = RequestHeaders.of(HttpMethod.GET, "/");
+        return new Call(
+                entry,
+                headers,
+                "route",
+                ServiceClass.STANDARD,
+                clock.nanoTime() + SECOND,
+                Optional.empty(),
+                0,
+                false,
+                new CallTerms("call", 2, SECOND / 2));
+    }
+
+    private static MemberRecord member(int number, boolean serving) {
+        return new MemberRecord()
+                .withId("node-" + number)
+                .withBoot(1L)
+                .withIncarnation(1)
+                .withState(MemberState.ALIVE.token())
+                .withHost("127.0.0.1")
+                .withFramePort(number + 1)
+                .withGatePort(number + 1)
+                .withRegion("r")
+                .withDomain("d")
+                .withService(SERVICE.value())
+                .withSlots(4)
+                .withServing(serving);
+    }
+
+    /** Gates that send every call on that they may send on. */
+    private final class SlowGates implements Peers {
+
+        private final List<Boolean> movable = new ArrayList<>();
+        private int leaving;
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public <A> CompletableFuture<A> ask(
+                InetSocketAddress address, FrameKind kind, Object question, long timeoutMillis) {
+            CallMessage call = (CallMessage) question;
+            boolean moves = packing.request(call.head()).contains(CallHeaders.MOVABLE);
+            movable.add(moves);
+            ResponseHeaders answer;
+            if (movable.size() == leaving) {
+                answer = Problem.headers(ResultCode.DRAINING).build();
+            } else if (moves) {
+                answer = Problem.headers(ResultCode.SLOWER_THAN_TARGET).build();
+            } else {
+                answer = ResponseHeaders.builder(200)
+                        .set(CallHeaders.OUTCOME, Outcome.RAN.token())
+                        .build();
+            }
+            return (CompletableFuture<A>)
+                    CompletableFuture.completedFuture(new CallMessage(call.call(), packing.pack(answer), new byte[0]));
+        }
+    }
+}
