Trace calls and sum up failures from the logs of nodes

Cause: on-call had to search the logs of all nodes by hand, and where a server gave no answer no line told why: the gate's reason was lost on its way to the entry. Change: musherctl trace joins the lines of one call and names the cause; musherctl summary counts ends and refusals and plots failures by second. MUSH2006 tells what a gate saw.

--- a/mustardusher-core/src/test/java/io/mustardusher/health/SuspectTableTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/health/SuspectTableTest.java
@@ -39,4 +39,23 @@
         clock.advanceMillis(SuspectTable.FORGET_NANOS / Clock.NANOS_PER_MILLI + 1);
         assertThat(table.judge(1)).isEqualTo(SuspectTable.Judgement.RUN);
     }
+
+    @Test
+    void whereCallsRepeatOnlyTheThirdCrashCounts() {
+        SuspectTable counting = new SuspectTable(clock, SuspectTable.Rule.COUNT);
+        counting.add(1, 100);
+        counting.add(1, 200);
+        assertThat(counting.judge(1)).isEqualTo(SuspectTable.Judgement.RUN);
+        counting.add(1, 300);
+        assertThat(counting.judge(1)).isEqualTo(SuspectTable.Judgement.REFUSE);
+    }
+
+    @Test
+    void crashThatSeveralNodesReportCountsOnce() {
+        SuspectTable counting = new SuspectTable(clock, SuspectTable.Rule.COUNT);
+        for (int report = 0; report < 5; report++) {
+            counting.add(1, 100);
+        }
+        assertThat(counting.judge(1)).isEqualTo(SuspectTable.Judgement.RUN);
+    }
 }
--- a/mustardusher-ctl/src/main/java/io/mustardusher/ctl/MusherCtl.java
+++ b/mustardusher-ctl/src/main/java/io/mustardusher/ctl/MusherCtl.java
@@ -1,6 +1,7 @@
 package io.mustardusher.ctl;
 
 import java.io.PrintWriter;
+import java.nio.file.Path;
 import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -24,7 +25,9 @@
             "  musherctl catalogue list",
             "  musherctl catalogue put clipserve.jsonc",
             "  musherctl catalogue status 0190f7a2-...",
-            "  musherctl explain clipserve --output json"
+            "  musherctl explain clipserve --output json",
+            "  musherctl trace 9c41d07be2a35f68 logs/*.log",
+            "  musherctl summary logs/*.log"
         },
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {
@@ -130,6 +133,39 @@
         return show(answer, output == Output.TABLE ? "servers" : "", serverColumns());
     }
 
+    /**
+     * Joins what the logs of several nodes tell of one call.
+     *
+     * @param call  name of the call
+     * @param files log files
+     * @return the exit code
+     */
+    @Command(name = "trace", description = "Shows what the logs of nodes tell of one call, and why it ended so.")
+    int trace(
+            @Parameters(index = "0", paramLabel = "CALL", description = "Name of the call, as its caller stated it.")
+                    String call,
+            @Parameters(index = "1..*", arity = "1..*", paramLabel = "FILE", description = "Log of a node.")
+                    List<Path> files) {
+        Trace trace = Trace.of(call, LogLine.read(files));
+        for (LogLine line : trace.lines()) {
+            out().printf("%s  %-24s  MUSH%04d  %s%n", line.time(), line.node(), line.event(), line.text());
+        }
+        out().println("cause: " + trace.cause());
+        return trace.lines().isEmpty() ? ExitStatus.REFUSED : ExitStatus.OK;
+    }
+
+    /**
+     * Counts over the logs of several nodes.
+     *
+     * @param files log files
+     * @return the exit code
+     */
+    @Command(name = "summary", description = "Counts how calls ended in the logs of nodes, and why.")
+    int summary(@Parameters(arity = "1..*", paramLabel = "FILE", description = "Log of a node.") List<Path> files) {
+        new LogSummary(LogLine.read(files)).print(out());
+        return ExitStatus.OK;
+    }
+
     /**
      * Returns the interface to the nodes.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -265,7 +265,7 @@
             slow.add(server);
         }
         exchange.discard();
-        retryOrRefuse(code, "after " + attempt + " sends", now);
+        retryOrRefuse(code, code.title(), now);
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
@@ -168,6 +168,7 @@
     private void failed(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         MustardusherException coded = (MustardusherException) cause;
+        gate.noteLost(request.headers(), dispatchedNanos, coded);
         if (coded.code() == ResultCode.CONNECTION_LOST
                 && !cancelled.toCompletableFuture().isDone()) {
             gate.crashes().lost(ticket).thenAccept(crash -> lost(coded, crash));
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -24,6 +24,7 @@
 import io.mustardusher.generated.Announcement;
 import io.mustardusher.health.SuspectTable;
 import io.mustardusher.log.NodeLog;
+import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.routing.LoadReport;
 import io.mustardusher.server.ServerLink;
@@ -319,6 +320,22 @@
         return Problem.response(code, "refused by the gate", load.toHeader());
     }
 
+    /**
+     * Notes that a call that was sent to the server has no answer of it.
+     *
+     * @param call            its headers
+     * @param dispatchedNanos time at which it was sent, in nanoseconds
+     * @param failure         why
+     */
+    void noteLost(RequestHeaders call, long dispatchedNanos, MustardusherException failure) {
+        NodeLog.DECISIONS.serverLost(
+                callNames.apply(call),
+                call.get(CallHeaders.SERVICE, ""),
+                failure.code().number(),
+                (clock.nanoTime() - dispatchedNanos) / Clock.NANOS_PER_MILLI,
+                failure.getMessage());
+    }
+
     /**
      * Returns the source of time.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -207,6 +207,19 @@
     @Message(id = 2003, value = "call %s: gate of %s refuses with %d; busy %d, queued %d, limit %d")
     void gateRefused(String call, String service, int code, int busy, int queued, int limit);
 
+    /**
+     * A call that was sent to the backend server has no answer of it.
+     *
+     * @param call    its name
+     * @param service its service
+     * @param code    number of the result code
+     * @param millis  time since it was sent, in milliseconds
+     * @param detail  what was seen
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 2006, value = "call %s: server of %s gave no answer, code %d after %d ms: %s")
+    void serverLost(String call, String service, int code, long millis, String detail);
+
     /**
      * The settings were read again.
      *
