Collect requests and answers on the event loop

Change: FramedGate, the frames of an entry and the link to servers name the event loop; the simulation names one that runs everything at once. A gate that cannot collect an answer says that the outcome is unknown, without waiting on the loop.

--- a/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
@@ -38,9 +38,10 @@
     /** The request is malformed. */
     REQUEST_MALFORMED(1009, 400, Outcome.NOT_RUN, "The request is malformed.", "Correct the request."),
 
-    /** No backend server of the service takes calls. */
+    /** The header block exceeds the operator's limit. */
     HEADERS_TOO_LARGE(1010, 431, Outcome.NOT_RUN, "The headers are too large.", "Send shorter headers."),
 
+    /** No backend server of the service takes calls. */
     NO_SERVER(2001, 503, Outcome.NOT_RUN, "No backend server takes calls.", "Come back after Retry-After."),
 
     /** The queue of the gate is full. */
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Directory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Directory.java
@@ -29,6 +29,7 @@
 import io.mustardusher.routing.ServerLoad;
 import io.mustardusher.routing.ServerPool;
 import io.mustardusher.time.Clock;
+import io.netty.util.concurrent.EventExecutor;
 
 /**
  * The backend servers of each service, as the member table tells, and the ways to their gates. It is made anew when the
@@ -211,6 +212,7 @@
                 member.getBoot(),
                 frames.packing(),
                 frames.numbers()::incrementAndGet,
+                frames.loop(),
                 clock,
                 streams);
     }
@@ -250,6 +252,7 @@
      * @param peers   other nodes
      * @param packing packs headers
      * @param numbers numbers calls; starts anywhere, so that those of two entries differ
+     * @param loop    collects requests
      */
-    public record Frames(Peers peers, HeaderPacking packing, AtomicLong numbers) {}
+    public record Frames(Peers peers, HeaderPacking packing, AtomicLong numbers, EventExecutor loop) {}
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
@@ -22,6 +22,7 @@
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
+import io.netty.util.concurrent.EventExecutor;
 
 /** Way from an entry to a gate. */
 interface GateLink {
@@ -78,6 +79,7 @@
      * @param boot    start of its process
      * @param packing packs headers
      * @param numbers numbers calls
+     * @param loop    collects requests
      * @param clock   source of time
      * @param large   way for what does not fit into a frame
      */
@@ -87,6 +89,7 @@
             long boot,
             HeaderPacking packing,
             LongSupplier numbers,
+            EventExecutor loop,
             Clock clock,
             GateLink large)
             implements GateLink {
@@ -110,7 +113,7 @@
             long end = clock.nanoTime() + leftNanos + GRACE_MILLIS * Clock.NANOS_PER_MILLI;
             Sent sent = new Sent(clock.nanoTime(), clock.epochMillis());
             CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
-            request.aggregate().whenComplete((whole, failure) -> {
+            request.aggregate(loop).whenComplete((whole, failure) -> {
                 byte[] body = failure == null ? whole.content().array() : new byte[0];
                 CallMessage message = new CallMessage(call, packing.pack(request.headers()), body);
                 ask(FrameKind.CALL, message, sent, end, answer);
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
-import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
@@ -18,12 +17,13 @@
 import io.mustardusher.frame.CallMessage;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
+import io.netty.util.concurrent.EventExecutor;
 
 /**
  * The gate as other nodes reach it by frames. It remembers calls for a while after their end, so that an entry whose
  * connection broke can ask for the answer; and what it is asked about but does not know, it never runs. Not run and
- * answered are
- * thus the only two outcomes as long as both nodes live.
+ * answered are thus
+ * the only two outcomes as long as both nodes live.
  */
 public final class FramedGate {
 
@@ -42,6 +42,7 @@
     private final Gate gate;
     private final HeaderPacking packing;
     private final long boot;
+    private final EventExecutor loop;
     private final Clock clock;
     private final Map<Long, Remembered> calls = new HashMap<>();
 
@@ -56,12 +57,14 @@
      * @param gate    the gate
      * @param packing packs headers
      * @param boot    start of this process
+     * @param loop    collects answers; the one that frames come on, so that no step waits for another thread
      * @param clock   source of time
      */
-    public FramedGate(Gate gate, HeaderPacking packing, long boot, Clock clock) {
+    public FramedGate(Gate gate, HeaderPacking packing, long boot, EventExecutor loop, Clock clock) {
         this.gate = gate;
         this.packing = packing;
         this.boot = boot;
+        this.loop = loop;
         this.clock = clock;
     }
 
@@ -84,12 +87,14 @@
         }
         RequestHeaders headers = packing.request(message.head());
         HttpResponse response = gate.handle(HttpRequest.of(headers, HttpData.wrap(message.body())), fresh.cancelled);
-        response.aggregate().whenComplete((whole, failure) -> {
-            AggregatedHttpResponse answer = failure == null
-                    ? whole
-                    : Problem.response(failure).aggregate().join();
-            byte[] body = answer.content().array();
-            end(fresh, new CallMessage(message.call(), packing.pack(answer.headers()), body));
+        response.aggregate(loop).whenComplete((whole, failure) -> {
+            CallMessage answer = failure == null
+                    ? new CallMessage(
+                            message.call(),
+                            packing.pack(whole.headers()),
+                            whole.content().array())
+                    : answerGone(message.call());
+            end(fresh, answer);
         });
         return fresh.answer;
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -28,6 +28,7 @@
 import io.mustardusher.spread.RouteSpread;
 import io.mustardusher.store.TableService;
 import io.mustardusher.time.Clock;
+import io.netty.util.concurrent.EventExecutor;
 
 /** A running node that is driven by routes on a platform of its users. It keeps no keys and changes no catalogue. */
 public final class RoutedNode {
@@ -90,14 +91,15 @@
         TableService table = surroundings.table(mesh.group());
         mesh.join(routes, table);
         HeaderPacking packing = new HeaderPacking(surroundings.frequentHeaders());
+        EventExecutor loop = mesh.group().next();
         FramedGate gate =
-                new FramedGate(mesh.gate(), packing, mesh.members().self().getBoot(), clock);
+                new FramedGate(mesh.gate(), packing, mesh.members().self().getBoot(), loop, clock);
         mesh.frameServer().on(FrameKind.CALL, (CallMessage call) -> gate.call(call));
         mesh.frameServer().on(FrameKind.RESUME, (CallMessage question) -> gate.resume(question));
         mesh.frameServer().on(FrameKind.CANCEL, (CallMessage call) -> gate.cancel(call));
         mesh.directory()
                 .useFrames(new Directory.Frames(
-                        mesh.frames(), packing, new AtomicLong(mesh.random().nextLong())));
+                        mesh.frames(), packing, new AtomicLong(mesh.random().nextLong()), loop));
         mesh.frameServer().on(FrameKind.ROUTES, (CataloguePull question) -> routes.answer(question));
         Router router = new Router(
                 mesh.directory(),
--- a/mustardusher-node/src/main/java/io/mustardusher/server/WholeAnswerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/WholeAnswerLink.java
@@ -155,16 +155,14 @@
         boolean idempotent = "1".equals(call.headers().get(CallHeaders.IDEMPOTENT));
         ServerExchange exchange = new ServerExchange(dialect, readings, answer);
         long deadline = clock.nanoTime() + leftNanos;
-        call.aggregate()
-                .whenCompleteAsync(
-                        (whole, failure) -> {
-                            if (failure != null) {
-                                exchange.fail(ResultCode.CANCELLED, "the body did not arrive whole");
-                            } else {
-                                begin(exchange, whole, deadline, idempotent);
-                            }
-                        },
-                        loop);
+        // Completes on the loop, which alone touches exchanges.
+        call.aggregate(loop).whenComplete((whole, failure) -> {
+            if (failure != null) {
+                exchange.fail(ResultCode.CANCELLED, "the body did not arrive whole");
+            } else {
+                begin(exchange, whole, deadline, idempotent);
+            }
+        });
         return Exchange.ofWhole(answer, () -> loop.execute(exchange::cancel));
     }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/ExchangeSimulation.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/ExchangeSimulation.java
@@ -40,6 +40,8 @@
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.server.ServerLink;
 import io.mustardusher.time.Clock;
+import io.netty.util.concurrent.EventExecutor;
+import io.netty.util.concurrent.ImmediateEventExecutor;
 
 /**
  * One call that must not run twice, sent by the real link of an entry to real gates over a network that loses, delays
@@ -55,6 +57,9 @@
     private static final String SERVICE = "s";
     private static final MetricRegistry METRICS = new MetricRegistry();
 
+    /** Runs everything at once on the calling thread, so that a seed always plays the same history. */
+    private static final EventExecutor LOOP = ImmediateEventExecutor.INSTANCE;
+
     private static final ScheduledExecutorService TIMERS = Executors.newScheduledThreadPool(0);
 
     private final Random random;
@@ -103,8 +108,8 @@
 
     private void send(InetSocketAddress to, InetSocketAddress next) {
         sends++;
-        GateLink link =
-                new GateLink.ForFrames(new Network(), to, gates.get(to).boot, packing, () -> 100 + sends, clock, null);
+        GateLink link = new GateLink.ForFrames(
+                new Network(), to, gates.get(to).boot, packing, () -> 100 + sends, LOOP, clock, null);
         RequestHeaders headers = RequestHeaders.builder(HttpMethod.POST, "/")
                 .set(CallHeaders.SERVICE, SERVICE)
                 .set(CallHeaders.TIMEOUT, Timeout.format(CALL_MILLIS * Clock.NANOS_PER_MILLI))
@@ -240,7 +245,7 @@
                     .withSlots(8L)
                     .withState(Announcement.State.SERVING));
             gate.limits(1, 0);
-            framed = new FramedGate(gate, packing, boot, clock);
+            framed = new FramedGate(gate, packing, boot, LOOP, clock);
             lives = framed;
         }
     }
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/RoutedCallTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/RoutedCallTest.java
@@ -38,6 +38,7 @@
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.routing.RoutingPolicy;
 import io.mustardusher.time.Clock;
+import io.netty.util.concurrent.ImmediateEventExecutor;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -93,7 +94,7 @@
                 },
                 new Credential("secret"),
                 clock);
-        directory.useFrames(new Directory.Frames(gates, packing, new AtomicLong()));
+        directory.useFrames(new Directory.Frames(gates, packing, new AtomicLong(), ImmediateEventExecutor.INSTANCE));
         directory.refresh();
         Router router = new Router(
                 directory,
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/FramedGateTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/FramedGateTest.java
@@ -27,6 +27,7 @@
 import io.mustardusher.result.Outcome;
 import io.mustardusher.server.ServerLink;
 import io.mustardusher.time.Clock;
+import io.netty.util.concurrent.ImmediateEventExecutor;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -65,7 +66,7 @@
                 .withSlots(1)
                 .withState(Announcement.State.SERVING));
         gate.limits(1, 0);
-        framed = new FramedGate(gate, packing, 1, clock);
+        framed = new FramedGate(gate, packing, 1, ImmediateEventExecutor.INSTANCE, clock);
     }
 
     @AfterEach
