--- a/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
@@ -6,8 +6,7 @@
 import io.mustardusher.time.Clock;
 
 /**
- * Expected service times by kind of call, longer while the server says that it is slow. Not safe for
- * threads.
+ * Expected service times by kind of call, longer while the server says that it is slow. Not safe for threads.
  */
 final class ServiceTimes {
 
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Stall.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Stall.java
@@ -4,9 +4,8 @@
 import io.mustardusher.time.Clock;
 
 /**
- * How far a node is behind with its own work, from tasks that run later than they are due. A node that is behind
- * would read calls
- * whose callers have left; it refuses the least urgent first, which costs little, until it has caught up.
+ * How far a node is behind with its own work, from tasks that run later than they are due. A node that is behind would
+ * read calls whose callers have left; it refuses the least urgent first, which costs little, until it has caught up.
  */
 public final class Stall {
 
--- a/mustardusher-core/src/main/java/io/mustardusher/budget/WindowBudget.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/budget/WindowBudget.java
@@ -5,9 +5,8 @@
 import io.mustardusher.time.Clock;
 
 /**
- * A budget over a sliding window: further sends within any window stay below a part of the requests of that window
- * plus a
- * fixed allowance. Nodes that share a bound each take their part of the allowance.
+ * A budget over a sliding window: further sends within any window stay below a part of the requests of that window plus
+ * a fixed allowance. Nodes that share a bound each take their part of the allowance.
  */
 public final class WindowBudget implements RetryBudget {
 
--- a/mustardusher-core/src/main/java/io/mustardusher/health/Ejection.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/health/Ejection.java
@@ -67,8 +67,7 @@
 
     /**
      * Returns the smoothed share of failed calls, which fades without calls: a server that is left alone after a
-     * failure
-     * would never show that it has recovered.
+     * failure would never show that it has recovered.
      *
      * @param now present time, in nanoseconds
      * @return share between 0 and 1
--- a/mustardusher-core/src/main/java/io/mustardusher/health/SuspectTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/health/SuspectTable.java
@@ -168,9 +168,8 @@
         },
 
         /**
-         * It runs as others do until the third crash. For servers whose calls repeat: many harmless calls are in
-         * flight in
-         * one crash, few in three.
+         * It runs as others do until the third crash. For servers whose calls repeat: many harmless calls are in flight
+         * in one crash, few in three.
          */
         COUNT {
             @Override
--- a/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceLedger.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceLedger.java
@@ -7,16 +7,14 @@
 import io.mustardusher.time.Clock;
 
 /**
- * The newest believable announcement of the server beside a node. Later starts replace earlier ones, whatever the
- * order of
- * arrival; within one start the sequence rises and the phase never goes back.
+ * The newest believable announcement of the server beside a node. Later starts replace earlier ones, whatever the order
+ * of arrival; within one start the sequence rises and the phase never goes back.
  */
 public final class InstanceLedger {
 
     /**
      * Silence after which a server is believed to be replaced by another of the same age, in nanoseconds: two
-     * announcements
-     * at the usual interval of 1.5 s.
+     * announcements at the usual interval of 1.5 s.
      */
     private static final long SILENCE_NANOS = 3_000 * Clock.NANOS_PER_MILLI;
 
--- a/mustardusher-core/src/main/java/io/mustardusher/instance/Sighting.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/instance/Sighting.java
@@ -4,9 +4,8 @@
  * One announcement of a backend server.
  *
  * @param instance name of the server; a restart may keep it
- * @param born     start of the server's process, in milliseconds since the epoch, which with the name tells one
- * start; 0
- *     from servers that do not say and take a new name for each start
+ * @param born     start of the server's process, in milliseconds since the epoch, which with the name tells one start;
+ *     0 from servers that do not say and take a new name for each start
  * @param sequence number of the announcement, rising within one start
  * @param phase    what the server says of itself
  */
--- a/mustardusher-core/src/main/java/io/mustardusher/retry/RetryPolicy.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/retry/RetryPolicy.java
@@ -8,8 +8,8 @@
 
 /**
  * Decides on retries. A call is sent again only if it is proven not to have run or may run more than once, within the
- * limits of the policy. Calls that are already retries of another entry are not multiplied: they are
- * sent again only where the refusal cost their server nothing.
+ * limits of the policy. Calls that are already retries of another entry are not multiplied: they are sent again only
+ * where the refusal cost their server nothing.
  */
 public final class RetryPolicy {
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RetryPolicies.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RetryPolicies.java
@@ -31,9 +31,8 @@
     }
 
     /**
-     * All entries together keep within a bound over a sliding window; gates may be asked freely, because a refusal of
-     * a gate
-     * never reaches a server.
+     * All entries together keep within a bound over a sliding window; gates may be asked freely, because a refusal of a
+     * gate never reaches a server.
      *
      * @param clock       source of time
      * @param windowNanos length of the window, in nanoseconds
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/CallMessage.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/CallMessage.java
@@ -4,8 +4,7 @@
 
 /**
  * A call from an entry to a gate, its answer, or a question about a call. Not generated from a schema, because the
- * generator
- * knows no bytes.
+ * generator knows no bytes.
  *
  * @param call number of the call, unique among entries for as long as it is remembered
  * @param head packed headers; {@code null} in questions, and in the answer of a gate that does not have the call
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
@@ -22,8 +22,7 @@
 /**
  * The gate as other nodes reach it by frames. It remembers calls for a while after their end, so that an entry whose
  * connection broke can ask for the answer; and what it is asked about but does not know, it never runs. Not run and
- * answered are thus
- * the only two outcomes as long as both nodes live.
+ * answered are thus the only two outcomes as long as both nodes live.
  */
 public final class FramedGate {
 
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NoDefaultOutput.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NoDefaultOutput.java
@@ -6,9 +6,8 @@
 import ch.qos.logback.core.spi.ContextAwareBase;
 
 /**
- * Keeps the logging library from looking for configuration files and from preparing an output of its own, which takes
- * a tenth of a node's start; {@link LogOutput} says where events go. Tools that name a
- * configuration file keep it.
+ * Keeps the logging library from looking for configuration files and from preparing an output of its own, which takes a
+ * tenth of a node's start; {@link LogOutput} says where events go. Tools that name a configuration file keep it.
  */
 public final class NoDefaultOutput extends ContextAwareBase implements Configurator {
 
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -168,8 +168,7 @@
 
     /**
      * Stops gracefully: lets callers go elsewhere while it still serves them, hands back what waits, lets calls in
-     * flight
-     * end, and leaves the membership.
+     * flight end, and leaves the membership.
      *
      * @return calls that were cut off because the grace time ended
      */
--- a/mustardusher-node/src/main/java/io/mustardusher/server/WholeAnswerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/WholeAnswerLink.java
@@ -30,8 +30,8 @@
 
 /**
  * Exchanges one request at a time on a connection and hands on whole answers only. Netty's codec is used without a
- * client
- * on top: answers must be matched to their requests, and a clean end told from a reset, which clients do not show.
+ * client on top: answers must be matched to their requests, and a clean end told from a reset, which clients do not
+ * show.
  */
 public final class WholeAnswerLink implements ServerLink {
 
@@ -42,8 +42,7 @@
     private static final int MAX_HEADER_BYTES = 32 << 10;
 
     /**
-     * Time for which an unused connection is kept, in nanoseconds: half of the shortest usual idle timeout of
-     * servers.
+     * Time for which an unused connection is kept, in nanoseconds: half of the shortest usual idle timeout of servers.
      */
     private static final long IDLE_NANOS = 5_000 * Clock.NANOS_PER_MILLI;
 
--- a/mustardusher-node/src/main/java/io/mustardusher/spread/RouteSpread.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/spread/RouteSpread.java
@@ -17,15 +17,13 @@
 
 /**
  * The routes in force: of all versions that reach this node, from the store or from peers, the highest. Documents
- * travel
- * as their operator wrote them, so that every node reads the same text.
+ * travel as their operator wrote them, so that every node reads the same text.
  */
 public final class RouteSpread implements RevisionSpread {
 
     /**
      * Time that the store's own push is given before a peer is asked, in milliseconds: a quarter of the two seconds
-     * within
-     * which a version has to be in force, as documents between failure domains are costly.
+     * within which a version has to be in force, as documents between failure domains are costly.
      */
     private static final long STORE_FIRST_MILLIS = 500;
 
