--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -16,7 +16,6 @@
  */
 public final class Admission {
 
-    /** Source of time. */
     private final Clock clock;
 
     /** Waiting calls. */
--- a/mustardusher-core/src/main/java/io/mustardusher/budget/TokenBucket.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/budget/TokenBucket.java
@@ -8,7 +8,6 @@
     /** Nanoseconds in a second. */
     private static final double NANOS_PER_SECOND = 1e9;
 
-    /** Source of time. */
     private final Clock clock;
 
     /** Tokens added each second. */
--- a/mustardusher-core/src/main/java/io/mustardusher/claim/Authority.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/claim/Authority.java
@@ -8,7 +8,6 @@
  */
 final class Authority {
 
-    /** Source of time. */
     private final Clock clock;
 
     /** Whether a confirmation has come. */
--- a/mustardusher-core/src/main/java/io/mustardusher/claim/ClaimTiming.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/claim/ClaimTiming.java
@@ -18,6 +18,5 @@
     /** Epochs kept in the row. */
     public static final int MAX_EPOCHS = 16;
 
-    /** Not instantiated. */
     private ClaimTiming() {}
 }
--- a/mustardusher-core/src/main/java/io/mustardusher/claim/Coverage.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/claim/Coverage.java
@@ -16,7 +16,6 @@
     /** Time after every key. */
     static final long NEVER = Long.MAX_VALUE;
 
-    /** This keeper. */
     private final Keeper self;
 
     /** Wall time at which each epoch was learned of, in milliseconds since the epoch. */
--- a/mustardusher-core/src/main/java/io/mustardusher/claim/KeyLedger.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/claim/KeyLedger.java
@@ -28,10 +28,8 @@
     /** Most bytes of answers kept. */
     private static final long ANSWER_BYTES = 4L << 20;
 
-    /** This keeper. */
     private final Keeper self;
 
-    /** Source of time. */
     private final Clock clock;
 
     /** Size of an answer in bytes. */
--- a/mustardusher-core/src/main/java/io/mustardusher/health/SuspectTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/health/SuspectTable.java
@@ -21,7 +21,6 @@
     /** Most suspects held. */
     private static final int CAPACITY = 10_000;
 
-    /** Source of time. */
     private final Clock clock;
 
     /** Suspects by fingerprint. */
--- a/mustardusher-core/src/main/java/io/mustardusher/membership/MemberTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/membership/MemberTable.java
@@ -30,7 +30,6 @@
     /** Transmissions of one update for each doubling of the number of members. */
     private static final int TRANSMISSIONS_PER_DOUBLING = 3;
 
-    /** Source of time. */
     private final Clock clock;
 
     /** Source of random order. */
@@ -426,7 +425,6 @@
     /** A record and how far it was spread. */
     private static final class Tracked {
 
-        /** The record. */
         private final MemberRecord value;
 
         /** Time of the record's arrival, in nanoseconds. */
--- a/mustardusher-core/src/main/java/io/mustardusher/result/MustardusherException.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/result/MustardusherException.java
@@ -3,7 +3,6 @@
 /** A failure with its numbered code. */
 public class MustardusherException extends RuntimeException {
 
-    /** The code. */
     private final ResultCode code;
 
     /**
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
@@ -13,7 +13,6 @@
     /** Most servers that may be left out for failing, as a share. */
     private static final double MAX_EJECTED_SHARE = 0.5;
 
-    /** The servers. */
     private final ServerLoad[] servers;
 
     /** Turns taken so far; they start anywhere, so that entries do not move in step after a change. */
--- a/mustardusher-ctl/src/main/java/io/mustardusher/ctl/ExitStatus.java
+++ b/mustardusher-ctl/src/main/java/io/mustardusher/ctl/ExitStatus.java
@@ -18,6 +18,5 @@
     /** No node answered. */
     static final int NO_NODE = 4;
 
-    /** Not instantiated. */
     private ExitStatus() {}
 }
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/bench/PolicyBench.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/bench/PolicyBench.java
@@ -48,7 +48,6 @@
     /** The service that is called. */
     private final String service;
 
-    /** Repetitions. */
     private final int repetitions;
 
     /** Probes a second of each entry. */
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/Cluster.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/Cluster.java
@@ -43,7 +43,6 @@
     /** Time allowed for all nodes to see all servers, in milliseconds. */
     private static final long SETTLE_MILLIS = 30_000;
 
-    /** The deployment. */
     private final Deployment deployment;
 
     /** Folder for settings and logs. */
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/EmbeddedNode.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/EmbeddedNode.java
@@ -12,7 +12,6 @@
     /** Name of the node. */
     private final String name;
 
-    /** Its ports. */
     private final Ports ports;
 
     /** Its settings file. */
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeProcess.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeProcess.java
@@ -43,7 +43,6 @@
     /** Name of the node. */
     private final String name;
 
-    /** Its ports. */
     private final Ports ports;
 
     /** Its settings file. */
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/load/CallRun.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/load/CallRun.java
@@ -35,7 +35,6 @@
     /** What it asks. */
     private final LoadSpec spec;
 
-    /** Its id. */
     private final String id;
 
     /** Its key; {@code null} if it is idempotent. */
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/load/Entries.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/load/Entries.java
@@ -21,7 +21,6 @@
     /** Ports of entries that were killed. */
     private final Set<Integer> killed = ConcurrentHashMap.newKeySet();
 
-    /** Connections. */
     private final ClientFactory connections;
 
     /** Protocol of the callers. */
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/load/LoadGenerator.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/load/LoadGenerator.java
@@ -29,7 +29,6 @@
     /** Counts of calls. */
     private final Tally tally;
 
-    /** Runs timers. */
     private final ScheduledExecutorService timers;
 
     /** Source of random times and choices. */
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/load/Tally.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/load/Tally.java
@@ -26,7 +26,6 @@
     /** Latencies by service. */
     private final Map<String, Histogram> byService = new ConcurrentHashMap<>();
 
-    /** Calls by result. */
     private final Map<CallResult, LongAdder> results = new EnumMap<>(CallResult.class);
 
     /** Results of calls by id, but for those answered once as expected. */
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/Duration.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/Duration.java
@@ -3,7 +3,6 @@
 /** Times as scenarios write them. */
 final class Duration {
 
-    /** Not instantiated. */
     private Duration() {}
 
     /**
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/ScenarioRunner.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/scenario/ScenarioRunner.java
@@ -30,7 +30,6 @@
     /** Time allowed for steps that are still under way after the load, in seconds. */
     private static final long STEP_SECONDS = 40;
 
-    /** The scenario. */
     private final Scenario scenario;
 
     /** Folder for settings, logs and the report. */
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/standin/BackendServer.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/standin/BackendServer.java
@@ -49,10 +49,8 @@
     /** Name of the server. */
     private final String name;
 
-    /** Its service. */
     private final String service;
 
-    /** Its slots. */
     private final Slots slots;
 
     /** Port on the loopback address. */
@@ -61,10 +59,8 @@
     /** Records executions. */
     private final ExecutionLog executions;
 
-    /** Event loops. */
     private final EventLoopGroup group;
 
-    /** Runs timers. */
     private final ScheduledExecutorService timers;
 
     /** Admin listener of the node beside it. */
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/standin/Payload.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/standin/Payload.java
@@ -5,7 +5,6 @@
 /** Bodies that belong to one request and can be checked byte by byte. */
 public final class Payload {
 
-    /** Not instantiated. */
     private Payload() {}
 
     /**
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/standin/PlatformServer.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/standin/PlatformServer.java
@@ -27,7 +27,6 @@
     /** Delay of a slow answer, in milliseconds. */
     public static final long SLOW_MILLIS = 700;
 
-    /** The table. */
     private final TableService.InMemory table = new TableService.InMemory();
 
     /** Objects by name. */
--- a/mustardusher-node/src/main/java/io/mustardusher/admin/Json.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/admin/Json.java
@@ -8,7 +8,6 @@
 /** Answers in JSON. */
 final class Json {
 
-    /** Not instantiated. */
     private Json() {}
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/admin/NodeResource.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/admin/NodeResource.java
@@ -53,7 +53,6 @@
     /** Told of announcements. */
     private final Consumer<Announcement> announcements;
 
-    /** Source of time. */
     private final Clock clock;
 
     /** Writes metrics as JSON. */
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Fingerprint.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Fingerprint.java
@@ -14,7 +14,6 @@
     /** Factor of the hash (FNV-1a). */
     private static final long PRIME = 0x100000001b3L;
 
-    /** Not instantiated. */
     private Fingerprint() {}
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/call/ServerRequest.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/ServerRequest.java
@@ -10,7 +10,6 @@
     /** Authorization header of the caller while the request travels between nodes. */
     static final String CALLER_AUTHORIZATION = "mustardusher-caller-authorization";
 
-    /** Not instantiated. */
     private ServerRequest() {}
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Timeout.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Timeout.java
@@ -19,7 +19,6 @@
     /** Largest value that is written in microseconds. */
     private static final long MAX_MICROS = 99_999_999L;
 
-    /** Not instantiated. */
     private Timeout() {}
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Directory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Directory.java
@@ -39,7 +39,6 @@
  */
 public final class Directory {
 
-    /** The member table. */
     private final MemberTable members;
 
     /** Gate of this node. */
@@ -48,13 +47,10 @@
     /** Distances of failure domains. */
     private final DistanceSettings distances;
 
-    /** Connections to other nodes. */
     private final Supplier<ClientFactory> connections;
 
-    /** Shared secret. */
     private final Credential credential;
 
-    /** Source of time. */
     private final Clock clock;
 
     /** Servers by process of the node. */
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -51,7 +51,6 @@
 
     private final Stall stall;
 
-    /** Source of time. */
     private final Clock clock;
 
     private final CallerConnections connections = new CallerConnections();
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/HedgedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/HedgedCall.java
@@ -28,7 +28,6 @@
     /** Budget of second sends. */
     private final RatioBudget budget;
 
-    /** Runs timers. */
     private final ScheduledExecutorService timers;
 
     /** Cancels the first send. */
@@ -37,7 +36,6 @@
     /** Cancels the second send. */
     private final CompletableFuture<Void> secondCancelled = new CompletableFuture<>();
 
-    /** The answer. */
     private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
 
     /** Reply of the send that ended without an answer while the other goes on; {@code null} if none. */
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/HomeRouter.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/HomeRouter.java
@@ -47,10 +47,8 @@
     /** This node as a home. */
     private final KeyedCalls keyedCalls;
 
-    /** Runs timers. */
     private final ScheduledExecutorService timers;
 
-    /** Source of time. */
     private final Clock clock;
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Prober.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Prober.java
@@ -54,7 +54,6 @@
     /** Asks other nodes. */
     private final Peers peers;
 
-    /** Source of time. */
     private final Clock clock;
 
     /** Budgets and last calls by service. */
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -47,13 +47,10 @@
     private static final String OK = "ok";
     private static final String SERVER_ERROR = "server_error";
 
-    /** The router. */
     private final Router router;
 
-    /** The call. */
     private final Call call;
 
-    /** Its body. */
     private final CallBody body;
 
     /** Whether it may run more than once. */
@@ -77,7 +74,6 @@
     /** Whether the next gate has to take the call. */
     private boolean settled;
 
-    /** The answer. */
     private final CompletableFuture<Reply> answer = new CompletableFuture<>();
 
     private final long begunNanos;
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
@@ -31,7 +31,6 @@
     /** Told of each new suspect. */
     private final Consumer<SuspectTable.Sighting> sightings;
 
-    /** Source of time. */
     private final Clock clock;
 
     private final RetryPolicies policies;
@@ -44,7 +43,6 @@
     /** Budgets of hedged calls by service. */
     private final Map<ServiceName, RatioBudget> hedges = new ConcurrentHashMap<>();
 
-    /** Runs timers. */
     private final ScheduledExecutorService timers;
 
     private final MetricRegistry metrics;
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/Credential.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/Credential.java
@@ -17,7 +17,6 @@
     /** Bytes of the digest. */
     private static final int DIGEST_BYTES = 32;
 
-    /** The secret. */
     private final String secret;
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameClient.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameClient.java
@@ -34,10 +34,8 @@
     /** Event loops, for timeouts. */
     private final EventLoopGroup group;
 
-    /** Shared secret. */
     private final Credential credential;
 
-    /** Connections by address. */
     private final Map<InetSocketAddress, ChannelFuture> connections = new ConcurrentHashMap<>();
 
     /** Questions without an answer, by number. */
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameServer.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameServer.java
@@ -17,10 +17,8 @@
 /** Accepts frames from other nodes and answers them. */
 public final class FrameServer implements AutoCloseable {
 
-    /** Handlers by kind. */
     private final Map<FrameKind, FrameHandler<Object, Object>> handlers = new EnumMap<>(FrameKind.class);
 
-    /** Shared secret. */
     private final Credential credential;
 
     /** Counts bytes. */
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
@@ -25,7 +25,6 @@
 /** One call at the gate, from admission to the end of its answer. */
 final class Dispatch implements Waiter {
 
-    /** The gate. */
     private final Gate gate;
 
     private final ServerLink link;
@@ -42,7 +41,6 @@
     /** Whether the call runs alone. */
     private final boolean alone;
 
-    /** The answer. */
     private final CompletableFuture<HttpResponse> answer;
 
     /** Completes when the caller has given up. */
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -37,7 +37,6 @@
     /** Class assumed where the header is absent. */
     private static final String DEFAULT_CLASS = "standard";
 
-    /** Source of time. */
     private final Clock clock;
 
     /** Exact count of calls. */
@@ -48,7 +47,6 @@
 
     private final ServerLink.Factory servers;
 
-    /** Runs timers. */
     private final ScheduledExecutorService timers;
 
     /** Detects crashes. */
--- a/mustardusher-node/src/main/java/io/mustardusher/keys/GroupCache.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/keys/GroupCache.java
@@ -41,7 +41,6 @@
     /** The keepers' rows, read where no node answers. */
     private final KeeperStore store;
 
-    /** Source of time. */
     private final Clock clock;
 
     /** Answers by service. */
--- a/mustardusher-node/src/main/java/io/mustardusher/keys/KeeperStore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/keys/KeeperStore.java
@@ -19,7 +19,6 @@
     /** Prefix of the rows. */
     private static final String PREFIX = "keepers/";
 
-    /** The table service. */
     private final TableService table;
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/keys/Keepers.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/keys/Keepers.java
@@ -49,7 +49,6 @@
     /** Whom to take in or out. */
     private final KeeperChoice choice;
 
-    /** Source of time. */
     private final Clock clock;
 
     /** Source of random order. */
--- a/mustardusher-node/src/main/java/io/mustardusher/log/LogOutput.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/LogOutput.java
@@ -19,7 +19,6 @@
     /** Logger of decisions. */
     private static final String DECISIONS = "io.mustardusher.decision";
 
-    /** Not instantiated. */
     private LogOutput() {}
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/node/SettingsFile.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/SettingsFile.java
@@ -29,7 +29,6 @@
             "LOG_", "log",
             "REGION_DISTANCES_MICROS_", "regionDistancesMicros");
 
-    /** Not instantiated. */
     private SettingsFile() {}
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Warmup.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Warmup.java
@@ -54,16 +54,12 @@
     /** Calls under way at the same time. */
     private static final int PARALLEL = 8;
 
-    /** Event loops. */
     private final EventLoopGroup group;
 
-    /** Connections. */
     private final ClientFactory connections;
 
-    /** Runs timers. */
     private final ScheduledExecutorService timers;
 
-    /** Source of time. */
     private final Clock clock;
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/spread/CatalogueSpread.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/spread/CatalogueSpread.java
@@ -44,7 +44,6 @@
     /** What is known of nodes. */
     private final MemberTable members;
 
-    /** Source of time. */
     private final Clock clock;
 
     /** Source of random order. */
--- a/mustardusher-node/src/main/java/io/mustardusher/spread/Gossiper.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/spread/Gossiper.java
@@ -52,7 +52,6 @@
     /** Compares revisions. */
     private final RevisionSpread configuration;
 
-    /** Spreads suspects. */
     private final SuspectSpread suspects;
 
     /** Budget of questions for whole tables. */
--- a/mustardusher-node/src/main/java/io/mustardusher/spread/Meeting.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/spread/Meeting.java
@@ -33,7 +33,6 @@
     /** Nodes that are met. */
     private static final int MEET = 5;
 
-    /** The table service. */
     private final TableService table;
 
     /** Addresses from the settings. */
--- a/mustardusher-node/src/main/java/io/mustardusher/spread/SuspectSpread.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/spread/SuspectSpread.java
@@ -22,7 +22,6 @@
     /** Time allowed for an answer, in milliseconds. */
     private static final long ASK_MILLIS = 500;
 
-    /** The suspects. */
     private final SuspectTable table;
 
     /** Asks other nodes. */
--- a/mustardusher-store/src/main/java/io/mustardusher/store/CatalogueStore.java
+++ b/mustardusher-store/src/main/java/io/mustardusher/store/CatalogueStore.java
@@ -41,10 +41,8 @@
     /** Most rows of a scan. */
     private static final int SCAN_LIMIT = 1000;
 
-    /** The table service. */
     private final TableService table;
 
-    /** Source of time. */
     private final Clock clock;
 
     /**
