--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -69,10 +69,10 @@
     private final Exclusion exclusion = new Exclusion();
 
     /** Servers whose gates sent the call on because others may be faster. */
-    private final List<ServerLoad> slow = new ArrayList<>(2);
+    private final List<ServerLoad> sentOnBy = new ArrayList<>(2);
 
     /** Whether the next gate has to take the call. */
-    private boolean settled;
+    private boolean mustTake;
 
     private final CompletableFuture<Reply> answer = new CompletableFuture<>();
 
@@ -174,11 +174,11 @@
         }
         long now = router.clock().nanoTime();
         ServerPool pool = router.directory().pool(call.service());
-        if (!pool.hasServing(exclusion) && !slow.isEmpty()) {
+        if (!pool.hasServing(exclusion) && !sentOnBy.isEmpty()) {
             // All that are left are slow at the moment, and one of them has to take the call.
-            settled = true;
-            slow.forEach(exclusion::remove);
-            slow.clear();
+            mustTake = true;
+            sentOnBy.forEach(exclusion::remove);
+            sentOnBy.clear();
         }
         ServerLoad server =
                 call.entry().policy().choose(pool, exclusion, ThreadLocalRandom.current(), now, transfer.cost());
@@ -224,7 +224,7 @@
         if (target != Long.MAX_VALUE) {
             headers.set(CallHeaders.TARGET, Timeout.format(begunNanos + target - now));
             boolean others = router.directory().pool(call.service()).hasServing(exclusion);
-            if (others && !settled && body.isReplayable() && transfer.mayMove(attempt)) {
+            if (others && !mustTake && body.isReplayable() && transfer.mayMove(attempt)) {
                 headers.set(CallHeaders.MOVABLE, "1");
             }
         }
@@ -258,7 +258,7 @@
             router.suspect(fingerprint, headers.getLong(CallHeaders.CRASH, 0));
         }
         if (code == ResultCode.SLOWER_THAN_TARGET) {
-            slow.add(server);
+            sentOnBy.add(server);
         }
         exchange.discard();
         retryOrRefuse(code, code.title(), now);
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
@@ -140,7 +140,7 @@
     }
 
     /**
-     * Counts an answer.
+     * Counts an answer. A hedged call counts both of its sends.
      *
      * @param route  name of its route
      * @param result how it ended: {@code ok}, {@code server_error} or the name of a code
