--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Consumer;
 
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.routing.LoadReport;
@@ -86,15 +87,13 @@
      * @param gateShare      share of the service's limit; 0 for none
      */
     public void configure(int announcedSlots, int queuePerSlot, int gateShare) {
-        List<Runnable> told = new ArrayList<>();
-        synchronized (this) {
+        change(told -> {
             slots = Math.max(1, (int) (announcedSlots * usableShare));
             limit.resize(slots);
             queueCapacity = slots * queuePerSlot;
             share = gateShare <= 0 ? Integer.MAX_VALUE : gateShare;
             dispatch(told);
-        }
-        told.forEach(Runnable::run);
+        });
     }
 
     /** Lets new calls in. */
@@ -122,8 +121,7 @@
      * @param ticket the call
      */
     public void offer(Ticket ticket) {
-        List<Runnable> told = new ArrayList<>(2);
-        synchronized (this) {
+        change(told -> {
             ticket.arrivedNanos = clock.nanoTime();
             ResultCode refusal = refusalOnArrival(ticket);
             if (refusal == null) {
@@ -132,8 +130,7 @@
             } else {
                 refuse(ticket, refusal, told);
             }
-        }
-        told.forEach(Runnable::run);
+        });
     }
 
     /**
@@ -143,8 +140,7 @@
      * @param end    how it ended
      */
     public void release(Ticket ticket, CallEnd end) {
-        List<Runnable> told = new ArrayList<>(2);
-        synchronized (this) {
+        change(told -> {
             if (ticket.phase != Ticket.Phase.DISPATCHED) {
                 return;
             }
@@ -154,8 +150,7 @@
             queue.ended(ticket.owner);
             observe(ticket, end);
             dispatch(told);
-        }
-        told.forEach(Runnable::run);
+        });
     }
 
     /**
@@ -178,21 +173,15 @@
      * @param percent time that work takes, as a percentage of the usual time
      */
     public void observed(int percent) {
-        List<Runnable> told = new ArrayList<>(2);
-        synchronized (this) {
+        change(told -> {
             times.said(percent, clock.nanoTime());
             dispatch(told);
-        }
-        told.forEach(Runnable::run);
+        });
     }
 
     /** Dispatches calls that have waited long enough for a slow server. */
     public void poll() {
-        List<Runnable> told = new ArrayList<>(2);
-        synchronized (this) {
-            dispatch(told);
-        }
-        told.forEach(Runnable::run);
+        change(this::dispatch);
     }
 
     /**
@@ -232,6 +221,15 @@
         return busy + waiting();
     }
 
+    // Waiters are told after the lock is released, as they may come back here.
+    private void change(Consumer<List<Runnable>> step) {
+        List<Runnable> told = new ArrayList<>(2);
+        synchronized (this) {
+            step.accept(told);
+        }
+        told.forEach(Runnable::run);
+    }
+
     /**
      * Tells why a call is refused on arrival.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
@@ -98,7 +98,7 @@
      * @return time in nanoseconds
      */
     long holdNanos(String kind) {
-        return (long) Math.min(MAX_HOLD_NANOS, usual.getOrDefault(kind, 0.0) * (SLOW_FACTOR - 1));
+        return (long) Math.min(MAX_HOLD_NANOS, usual(kind) * (SLOW_FACTOR - 1));
     }
 
     /**
--- a/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
@@ -137,10 +137,6 @@
     private static final Map<String, ResultCode> BY_NUMBER = Arrays.stream(values())
             .collect(Collectors.toUnmodifiableMap(code -> Integer.toString(code.number), code -> code));
 
-    private static final Map<ResultCode, String> LABELS = Arrays.stream(values())
-            .collect(Collectors.toUnmodifiableMap(
-                    code -> code, code -> code.name().toLowerCase(Locale.ROOT)));
-
     /** Number of the code. */
     private final int number;
 
@@ -156,6 +152,8 @@
     /** What the receiver can do. */
     private final String advice;
 
+    private final String label;
+
     /**
      * Creates a code.
      *
@@ -171,6 +169,7 @@
         this.outcome = outcome;
         this.title = title;
         this.advice = advice;
+        this.label = name().toLowerCase(Locale.ROOT);
     }
 
     /**
@@ -224,7 +223,7 @@
      * @return the name in lower case
      */
     public String label() {
-        return LABELS.get(this);
+        return label;
     }
 
     /**
--- a/mustardusher-core/src/main/java/io/mustardusher/route/Destination.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/route/Destination.java
@@ -15,13 +15,6 @@
      */
     ServiceName next();
 
-    /**
-     * Returns every service that requests may go to.
-     *
-     * @return the services
-     */
-    List<ServiceName> services();
-
     /**
      * A single service.
      *
@@ -33,11 +26,6 @@
         public ServiceName next() {
             return service;
         }
-
-        @Override
-        public List<ServiceName> services() {
-            return List.of(service);
-        }
     }
 
     /** Several services in proportion to their weights, by smooth weighted round robin. */
@@ -76,11 +64,6 @@
             return services.get(turn());
         }
 
-        @Override
-        public List<ServiceName> services() {
-            return services;
-        }
-
         private synchronized int turn() {
             int best = -1;
             for (int i = 0; i < weights.length; i++) {
--- a/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
@@ -5,10 +5,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Collectors;
-
-import io.mustardusher.catalogue.ServiceName;
 
 /** The routes of one configuration version: immutable, and replaced as a whole. */
 public final class RouteTable {
@@ -109,17 +105,6 @@
                 .toList();
     }
 
-    /**
-     * Returns all services that routes lead to.
-     *
-     * @return the services
-     */
-    public Set<ServiceName> services() {
-        return routes().stream()
-                .flatMap(route -> route.destination().services().stream())
-                .collect(Collectors.toSet());
-    }
-
     private static String host(String authority) {
         if (authority == null) {
             return "";
--- a/mustardusher-node/src/main/java/io/mustardusher/call/OnFirstUse.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/OnFirstUse.java
@@ -4,8 +4,7 @@
 import java.util.function.Supplier;
 
 /**
- * A value that is made when it is first asked for: a client for encrypted traffic and name lookups takes longer to
- * create than the rest of a node, and many nodes never use it.
+ * A value that is made when it is first asked for, where it is dear to make and often not needed.
  *
  * @param <T> type of the value
  */
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -92,6 +92,7 @@
         this.stall = stall;
         this.clock = clock;
         this.served = metrics.timer("entry.served");
+        metrics.gauge("entry.inside", () -> this::inside);
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -191,7 +191,7 @@
         exclusion.add(server);
         expectedNanos = (long) server.score(now);
         logChoice(server, pool);
-        sendTo(server, link.get(), now);
+        sendTo(server, link.get(), now, pool.hasServing(exclusion));
     }
 
     /**
@@ -200,14 +200,15 @@
      * @param server the server
      * @param link   way to the gate
      * @param now    present time, in nanoseconds
+     * @param others whether other servers are left to try
      */
-    private void sendTo(ServerLoad server, GateLink link, long now) {
+    private void sendTo(ServerLoad server, GateLink link, long now, boolean others) {
         long left = call.deadlineNanos() - now;
         if (server.ejection().isOnTrial(now)) {
             server.ejection().trialSent();
         }
         server.sent();
-        Exchange exchange = link.send(body.toRequest(headers(left, now)), left, cancelled);
+        Exchange exchange = link.send(body.toRequest(headers(left, now, others)), left, cancelled);
         exchange.headers().whenComplete((headers, failure) -> {
             if (failure != null) {
                 server.ended();
@@ -218,12 +219,11 @@
         });
     }
 
-    private RequestHeaders headers(long left, long now) {
+    private RequestHeaders headers(long left, long now, boolean others) {
         RequestHeadersBuilder headers = call.toNode(attempt, left, fingerprint);
         long target = call.terms().targetNanos();
         if (target != Long.MAX_VALUE) {
             headers.set(CallHeaders.TARGET, Timeout.format(begunNanos + target - now));
-            boolean others = router.directory().pool(call.service()).hasServing(exclusion);
             if (others && !mustTake && body.isReplayable() && transfer.mayMove(attempt)) {
                 headers.set(CallHeaders.MOVABLE, "1");
             }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.HttpResponse;
@@ -47,6 +48,8 @@
 
     private final MetricRegistry metrics;
 
+    private final Map<Answer, Counter> answers = new ConcurrentHashMap<>();
+
     /** Fresh calls. */
     private final Meter calls;
 
@@ -146,8 +149,11 @@
      * @param result how it ended: {@code ok}, {@code server_error} or the name of a code
      */
     void countAnswer(String route, String result) {
-        metrics.counter("entry.answers." + route.replace('.', '_') + "." + result)
-                .inc();
+        answers.computeIfAbsent(new Answer(route, result), this::counter).inc();
+    }
+
+    private Counter counter(Answer answer) {
+        return metrics.counter("entry.answers." + answer.route.replace('.', '_') + "." + answer.result);
     }
 
     /**
@@ -170,4 +176,6 @@
         boolean refused = suspects.judge(fingerprint) == SuspectTable.Judgement.REFUSE;
         return refused ? ResultCode.SUSPECT_REFUSED : null;
     }
+
+    private record Answer(String route, String result) {}
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
@@ -74,15 +74,10 @@
      * @return its answer
      */
     public CompletableFuture<CallMessage> call(CallMessage message) {
-        Remembered fresh;
-        synchronized (this) {
-            forget();
-            Remembered known = calls.get(message.call());
-            if (known != null) {
-                return known.answer;
-            }
-            fresh = new Remembered(message.call());
-            calls.put(message.call(), fresh);
+        Remembered fresh = new Remembered(message.call());
+        Remembered known = remember(fresh);
+        if (known != fresh) {
+            return known.answer;
         }
         RequestHeaders headers = packing.request(message.head());
         HttpResponse response = gate.handle(HttpRequest.of(headers, HttpData.wrap(message.body())), fresh.cancelled);
@@ -105,15 +100,10 @@
      * @return the answer of the call; without headers if it has not run and never will
      */
     public CompletableFuture<CallMessage> resume(CallMessage question) {
-        Remembered fresh;
-        synchronized (this) {
-            forget();
-            Remembered known = calls.get(question.call());
-            if (known != null) {
-                return known.answer;
-            }
-            fresh = new Remembered(question.call());
-            calls.put(question.call(), fresh);
+        Remembered fresh = new Remembered(question.call());
+        Remembered known = remember(fresh);
+        if (known != fresh) {
+            return known.answer;
         }
         end(fresh, CallMessage.neverCame(question.call(), boot));
         return fresh.answer;
@@ -136,6 +126,13 @@
         return CompletableFuture.completedFuture(message);
     }
 
+    // Returns what is known of the call already, or what is given.
+    private synchronized Remembered remember(Remembered fresh) {
+        forget();
+        Remembered known = calls.putIfAbsent(fresh.number, fresh);
+        return known == null ? fresh : known;
+    }
+
     private void end(Remembered call, CallMessage answer) {
         synchronized (this) {
             call.endedNanos = clock.nanoTime();
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Mesh.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Mesh.java
@@ -90,7 +90,9 @@
     private final EventLoopGroup group = EventLoopGroups.newEventLoopGroup(EVENT_LOOPS, "mushd", true);
     private final ScheduledExecutorService timers =
             Executors.newScheduledThreadPool(1, task -> daemon(task, "mushd-timers"));
+    /** Takes longer to make than the rest of a node, for encryption and name lookups that many nodes never use. */
     private final OnFirstUse<ClientFactory> connections = new OnFirstUse<>(() -> connections(group));
+
     private final Stall stall = new Stall(clock);
     private final FrameTraffic traffic = new FrameTraffic();
     private final Credential credential;
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
@@ -211,7 +211,6 @@
     private void addGauges() {
         mesh.metrics().gauge("catalogue.revision", () -> catalogue::revision);
         mesh.metrics().gauge("keys.remembered", () -> keepers::size);
-        mesh.metrics().gauge("entry.inside", () -> entry::inside);
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -122,7 +122,6 @@
                 .disableServerHeader()
                 .disableDateHeader();
         mesh.metrics().gauge("routes.version", () -> routes::revision);
-        mesh.metrics().gauge("entry.inside", () -> entry::inside);
     }
 
     /**
