Count refusals and tell server failures in one place of musherctl

Cause: trace and summary each had the bound of server failures and the count of refusals by code. Change: LogLine tells, LogSummary counts.

--- a/mustardusher-ctl/src/main/java/io/mustardusher/ctl/LogLine.java
+++ b/mustardusher-ctl/src/main/java/io/mustardusher/ctl/LogLine.java
@@ -45,6 +45,8 @@
     /** A server gave no answer to a call that its gate had sent. */
     static final int SERVER_LOST = 2006;
 
+    private static final int FIRST_SERVER_ERROR = 500;
+
     private static final Pattern CALL = Pattern.compile("call ([^ :]+): .*", Pattern.DOTALL);
     private static final Pattern CODE = Pattern.compile("(?:, code|refuses with) (\\d+)");
     private static final Pattern STATUS = Pattern.compile(" answers (\\d+) after attempt");
@@ -117,6 +119,15 @@
         return matcher.find() ? ResultCode.of(matcher.group(1)) : Optional.empty();
     }
 
+    /**
+     * Tells whether a server answered that it failed.
+     *
+     * @return {@code true} for the statuses from 500 on
+     */
+    boolean isServerFailure() {
+        return status() >= FIRST_SERVER_ERROR;
+    }
+
     /**
      * Returns the status with which a server answered.
      *
--- a/mustardusher-ctl/src/main/java/io/mustardusher/ctl/LogSummary.java
+++ b/mustardusher-ctl/src/main/java/io/mustardusher/ctl/LogSummary.java
@@ -20,7 +20,6 @@
     /** Width of the longest bar of the plot, in characters. */
     private static final int BAR = 40;
 
-    private static final int FIRST_SERVER_ERROR = 500;
     private static final int CAUSES = 10;
 
     /**
@@ -85,6 +84,6 @@
                     .map(code -> "no answer, " + code.outcome().token())
                     .orElse("no answer");
         }
-        return line.status() >= FIRST_SERVER_ERROR ? "failed by a server" : "answered";
+        return line.isServerFailure() ? "failed by a server" : "answered";
     }
 }
--- a/mustardusher-ctl/src/main/java/io/mustardusher/ctl/Trace.java
+++ b/mustardusher-ctl/src/main/java/io/mustardusher/ctl/Trace.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.stream.Collectors;
 
 import io.mustardusher.result.ResultCode;
@@ -15,8 +14,6 @@
  */
 record Trace(List<LogLine> lines) {
 
-    private static final int FIRST_SERVER_ERROR = 500;
-
     /**
      * Picks the events of a call.
      *
@@ -46,7 +43,7 @@
         }
         if (answered.isPresent()) {
             int status = answered.get().status();
-            return status >= FIRST_SERVER_ERROR
+            return answered.get().isServerFailure()
                     ? "the backend server itself failed the call with " + status
                     : "a backend server answered with " + status;
         }
@@ -57,10 +54,7 @@
         String reason = end.code()
                 .map(code -> code.number() + " " + code.name() + ": " + code.title() + " " + code.advice())
                 .orElse("a code that is not in this version's list");
-        Map<ResultCode, Long> refusals = new TreeMap<>(lines.stream()
-                .filter(line -> line.event() == LogLine.GATE_REFUSED)
-                .flatMap(line -> line.code().stream())
-                .collect(Collectors.groupingBy(code -> code, Collectors.counting())));
+        Map<ResultCode, Long> refusals = new LogSummary(lines).codes(LogLine.GATE_REFUSED);
         Optional<LogLine> lost = last(LogLine.SERVER_LOST);
         if (lost.isPresent()) {
             String seen = lost.get().text();
