Lose the answers of a gate that has started anew in the simulation, as connections do

Cause: the simulation compared a gate with itself, so an answer of an earlier start was lost only by chance; two tests built the same gate and server. Change: the gate that was asked is compared with the one that runs; OpenGate makes gates for both tests. Assertions are the same, and the histories are harder.

--- a/mustardusher-node/src/test/java/io/mustardusher/entry/ExchangeSimulation.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/ExchangeSimulation.java
@@ -13,15 +13,12 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeoutException;
 
-import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
-import io.mustardusher.admission.Admission;
-import io.mustardusher.admission.Stall;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.HeaderPacking;
@@ -30,15 +27,12 @@
 import io.mustardusher.frame.FrameClient;
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.frame.Peers;
-import io.mustardusher.gate.CrashDetector;
 import io.mustardusher.gate.FramedGate;
 import io.mustardusher.gate.Gate;
-import io.mustardusher.generated.Announcement;
-import io.mustardusher.health.SuspectTable;
+import io.mustardusher.gate.OpenGate;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.result.ResultCode;
-import io.mustardusher.server.ServerLink;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.ImmediateEventExecutor;
@@ -54,9 +48,6 @@
 
     private static final long CALL_MILLIS = 8_000;
     private static final int STEPS = 40;
-    private static final String SERVICE = "s";
-    private static final MetricRegistry METRICS = new MetricRegistry();
-
     /** Runs everything at once on the calling thread, so that a seed always plays the same history. */
     private static final EventExecutor LOOP = ImmediateEventExecutor.INSTANCE;
 
@@ -111,7 +102,7 @@
         GateLink link = new GateLink.ForFrames(
                 new Network(), to, gates.get(to).boot, packing, () -> 100 + sends, LOOP, clock, null);
         RequestHeaders headers = RequestHeaders.builder(HttpMethod.POST, "/")
-                .set(CallHeaders.SERVICE, SERVICE)
+                .set(CallHeaders.SERVICE, OpenGate.SERVICE)
                 .set(CallHeaders.TIMEOUT, Timeout.format(CALL_MILLIS * Clock.NANOS_PER_MILLI))
                 .build();
         Exchange exchange =
@@ -129,6 +120,16 @@
         });
     }
 
+    private CompletableFuture<AggregatedHttpResponse> run() {
+        runs++;
+        history.add("runs");
+        CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
+        events.add(() -> answer.complete(AggregatedHttpResponse.of(ResponseHeaders.builder(HttpStatus.OK)
+                .set(CallHeaders.OUTCOME, Outcome.RAN.token())
+                .build())));
+        return answer;
+    }
+
     private static Outcome codeOf(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         ResultCode code = ((MustardusherException) cause).code();
@@ -191,14 +192,15 @@
                 CompletableFuture<CallMessage> answer) {
             GateNode gate = gates.get(address);
             history.add(kind + " reaches start " + gate.boot + " after " + clock.nanoTime() / Clock.NANOS_PER_MILLI);
+            FramedGate asked = gate.framed;
             CompletableFuture<CallMessage> given =
                     switch (kind) {
-                        case CALL -> gate.framed.call(question);
-                        case RESUME -> gate.framed.resume(question);
+                        case CALL -> asked.call(question);
+                        case RESUME -> asked.resume(question);
                         default -> throw new AssertionError(kind);
                     };
             given.thenAccept(found -> events.add(() -> {
-                if (gates.get(address).framed != gate.lives || random.nextInt(5) == 0) {
+                if (gate.framed != asked || random.nextInt(5) == 0) {
                     fail("answer of " + kind + " lost", answer, new IOException("connection reset"));
                 } else if (!answer.isDone()) {
                     history.add("answer of " + kind);
@@ -213,7 +215,6 @@
 
         private long boot;
         private FramedGate framed;
-        private FramedGate lives;
 
         GateNode(long boot) {
             this.boot = boot;
@@ -227,51 +228,8 @@
         }
 
         private void open() {
-            CrashDetector crashes = new CrashDetector(0, () -> new InetSocketAddress(0), TIMERS, seen -> {}, () -> {});
-            Gate gate = new Gate(
-                    clock,
-                    new SuspectTable(clock),
-                    announced -> new Counting(),
-                    TIMERS,
-                    crashes,
-                    new Admission(clock),
-                    new Stall(clock),
-                    call -> "-",
-                    METRICS);
-            gate.announced(new Announcement()
-                    .withService(SERVICE)
-                    .withHost("127.0.0.1")
-                    .withPort(1L)
-                    .withSlots(8L)
-                    .withState(Announcement.State.SERVING));
-            gate.limits(1, 0);
+            Gate gate = OpenGate.of(clock, TIMERS, 8, ExchangeSimulation.this::run);
             framed = new FramedGate(gate, packing, boot, LOOP, clock);
-            lives = framed;
-        }
-    }
-
-    /** Counts what reaches the server. */
-    private final class Counting implements ServerLink {
-
-        @Override
-        public Exchange send(HttpRequest call, long leftNanos) {
-            runs++;
-            history.add("runs");
-            CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
-            events.add(() -> answer.complete(AggregatedHttpResponse.of(ResponseHeaders.builder(HttpStatus.OK)
-                    .set(CallHeaders.OUTCOME, Outcome.RAN.token())
-                    .build())));
-            return Exchange.ofWhole(answer, () -> {});
-        }
-
-        @Override
-        public CompletableFuture<Void> probe(String path) {
-            return CompletableFuture.completedFuture(null);
-        }
-
-        @Override
-        public void close() {
-            // nothing is open
         }
     }
 }
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/FramedGateTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/FramedGateTest.java
@@ -1,31 +1,22 @@
 package io.mustardusher.gate;
 
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpMethod;
-import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
-import io.mustardusher.admission.Admission;
-import io.mustardusher.admission.Stall;
 import io.mustardusher.call.CallHeaders;
-import io.mustardusher.call.Exchange;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.call.Timeout;
 import io.mustardusher.frame.CallMessage;
-import io.mustardusher.generated.Announcement;
-import io.mustardusher.health.SuspectTable;
 import io.mustardusher.result.Outcome;
-import io.mustardusher.server.ServerLink;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.ImmediateEventExecutor;
 import org.junit.jupiter.api.AfterEach;
@@ -37,8 +28,6 @@
 /** Pattern of trouble: the connection between entry and gate breaks, and frames come twice, late or not at all. */
 class FramedGateTest {
 
-    private static final String SERVICE = "s";
-
     private final Clock.Manual clock = new Clock.Manual();
     private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
     private final HeaderPacking packing = new HeaderPacking(List.of());
@@ -48,24 +37,10 @@
 
     @BeforeEach
     void open() {
-        CrashDetector crashes = new CrashDetector(0, () -> new InetSocketAddress(0), timers, seen -> {}, () -> {});
-        Gate gate = new Gate(
-                clock,
-                new SuspectTable(clock),
-                announced -> new Counting(),
-                timers,
-                crashes,
-                new Admission(clock),
-                new Stall(clock),
-                call -> "-",
-                new MetricRegistry());
-        gate.announced(new Announcement()
-                .withService(SERVICE)
-                .withHost("127.0.0.1")
-                .withPort(1)
-                .withSlots(1)
-                .withState(Announcement.State.SERVING));
-        gate.limits(1, 0);
+        Gate gate = OpenGate.of(clock, timers, 1, () -> {
+            runs.incrementAndGet();
+            return answer;
+        });
         framed = new FramedGate(gate, packing, 1, ImmediateEventExecutor.INSTANCE, clock);
     }
 
@@ -118,29 +93,9 @@
 
     private CallMessage call(long number) {
         RequestHeaders headers = RequestHeaders.builder(HttpMethod.POST, "/")
-                .set(CallHeaders.SERVICE, SERVICE)
+                .set(CallHeaders.SERVICE, OpenGate.SERVICE)
                 .set(CallHeaders.TIMEOUT, Timeout.format(60_000 * Clock.NANOS_PER_MILLI))
                 .build();
         return new CallMessage(number, packing.pack(headers), new byte[0]);
     }
-
-    /** Counts what reaches the server. */
-    private final class Counting implements ServerLink {
-
-        @Override
-        public Exchange send(HttpRequest call, long leftNanos) {
-            runs.incrementAndGet();
-            return Exchange.ofWhole(answer, () -> {});
-        }
-
-        @Override
-        public CompletableFuture<Void> probe(String path) {
-            return CompletableFuture.completedFuture(null);
-        }
-
-        @Override
-        public void close() {
-            // nothing is open
-        }
-    }
 }
