Release the slot of a dispatched call in one place

Cause: a call stayed counted in flight for good. CrashDetector.checkAfterLoss registered a listener on its check and then returned the field that the listener clears; a check that had ended by then, as happens beside load, made it return null, and the NullPointerException was swallowed by the completion stage that would have released the slot. The crash check that cannot be scheduled, a link that throws and a failure without a code had the same effect.

Change: the check is returned from a local variable. Dispatch describes each end of a call as a result, and one completion releases the slot and then completes the response, whatever failed before.

Tests: CrashDetectorTest fails with the NullPointerException before the change; DispatchTest left the gate's count at 1.

--- a/mustardusher-node/src/main/java/io/mustardusher/gate/CrashDetector.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/CrashDetector.java
@@ -97,12 +97,16 @@
      * @return id of the crash, or empty if the server still accepts connections
      */
     synchronized CompletableFuture<OptionalLong> checkAfterLoss(Ticket ticket) {
-        if (crashCheck == null) {
-            List<Long> fingerprints = new ArrayList<>(inFlight.values());
-            crashCheck = CompletableFuture.supplyAsync(() -> check(fingerprints), connectExecutor);
-            crashCheck.thenAccept(this::discardIfNoCrash);
+        if (crashCheck != null) {
+            return crashCheck;
         }
-        return crashCheck;
+        List<Long> fingerprints = new ArrayList<>(inFlight.values());
+        CompletableFuture<OptionalLong> started =
+                CompletableFuture.supplyAsync(() -> check(fingerprints), connectExecutor);
+        crashCheck = started;
+        // Discards the check at once if it has ended already, so the field cannot be returned here.
+        started.thenAccept(this::discardIfNoCrash);
+        return started;
     }
 
     /** Discards the crash found last, since the server is serving again. */
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
@@ -109,16 +110,12 @@
             return;
         }
         dispatchedNanos = gate.clock().nanoTime();
-        long remainingNanos = deadlineNanos - dispatchedNanos;
         gate.crashDetector().recordDispatch(ticket, fingerprint);
-        Exchange exchange = link.send(request, remainingNanos);
-        exchange.abortOn(cancelled);
-        exchange.headers().whenComplete((headers, failure) -> {
-            if (failure == null) {
-                forwardResponse(exchange, headers);
-            } else {
-                handleFailure(failure);
-            }
+        // The only place that releases the slot, whatever fails on the way.
+        send().whenComplete((result, failure) -> {
+            Result ended = failure == null ? result : unexpectedFailure(failure);
+            release(ended.end());
+            ended.completion().run();
         });
     }
 
@@ -127,60 +124,86 @@
         response.complete(gate.reject(code, request.headers()));
     }
 
+    private CompletableFuture<Result> send() {
+        try {
+            Exchange exchange = link.send(request, deadlineNanos - dispatchedNanos);
+            exchange.abortOn(cancelled);
+            return exchange.headers()
+                    .handle((headers, failure) ->
+                            failure == null ? forwardResponse(exchange, headers) : handleFailure(failure))
+                    .thenCompose(Function.identity());
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
     // Forwards the response; one that the backend server marks as a refusal is replaced by a problem document.
-    private void forwardResponse(Exchange exchange, ResponseHeaders headers) {
+    private CompletableFuture<Result> forwardResponse(Exchange exchange, ResponseHeaders headers) {
         boolean unavailable = headers.status().equals(HttpStatus.SERVICE_UNAVAILABLE);
         boolean notRun = Outcome.NOT_RUN.token().equals(headers.get(CallHeaders.OUTCOME));
         if (unavailable && notRun) {
             exchange.discard();
-            end(CallEnd.OVERLOADED);
-            response.complete(Problem.response(
-                    ResultCode.SERVER_REFUSED,
-                    "shed by the backend server",
-                    gate.load().toHeader()));
-            return;
+            return ended(CallEnd.OVERLOADED, ResultCode.SERVER_REFUSED, "shed by the backend server");
         }
         ResponseHeadersBuilder forwarded = headers.toBuilder();
         CallHeaders.stripAnswer(forwarded);
         forwarded.set(CallHeaders.OUTCOME, Outcome.RAN.token());
         forwarded.set(CallHeaders.LOAD, gate.load().toHeader());
         CallEnd onSuccess = headers.status().isServerError() ? CallEnd.ABANDONED : CallEnd.ANSWERED;
-        exchange.whenComplete()
-                .whenComplete((ignored, failure) -> end(failure == null ? onSuccess : CallEnd.ABANDONED));
+        CompletableFuture<Result> result = exchange.whenComplete()
+                .handle((ignored, failure) -> new Result(failure == null ? onSuccess : CallEnd.ABANDONED, () -> {}));
         response.complete(exchange.stream(forwarded.build()));
+        return result;
     }
 
-    // Completes a call that received no response from the backend server.
-    private void handleFailure(Throwable failure) {
+    // Ends a call that received no response from the backend server.
+    private CompletableFuture<Result> handleFailure(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        MustardusherException exception = (MustardusherException) cause;
+        if (!(cause instanceof MustardusherException exception)) {
+            return CompletableFuture.failedFuture(cause);
+        }
         gate.logServerFailure(request.headers(), dispatchedNanos, exception);
         if (exception.code() == ResultCode.CONNECTION_LOST
                 && !cancelled.toCompletableFuture().isDone()) {
-            gate.crashDetector().checkAfterLoss(ticket).thenAccept(crash -> completeAfterLoss(exception, crash));
-            return;
+            return gate.crashDetector().checkAfterLoss(ticket).thenApply(crash -> resultAfterLoss(exception, crash));
         }
-        end(exception.code() == ResultCode.DEADLINE_PASSED ? CallEnd.OVERLOADED : CallEnd.ABANDONED);
-        response.complete(Problem.response(
-                exception.code(), exception.getMessage(), gate.load().toHeader()));
+        CallEnd end = exception.code() == ResultCode.DEADLINE_PASSED ? CallEnd.OVERLOADED : CallEnd.ABANDONED;
+        return ended(end, exception.code(), exception.getMessage());
     }
 
-    // Completes a call whose connection was lost; the crash is empty if the server is still running.
-    private void completeAfterLoss(MustardusherException exception, OptionalLong crash) {
-        end(CallEnd.ABANDONED);
+    // Returns the result of a call whose connection was lost; the crash is empty if the server is still running.
+    private Result resultAfterLoss(MustardusherException exception, OptionalLong crash) {
         if (crash.isEmpty()) {
-            response.complete(Problem.response(
-                    exception.code(), exception.getMessage(), gate.load().toHeader()));
-            return;
+            return withProblem(CallEnd.ABANDONED, exception.code(), exception.getMessage());
         }
-        ResponseHeaders headers = Problem.headers(ResultCode.SERVER_CRASHED)
-                .set(CallHeaders.CRASH, Long.toString(crash.getAsLong()))
-                .set(CallHeaders.LOAD, gate.load().toHeader())
-                .build();
-        response.complete(HttpResponse.of(headers));
+        return new Result(
+                CallEnd.ABANDONED,
+                () -> response.complete(HttpResponse.of(Problem.headers(ResultCode.SERVER_CRASHED)
+                        .set(CallHeaders.CRASH, Long.toString(crash.getAsLong()))
+                        .set(CallHeaders.LOAD, gate.load().toHeader())
+                        .build())));
+    }
+
+    // The call may have been sent, so its outcome is unknown.
+    private Result unexpectedFailure(Throwable failure) {
+        MustardusherException exception =
+                new MustardusherException(ResultCode.CONNECTION_LOST, "the dispatch failed: " + failure, failure);
+        gate.logServerFailure(request.headers(), dispatchedNanos, exception);
+        return withProblem(CallEnd.ABANDONED, exception.code(), "the dispatch failed");
+    }
+
+    private CompletableFuture<Result> ended(CallEnd end, ResultCode code, String detail) {
+        return CompletableFuture.completedFuture(withProblem(end, code, detail));
+    }
+
+    private Result withProblem(CallEnd end, ResultCode code, String detail) {
+        return new Result(
+                end,
+                () -> response.complete(
+                        Problem.response(code, detail, gate.load().toHeader())));
     }
 
-    private void end(CallEnd end) {
+    private void release(CallEnd end) {
         gate.crashDetector().recordEnd(ticket);
         if (exclusive && end == CallEnd.ANSWERED) {
             gate.suspects().clear(fingerprint);
@@ -188,4 +211,12 @@
         gate.callTimer().update(gate.clock().nanoTime() - dispatchedNanos, TimeUnit.NANOSECONDS);
         gate.admission().release(ticket, end);
     }
+
+    /**
+     * How the call ended.
+     *
+     * @param end        what the end says about the load of the server
+     * @param completion completes the response after the slot is released, so that the load in it is current
+     */
+    private record Result(CallEnd end, Runnable completion) {}
 }
