Replace a rejected hedge and count calls until the server ends them

Cause: beside load the node of the second server rejects a hedge as overloaded. A call was hedged once only, so the slow first server had to answer it (EndToEndTest.returnsHedgedResponseWhenFirstServerIsSlow). The entry counted a call until its response completed, which never happens if the connection is lost before the response has a subscriber or if the handler throws.

Change: a hedge that is rejected without running is followed by another one after the same delay, within the budget. The count of a call at the entry has one owner that ends it once, on the end of the response or of the server's request log, which completes in every case.

--- a/mustardusher-lab/src/test/java/io/mustardusher/lab/cluster/EndToEndTest.java
+++ b/mustardusher-lab/src/test/java/io/mustardusher/lab/cluster/EndToEndTest.java
@@ -22,7 +22,6 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -138,7 +137,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void rejectsMalformedFramingWithoutExecution() throws IOException {
         for (String framing : List.of(
                 "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
@@ -228,7 +226,6 @@
 
     /** Round robin routes a third of each entry's calls to the slow server first; another server has to answer them. */
     @Test
-    @Tag("known-red")
     void returnsHedgedResponseWhenFirstServerIsSlow() {
         String entry =
                 "{\"service\": \"ledger\", \"owner\": \"o\", \"class\": \"critical\", \"policy\": \"round-robin\","
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
@@ -55,8 +54,7 @@
 
     private final CallerConnections callerConnections = new CallerConnections();
 
-    /** Calls whose response is not complete. */
-    private final AtomicInteger inFlight = new AtomicInteger();
+    private final InFlightCalls inFlight = new InFlightCalls();
 
     /** Time from the arrival of a call to the end of its response. */
     private final Timer served;
@@ -121,13 +119,15 @@
      * @return number of calls
      */
     public int inFlight() {
-        return inFlight.get();
+        return inFlight.count();
     }
 
     @Override
     public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
         long startNanos = clock.nanoTime();
-        inFlight.incrementAndGet();
+        Runnable end = inFlight.start();
+        // Also completes if the connection is lost before the response has a subscriber, or if this method throws.
+        context.log().whenComplete().thenRun(end);
         if (draining) {
             context.initiateConnectionShutdown();
         }
@@ -148,7 +148,7 @@
                 cancelled.complete(null);
             }
             unwatch.run();
-            inFlight.decrementAndGet();
+            end.run();
             served.update(clock.nanoTime() - startNanos, TimeUnit.NANOSECONDS);
         });
         return response;
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/HedgedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/HedgedCall.java
@@ -9,10 +9,13 @@
 
 import com.linecorp.armeria.common.HttpResponse;
 import io.mustardusher.budget.RatioBudget;
+import io.mustardusher.result.Outcome;
+import io.mustardusher.routing.ExcludedServers;
 
 /**
  * An idempotent call that is sent to a second server when the first takes much longer than expected. The first answer
- * is returned and the other attempt is cancelled, as described in "The Tail at Scale" (Dean, Barroso, CACM 2013).
+ * is returned and the other attempt is cancelled, as described in "The Tail at Scale" (Dean, Barroso, CACM 2013). A
+ * hedge that is rejected without running is replaced by a later one, within the budget.
  */
 final class HedgedCall {
 
@@ -23,7 +26,7 @@
     private static final long MIN_HEDGE_DELAY_NANOS = 5_000_000L;
 
     /** Creates an attempt that is cancelled when the given stage completes. */
-    private final Function<CompletionStage<?>, RoutedCall> attempts;
+    private final Function<CompletionStage<?>, Attempt> attempts;
 
     /** Budget of hedges. */
     private final RatioBudget budget;
@@ -53,7 +56,7 @@
      * @param cancelled completes when the caller has cancelled the call
      */
     HedgedCall(
-            Function<CompletionStage<?>, RoutedCall> attempts,
+            Function<CompletionStage<?>, Attempt> attempts,
             RatioBudget budget,
             ScheduledExecutorService timers,
             CompletionStage<?> cancelled) {
@@ -72,15 +75,17 @@
      * @return response for the caller
      */
     HttpResponse start() {
-        RoutedCall first = attempts.apply(firstCancelled);
+        Attempt first = attempts.apply(firstCancelled);
         CompletableFuture<Reply> reply = first.startForReply();
+        scheduleHedge(first);
+        reply.thenAccept(firstReply -> onReply(firstReply, secondCancelled));
+        return HttpResponse.of(answer);
+    }
+
+    private void scheduleHedge(Attempt first) {
         long delay = Math.max(MIN_HEDGE_DELAY_NANOS, HEDGE_DELAY_FACTOR * first.expectedNanos());
         ScheduledFuture<?> timer = timers.schedule(() -> hedge(first), delay, TimeUnit.NANOSECONDS);
-        reply.thenAccept(firstReply -> {
-            timer.cancel(false);
-            onReply(firstReply, secondCancelled);
-        });
-        return HttpResponse.of(answer);
+        answer.whenComplete((response, failure) -> timer.cancel(false));
     }
 
     /**
@@ -88,7 +93,7 @@
      *
      * @param first the first attempt
      */
-    private void hedge(RoutedCall first) {
+    private void hedge(Attempt first) {
         synchronized (this) {
             boolean ended = pendingAttempts == 0 || firstCancelled.isDone();
             if (ended || !budget.trySpend()) {
@@ -96,9 +101,15 @@
             }
             pendingAttempts++;
         }
-        RoutedCall second = attempts.apply(secondCancelled);
+        Attempt second = attempts.apply(secondCancelled);
         second.excludeServersOf(first);
-        second.startForReply().thenAccept(secondReply -> onReply(secondReply, firstCancelled));
+        second.startForReply().thenAccept(secondReply -> {
+            onReply(secondReply, firstCancelled);
+            // No server has run the rejected hedge, so a later one can still be faster than the first attempt.
+            if (secondReply.outcome() == Outcome.NOT_RUN && !answer.isDone()) {
+                scheduleHedge(first);
+            }
+        });
     }
 
     /**
@@ -123,4 +134,36 @@
             selected.response().abort();
         }
     }
+
+    /** One of the attempts of a hedged call. */
+    interface Attempt {
+
+        /**
+         * Starts the attempt.
+         *
+         * @return the reply; never fails
+         */
+        CompletableFuture<Reply> startForReply();
+
+        /**
+         * Returns the estimated time to an answer from the server that was chosen last.
+         *
+         * @return time in nanoseconds; 0 before the first choice
+         */
+        long expectedNanos();
+
+        /**
+         * Excludes the servers that another attempt of the same call has tried.
+         *
+         * @param other the other attempt
+         */
+        void excludeServersOf(Attempt other);
+
+        /**
+         * Returns the servers that this attempt has tried.
+         *
+         * @return the servers
+         */
+        ExcludedServers triedServers();
+    }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -36,7 +36,7 @@
 import io.mustardusher.time.Clock;
 
 /** A call at the entry, from the choice of its first server to the response for its caller. */
-final class RoutedCall {
+final class RoutedCall implements HedgedCall.Attempt {
 
     /**
      * Largest answer that is buffered, in bytes. A longer answer is streamed: the call is not retried then, and the
@@ -134,31 +134,24 @@
         return HttpResponse.of(startForReply().thenApply(Reply::response));
     }
 
-    /**
-     * Starts the first attempt.
-     *
-     * @return response for the caller, along with its outcome
-     */
-    CompletableFuture<Reply> startForReply() {
+    @Override
+    public CompletableFuture<Reply> startForReply() {
         send();
         return answer;
     }
 
-    /**
-     * Excludes the servers that another attempt of the same hedged call has tried.
-     *
-     * @param other the other attempt
-     */
-    void excludeServersOf(RoutedCall other) {
-        excludedServers.addAll(other.excludedServers);
+    @Override
+    public void excludeServersOf(HedgedCall.Attempt other) {
+        excludedServers.addAll(other.triedServers());
     }
 
-    /**
-     * Returns the estimated time to an answer from the server that was chosen last.
-     *
-     * @return time in nanoseconds; 0 before the first choice
-     */
-    long expectedNanos() {
+    @Override
+    public ExcludedServers triedServers() {
+        return excludedServers;
+    }
+
+    @Override
+    public long expectedNanos() {
         return expectedNanos;
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
@@ -105,7 +105,7 @@
         }
         RatioBudget budget = hedgeBudgets.computeIfAbsent(call.service(), name -> new RatioBudget());
         budget.earn(hedgePercent);
-        Function<CompletionStage<?>, RoutedCall> attempts =
+        Function<CompletionStage<?>, HedgedCall.Attempt> attempts =
                 cancelStage -> new RoutedCall(this, call, body, true, policy, cancelStage);
         return new HedgedCall(attempts, budget, timers, cancelled).start();
     }
