Follow a table service that is restored from a copy

Cause: the store may come back from a copy some seconds old. Versions go back and are given out again, so the watch of the manifest waited for changes after a version of the past, and the row by which other nodes find a node could be missing for as long as the node ran. Nothing read the number that the store raises on each restore.

Routes in force are chosen by the operator's version, which is not the store's, and never go back (RouteReplicaTest.appliesOnlyHigherVersions). The in-memory table can be copied and restored.

--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
@@ -45,7 +45,8 @@
     /** Selects the start of a scan and the nodes to contact. */
     private final Random random;
 
-    private volatile boolean registered;
+    /** Generation of the table service in which the row of this node was written; negative if it was not written. */
+    private volatile long registeredGeneration = -1;
 
     /**
      * Creates a discovery.
@@ -66,12 +67,14 @@
     }
 
     /**
-     * Writes the row of this node if it has not been written yet.
+     * Writes the row of this node if it has not been written yet, or if the table service has been restored since then
+     * from a copy, which may not contain it.
      *
      * @return completes when the table service has responded or failed
      */
     public CompletableFuture<Void> register() {
-        if (registered) {
+        long generation = table.generation();
+        if (registeredGeneration == generation) {
             return CompletableFuture.completedFuture(null);
         }
         MemberRecord self = members.self();
@@ -80,7 +83,8 @@
                 .put(ROW_PREFIX + self.getId(), Schema.write(address))
                 .build();
         CompletableFuture<Long> written = table.commit(write);
-        written.thenRun(() -> registered = true);
+        // Before the first answer the generation is unknown, and the one of the answer is that of the row.
+        written.thenRun(() -> registeredGeneration = generation == 0 ? table.generation() : generation);
         return logFailure(written, "register");
     }
 
--- a/mustardusher-store/src/main/java/io/mustardusher/store/TableService.java
+++ b/mustardusher-store/src/main/java/io/mustardusher/store/TableService.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -39,11 +40,24 @@
      */
     CompletableFuture<Long> commit(Transaction transaction);
 
+    /**
+     * Returns the generation of the table. It increases when the table is restored from an earlier copy: commits after
+     * that copy are undone, and their versions are assigned again, so versions of different generations must not be
+     * compared.
+     *
+     * @return generation according to the latest answer; 0 for a table that is never restored
+     */
+    default long generation() {
+        return 0;
+    }
+
     /** In-memory table that replaces the platform in tests and in the laboratory. */
     final class InMemory implements TableService {
 
         private final TreeMap<String, Row> rows = new TreeMap<>();
 
+        private long generation;
+
         /** Number of the last successful commit, which is the version of its rows. */
         private long commits;
 
@@ -84,6 +98,32 @@
             return CompletableFuture.completedFuture(commits);
         }
 
+        @Override
+        public synchronized long generation() {
+            return generation;
+        }
+
+        /**
+         * Returns a copy of the rows, to be restored later.
+         *
+         * @return the copy
+         */
+        public synchronized Copy copy() {
+            return new Copy(Map.copyOf(rows), commits);
+        }
+
+        /**
+         * Restores an earlier copy: undoes the commits after it, whose versions are assigned again.
+         *
+         * @param copy copy of this table
+         */
+        public synchronized void restore(Copy copy) {
+            rows.clear();
+            rows.putAll(copy.rows);
+            commits = copy.commits;
+            generation++;
+        }
+
         /**
          * Returns the number of reads and scans.
          *
@@ -114,5 +154,13 @@
                 rows.put(write.key(), new Row(write.key(), commits, write.value()));
             }
         }
+
+        /**
+         * The rows of a table at one moment.
+         *
+         * @param rows    rows by their keys
+         * @param commits number of successful commits until then
+         */
+        public record Copy(Map<String, Row> rows, long commits) {}
     }
 }
