Keep calls that cannot meet their target at any gate

Cause: a gate returned each call that would miss its target, also one that came back late and that no server could answer in time.

Change: a gate returns a call only if an idle server could still answer it by its target.

NoisyNeighbourTest.keepsMovableCallThatCannotMeetItsTargetAnywhere fails before the change.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -255,13 +255,27 @@
                 times.expectedNanos(ticket.owner, now),
                 times.maxDeferralNanos(ticket.owner) + times.baselineNanos(ticket.owner));
         double answerNanos = now + completionNanos + times.smoothedNanos() * rounds;
-        boolean fasterElsewhere = times.isSlow(now) || answerNanos > ticket.latencyTarget.targetNanos();
-        if (ticket.latencyTarget.movable() && fasterElsewhere) {
+        if (ticket.latencyTarget.movable() && isWorthMoving(ticket, answerNanos, now)) {
             return ResultCode.SLOWER_THAN_TARGET;
         }
         return busy > 0 && answerNanos > ticket.deadlineNanos ? ResultCode.DEADLINE_UNREACHABLE : null;
     }
 
+    /**
+     * Returns whether a call may meet its target at another gate, but probably not at this one. A call that is too late
+     * even for an idle server stays, because each further gate would cost time and work for nothing.
+     *
+     * @param ticket      the call
+     * @param answerNanos time at which this gate expects the answer, in nanoseconds
+     * @param now         current time, in nanoseconds
+     * @return {@code true} if the call should be sent to another gate
+     */
+    private boolean isWorthMoving(Ticket ticket, double answerNanos, long now) {
+        long targetNanos = ticket.latencyTarget.targetNanos();
+        boolean reachable = now + times.baselineNanos(ticket.owner) <= targetNanos;
+        return reachable && (times.isSlow(now) || answerNanos > targetNanos);
+    }
+
     /**
      * Enqueues a call. If the queue is full, the call of the lowest precedence, which may be the new one, is rejected.
      *
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/NoisyNeighbourTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/NoisyNeighbourTest.java
@@ -36,6 +36,16 @@
         assertThat(offer(true).code).isEqualTo(ResultCode.SLOWER_THAN_TARGET);
     }
 
+    /** A call that comes back late would be returned by each gate in turn, which multiplies the load of a busy service. */
+    @Test
+    void keepsMovableCallThatCannotMeetItsTargetAnywhere() {
+        recordBaselineServiceTimes();
+        admission.updateSlowness(SLOW_PERCENT);
+        TestCall call = new TestCall(clock.nanoTime() - (TARGET_MILLIS - WORK_MILLIS + 1) * Clock.NANOS_PER_MILLI, true);
+        admission.offer(call.ticket);
+        assertThat(call.code).isNull();
+    }
+
     @Test
     void defersCallThatIsNotMovableUntilServerRecovers() {
         admission.updateSlowness(SLOW_PERCENT);
