Move the selection of servers for a call into core

Cause: which servers the attempts of a call go to, and when a gate may return it, was decided inside RoutedCall, which needs a network. A model of load could only have copied it.

Change: ServerSelection in core holds these decisions; RoutedCall sends what it chooses. Behaviour is unchanged (RoutedCallTest, ExchangeSimulationTest).

--- /dev/null
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerSelection.java
@@ -0,0 +1,115 @@
+package io.mustardusher.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Selects the servers for the attempts of one call. A gate may return a call in favour of a faster server only while
+ * another server remains to be tried. Not thread-safe.
+ */
+public final class ServerSelection {
+
+    /** Time of a call without a latency target. */
+    public static final long NO_TARGET = Long.MAX_VALUE;
+
+    private final RoutingPolicy policy;
+    private final TransferCost transferCost;
+    private final long targetNanos;
+
+    /** Servers that are not to be chosen again. */
+    private final ExcludedServers tried = new ExcludedServers();
+
+    /** Servers whose gates returned the call because another server may answer sooner. */
+    private final List<ServerLoad> slowServers = new ArrayList<>(2);
+
+    /** Whether gates must no longer return the call in favour of another server. */
+    private boolean mustAccept;
+
+    /** Number of the current attempt, from 1. */
+    private int attempt;
+
+    /**
+     * Creates a selection for a call that has not been sent.
+     *
+     * @param policy       policy of the service
+     * @param transferCost cost of sending the call to another failure domain
+     * @param targetNanos  time by which an answer is desired, in nanoseconds; {@link #NO_TARGET} if there is none
+     */
+    public ServerSelection(RoutingPolicy policy, TransferCost transferCost, long targetNanos) {
+        this.policy = policy;
+        this.transferCost = transferCost;
+        this.targetNanos = targetNanos;
+    }
+
+    /**
+     * Chooses the server of the next attempt.
+     *
+     * @param pool   servers of the service
+     * @param random source of randomness
+     * @param now    current time, in nanoseconds
+     * @return the choice, or empty if no server is left
+     */
+    public Optional<Choice> next(ServerPool pool, RandomGenerator random, long now) {
+        attempt++;
+        if (!pool.hasServing(tried) && !slowServers.isEmpty()) {
+            // Every remaining server is currently slow, and one of them has to accept the call.
+            mustAccept = true;
+            slowServers.forEach(tried::remove);
+            slowServers.clear();
+        }
+        ServerLoad server = policy.choose(pool, tried, random, now, transferCost.cost());
+        if (server == null) {
+            return Optional.empty();
+        }
+        tried.add(server);
+        boolean movable =
+                targetNanos != NO_TARGET && !mustAccept && transferCost.mayReroute(attempt) && pool.hasServing(tried);
+        return Optional.of(new Choice(server, movable));
+    }
+
+    /**
+     * Records that the gate of a server returned the call in favour of a faster server.
+     *
+     * @param server the server
+     */
+    public void recordSlow(ServerLoad server) {
+        slowServers.add(server);
+    }
+
+    /**
+     * Returns the number of the current attempt.
+     *
+     * @return number of attempts so far
+     */
+    public int attempt() {
+        return attempt;
+    }
+
+    /**
+     * Returns the servers that were tried and are not chosen again.
+     *
+     * @return the servers
+     */
+    public ExcludedServers tried() {
+        return tried;
+    }
+
+    /**
+     * Excludes the servers that another attempt of the same call has tried.
+     *
+     * @param other the servers
+     */
+    public void exclude(ExcludedServers other) {
+        tried.addAll(other);
+    }
+
+    /**
+     * A server chosen for an attempt.
+     *
+     * @param server  the server
+     * @param movable whether its gate may return the call in favour of a faster server
+     */
+    public record Choice(ServerLoad server, boolean movable) {}
+}
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/NoisyNeighbourTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/NoisyNeighbourTest.java
@@ -41,7 +41,8 @@
     void keepsMovableCallThatCannotMeetItsTargetAnywhere() {
         recordBaselineServiceTimes();
         admission.updateSlowness(SLOW_PERCENT);
-        TestCall call = new TestCall(clock.nanoTime() - (TARGET_MILLIS - WORK_MILLIS + 1) * Clock.NANOS_PER_MILLI, true);
+        TestCall call =
+                new TestCall(clock.nanoTime() - (TARGET_MILLIS - WORK_MILLIS + 1) * Clock.NANOS_PER_MILLI, true);
         admission.offer(call.ticket);
         assertThat(call.code).isNull();
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -1,8 +1,6 @@
 package io.mustardusher.entry;
 
-import java.util.ArrayList;
 import java.util.EnumSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -32,6 +30,7 @@
 import io.mustardusher.routing.LoadReport;
 import io.mustardusher.routing.ServerLoad;
 import io.mustardusher.routing.ServerPool;
+import io.mustardusher.routing.ServerSelection;
 import io.mustardusher.routing.TransferCost;
 import io.mustardusher.time.Clock;
 
@@ -67,23 +66,16 @@
     /** Hash of service, method, path and body. */
     private final long fingerprint;
 
-    /** Servers that are not to be chosen again. */
-    private final ExcludedServers excludedServers = new ExcludedServers();
-
-    /** Servers whose gates returned the call because another server may answer sooner. */
-    private final List<ServerLoad> slowServers = new ArrayList<>(2);
-
-    /** Whether gates must no longer return the call in favour of another server. */
-    private boolean mustAccept;
+    private final ServerSelection servers;
 
     private final CompletableFuture<Reply> answer = new CompletableFuture<>();
 
     private final long startNanos;
 
-    private final TransferCost transferCost;
+    /** Time by which an answer is desired, in nanoseconds; {@link ServerSelection#NO_TARGET} if there is none. */
+    private final long targetNanos;
 
-    /** Number of the current attempt, from 1. */
-    private int attempt;
+    private final TransferCost transferCost;
 
     /** Estimated time to an answer of the current attempt, in nanoseconds. */
     private volatile long expectedNanos;
@@ -122,6 +114,9 @@
         this.cancelled = cancelled;
         this.startNanos = router.clock().nanoTime();
         this.transferCost = router.transferCost(call.owner());
+        long target = call.options().targetLatencyNanos();
+        this.targetNanos = target == Long.MAX_VALUE ? ServerSelection.NO_TARGET : startNanos + target;
+        this.servers = new ServerSelection(call.entry().policy(), transferCost, targetNanos);
         this.fingerprint = Fingerprint.of(call.service().value(), call.headers(), body.bufferedData());
     }
 
@@ -142,12 +137,12 @@
 
     @Override
     public void excludeServersOf(HedgedCall.Attempt other) {
-        excludedServers.addAll(other.triedServers());
+        servers.exclude(other.triedServers());
     }
 
     @Override
     public ExcludedServers triedServers() {
-        return excludedServers;
+        return servers.tried();
     }
 
     @Override
@@ -157,7 +152,6 @@
 
     /** Chooses a server and sends the call. */
     private void send() {
-        attempt++;
         if (cancelled.toCompletableFuture().isDone()) {
             fail(ResultCode.CANCELLED, "the caller has left");
             return;
@@ -169,43 +163,34 @@
         }
         long now = router.clock().nanoTime();
         ServerPool pool = router.directory().pool(call.service());
-        if (!pool.hasServing(excludedServers) && !slowServers.isEmpty()) {
-            // Every remaining server is currently slow, and one of them has to accept the call.
-            mustAccept = true;
-            slowServers.forEach(excludedServers::remove);
-            slowServers.clear();
-        }
-        ServerLoad server = call.entry()
-                .policy()
-                .choose(pool, excludedServers, ThreadLocalRandom.current(), now, transferCost.cost());
-        Optional<GateLink> link =
-                server == null ? Optional.empty() : router.directory().link(server);
+        Optional<ServerSelection.Choice> choice = servers.next(pool, ThreadLocalRandom.current(), now);
+        Optional<GateLink> link = choice.flatMap(chosen -> router.directory().link(chosen.server()));
         if (link.isEmpty()) {
             fail(ResultCode.NO_SERVER, "no server left to try");
             return;
         }
-        excludedServers.add(server);
+        ServerLoad server = choice.get().server();
         expectedNanos = (long) server.estimatedNanos(now);
         logChoice(server, pool);
-        sendTo(server, link.get(), now, pool.hasServing(excludedServers));
+        sendTo(server, link.get(), now, choice.get().movable());
     }
 
     /**
      * Sends the call to the gate of a server.
      *
-     * @param server          the server
-     * @param link            link to the gate
-     * @param now             current time, in nanoseconds
-     * @param hasAlternatives whether other servers remain to be tried
+     * @param server  the server
+     * @param link    link to the gate
+     * @param now     current time, in nanoseconds
+     * @param movable whether the gate may return the call in favour of a faster server
      */
-    private void sendTo(ServerLoad server, GateLink link, long now, boolean hasAlternatives) {
+    private void sendTo(ServerLoad server, GateLink link, long now, boolean movable) {
         long remainingNanos = call.deadlineNanos() - now;
         if (server.ejection().requiresTrial(now)) {
             server.ejection().startTrial();
         }
         server.recordCallStart();
-        Exchange exchange = link.send(
-                body.toRequest(requestHeaders(remainingNanos, now, hasAlternatives)), remainingNanos, cancelled);
+        Exchange exchange =
+                link.send(body.toRequest(requestHeaders(remainingNanos, now, movable)), remainingNanos, cancelled);
         exchange.headers().whenComplete((headers, failure) -> {
             if (failure != null) {
                 server.recordCallEnd();
@@ -216,12 +201,11 @@
         });
     }
 
-    private RequestHeaders requestHeaders(long remainingNanos, long now, boolean hasAlternatives) {
-        RequestHeadersBuilder headers = call.headersForNode(attempt, remainingNanos, fingerprint);
-        long target = call.options().targetLatencyNanos();
-        if (target != Long.MAX_VALUE) {
-            headers.set(CallHeaders.TARGET, Timeout.format(startNanos + target - now));
-            if (hasAlternatives && !mustAccept && body.isReplayable() && transferCost.mayReroute(attempt)) {
+    private RequestHeaders requestHeaders(long remainingNanos, long now, boolean movable) {
+        RequestHeadersBuilder headers = call.headersForNode(servers.attempt(), remainingNanos, fingerprint);
+        if (targetNanos != ServerSelection.NO_TARGET) {
+            headers.set(CallHeaders.TARGET, Timeout.format(targetNanos - now));
+            if (movable && body.isReplayable()) {
                 headers.set(CallHeaders.MOVABLE, "1");
             }
         }
@@ -255,7 +239,7 @@
             router.recordSuspect(fingerprint, headers.getLong(CallHeaders.CRASH, 0));
         }
         if (code == ResultCode.SLOWER_THAN_TARGET) {
-            slowServers.add(server);
+            servers.recordSlow(server);
         }
         exchange.discard();
         retryOrFail(code, code.title(), now);
@@ -293,7 +277,7 @@
                 call.options().id(),
                 server.node().value(),
                 headers.status().code(),
-                attempt,
+                servers.attempt(),
                 (now - startNanos) / Clock.NANOS_PER_MICRO);
         exchange.aggregate(callerHeaders(headers)).whenComplete((response, truncation) -> {
             if (truncation != null) {
@@ -367,7 +351,7 @@
             return false;
         }
         return retryPolicy.mayRetry(new FailedAttempt(
-                attempt,
+                servers.attempt(),
                 reachedAttempts,
                 call.options().maxReachedAttempts(),
                 code,
@@ -392,7 +376,8 @@
         boolean certain = !mayHaveRun || code.outcome() != Outcome.NOT_RUN;
         ResultCode reported = certain ? code : ResultCode.RETRY_REFUSED;
         router.countAnswer(call.owner(), reported.label());
-        NodeLog.DECISIONS.callFailed(call.options().id(), call.service().value(), reported.number(), attempt, detail);
+        NodeLog.DECISIONS.callFailed(
+                call.options().id(), call.service().value(), reported.number(), servers.attempt(), detail);
         answer.complete(new Reply(Problem.response(reported, detail), reported.outcome()));
     }
 
@@ -428,7 +413,7 @@
                 call.service().value(),
                 server.node().value(),
                 policy,
-                attempt,
+                servers.attempt(),
                 micros,
                 pool.size());
     }
