Close a draining connection only behind the last call in flight

Cause: callers may send further requests before the first one is answered. While a node drained, each request started the shutdown of its connection, so the response to an earlier one carried Connection: close, and requests behind it were passed on although no response to them could reach the caller. There was no bound on the calls of one connection.

Change: the shutdown starts with a request that has none before it in flight; what stands behind it is not passed on. From 16 calls in flight on a connection no further request is read until one ends. In-order answers, reading while the first call waits, and the cancellation of all calls of a caller that leaves held already and now have tests.

Tests: PipelinedCallsTest; passesNothingOnBehindResponseThatClosesConnection and limitsCallsInFlightOfOneConnection fail before the change.

--- a/mustardusher-node/src/main/java/io/mustardusher/entry/CallerConnections.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/CallerConnections.java
@@ -7,15 +7,22 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 
-/** Detects disconnects of callers at once; the HTTP server reports them to its services only a second later. */
+/**
+ * Connections of callers and their calls in flight. Detects disconnects at once; the HTTP server reports them to its
+ * services only a second later. Callers may pipeline calls, so a connection can have several in flight.
+ */
 public final class CallerConnections implements Consumer<ChannelPipeline> {
 
-    /** Futures of the calls in flight on each connection, by the caller's address. */
-    private final Map<SocketAddress, Set<CompletableFuture<Void>>> calls = new ConcurrentHashMap<>();
+    /** Number of calls in flight on a connection from which no further request is read. */
+    static final int MAX_CALLS_IN_FLIGHT = 16;
+
+    /** Connections by the caller's address. */
+    private final Map<SocketAddress, Connection> connections = new ConcurrentHashMap<>();
 
     @Override
     public void accept(ChannelPipeline pipeline) {
@@ -30,30 +37,84 @@
      * @return ends the watch
      */
     Runnable watch(SocketAddress caller, CompletableFuture<Void> disconnected) {
-        Set<CompletableFuture<Void>> onConnection = calls.get(caller);
-        if (onConnection == null) {
+        Connection connection = connections.get(caller);
+        if (connection == null) {
             return () -> {};
         }
-        onConnection.add(disconnected);
-        return () -> onConnection.remove(disconnected);
+        connection.add(disconnected);
+        return () -> connection.remove(disconnected);
+    }
+
+    /**
+     * Marks a connection as closing after the response to its next call, unless it has calls in flight, whose responses
+     * would be lost.
+     *
+     * @param caller address of the caller's side of the connection
+     * @return {@code true} if the connection is closing
+     */
+    boolean closeAfterNextCall(SocketAddress caller) {
+        Connection connection = connections.get(caller);
+        return connection == null || connection.closeAfterNextCall();
+    }
+
+    /**
+     * Returns whether a connection closes after the response to an earlier call, so that no response to a later one
+     * reaches the caller.
+     *
+     * @param caller address of the caller's side of the connection
+     * @return {@code true} if it does
+     */
+    boolean isClosing(SocketAddress caller) {
+        Connection connection = connections.get(caller);
+        return connection != null && connection.closing;
     }
 
     private final class DisconnectHandler extends ChannelInboundHandlerAdapter {
 
         @Override
         public void channelActive(ChannelHandlerContext context) throws Exception {
-            calls.put(context.channel().remoteAddress(), ConcurrentHashMap.newKeySet());
+            connections.put(context.channel().remoteAddress(), new Connection(context.channel()));
             super.channelActive(context);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) throws Exception {
-            Set<CompletableFuture<Void>> onConnection =
-                    calls.remove(context.channel().remoteAddress());
-            if (onConnection != null) {
-                onConnection.forEach(disconnected -> disconnected.complete(null));
+            Connection connection = connections.remove(context.channel().remoteAddress());
+            if (connection != null) {
+                connection.calls.forEach(disconnected -> disconnected.complete(null));
             }
             super.channelInactive(context);
         }
     }
+
+    /** A connection of a caller. */
+    private static final class Connection {
+
+        private final Channel channel;
+        private final Set<CompletableFuture<Void>> calls = ConcurrentHashMap.newKeySet();
+        private volatile boolean closing;
+
+        Connection(Channel channel) {
+            this.channel = channel;
+        }
+
+        synchronized boolean closeAfterNextCall() {
+            closing |= calls.isEmpty();
+            return closing;
+        }
+
+        synchronized void add(CompletableFuture<Void> call) {
+            calls.add(call);
+            if (calls.size() == MAX_CALLS_IN_FLIGHT) {
+                channel.config().setAutoRead(false);
+            }
+        }
+
+        synchronized void remove(CompletableFuture<Void> call) {
+            boolean full = calls.size() == MAX_CALLS_IN_FLIGHT;
+            if (calls.remove(call) && full) {
+                channel.config().setAutoRead(true);
+            }
+        }
+    }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -128,8 +128,9 @@
         Runnable end = inFlight.start();
         // Also completes if the connection is lost before the response has a subscriber, or if this method throws.
         context.log().whenComplete().thenRun(end);
-        if (draining) {
-            context.initiateConnectionShutdown();
+        boolean unanswerable = callerConnections.isClosing(context.remoteAddress());
+        if (draining && !unanswerable) {
+            drainConnection(context);
         }
         // The close of the connection is the earliest sign that the caller has disconnected. A single call of a
         // multiplexed connection is cancelled in the context of its request or in the response.
@@ -138,6 +139,9 @@
         context.whenRequestCancelling().thenRun(() -> cancelled.complete(null));
         HttpResponse response;
         try {
+            if (unanswerable) {
+                throw new MustardusherException(ResultCode.NODE_STOPPING, "the connection closes before this call");
+            }
             response = accept(context, request, cancelled);
         } catch (MustardusherException e) {
             response = Problem.response(callerRejection(request, e));
@@ -154,6 +158,13 @@
         return response;
     }
 
+    // A connection without streams closes after the response to one call, which must be the last one in flight.
+    private void drainConnection(ServiceRequestContext context) {
+        if (context.sessionProtocol().isMultiplex() || callerConnections.closeAfterNextCall(context.remoteAddress())) {
+            context.initiateConnectionShutdown();
+        }
+    }
+
     /**
      * Handles a call that another entry has routed to this node as the home of its key.
      *
--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/PipelinedCallsTest.java
@@ -0,0 +1,326 @@
+package io.mustardusher.entry;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.server.Server;
+import io.mustardusher.admission.EventLoopDelay;
+import io.mustardusher.call.Call;
+import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.CallOptions;
+import io.mustardusher.call.CallerProtocol;
+import io.mustardusher.call.HeaderPacking;
+import io.mustardusher.catalogue.CatalogueEntry;
+import io.mustardusher.catalogue.Idempotence;
+import io.mustardusher.catalogue.ServiceClass;
+import io.mustardusher.catalogue.ServiceName;
+import io.mustardusher.frame.CallMessage;
+import io.mustardusher.frame.Credential;
+import io.mustardusher.frame.FrameKind;
+import io.mustardusher.frame.Peers;
+import io.mustardusher.generated.DistanceSettings;
+import io.mustardusher.generated.MemberRecord;
+import io.mustardusher.health.SuspectTable;
+import io.mustardusher.membership.MemberState;
+import io.mustardusher.membership.MemberTable;
+import io.mustardusher.result.Outcome;
+import io.mustardusher.route.RequestLimits;
+import io.mustardusher.routing.RoutingPolicy;
+import io.mustardusher.time.Clock;
+import io.netty.util.concurrent.ImmediateEventExecutor;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Load pattern: callers send further requests on a connection before the first one has been answered. */
+class PipelinedCallsTest {
+
+    private static final ServiceName SERVICE = ServiceName.of("s");
+    private static final long MINUTE_NANOS = 60_000 * Clock.NANOS_PER_MILLI;
+    private static final long WAIT_SECONDS = 20;
+
+    private final Clock.Manual clock = new Clock.Manual();
+    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+    private final HeaderPacking packing = new HeaderPacking(List.of());
+    private final HeldGate gate = new HeldGate();
+    private Entry entry;
+    private Server server;
+    private Socket caller;
+
+    @BeforeEach
+    void start() throws IOException {
+        MemberTable members = new MemberTable(member(0, false), clock, new Random(1));
+        members.merge(List.of(member(1, true)));
+        ServerDirectory directory = new ServerDirectory(
+                members,
+                null,
+                new DistanceSettings(),
+                () -> {
+                    throw new AssertionError("no call is streamed");
+                },
+                new Credential("secret"),
+                clock);
+        directory.useFrames(
+                new ServerDirectory.FrameTransport(gate, packing, new AtomicLong(), ImmediateEventExecutor.INSTANCE));
+        directory.refresh();
+        Router router = new Router(
+                directory,
+                new SuspectTable(clock),
+                report -> {},
+                new RetryPolicyFactory.ForWindow(clock, MINUTE_NANOS, () -> 0),
+                timers,
+                clock,
+                new MetricRegistry());
+        entry = new Entry(
+                router, null, new PlainProtocol(), call -> {}, new EventLoopDelay(clock), clock, new MetricRegistry());
+        server = Server.builder()
+                .http(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .gracefulShutdownTimeoutMillis(0, 0)
+                .childChannelPipelineCustomizer(entry.callerConnections()::accept)
+                .serviceUnder("/", entry)
+                .build();
+        server.start().join();
+        caller = new Socket(InetAddress.getLoopbackAddress(), server.activeLocalPort());
+        caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        caller.close();
+        server.stop().join();
+        timers.shutdownNow();
+    }
+
+    @Test
+    void sendsLaterCallsWhileFirstOneWaitsAndAnswersInOrder() throws Exception {
+        send("/a", "/b", "/c");
+        HeldCall first = gate.next();
+        HeldCall second = gate.next();
+        HeldCall third = gate.next();
+        third.answer();
+        second.answer();
+        first.answer();
+        String answers = readUntil("body of /c");
+        assertThat(answers.indexOf("body of /a")).isLessThan(answers.indexOf("body of /b"));
+        assertThat(answers.indexOf("body of /b")).isLessThan(answers.indexOf("body of /c"));
+    }
+
+    @Test
+    void cancelsAllCallsOfCallerThatDisconnects() throws Exception {
+        send("/a", "/b");
+        HeldCall first = gate.next();
+        HeldCall second = gate.next();
+        caller.close();
+        first.cancelled.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        second.cancelled.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void limitsCallsInFlightOfOneConnection() throws Exception {
+        int sent = 3 * CallerConnections.MAX_CALLS_IN_FLIGHT;
+        HeldCall[] calls = new HeldCall[sent];
+        int received = 0;
+        // One request in each packet, because those that were read together with an earlier one are all handled.
+        for (int i = 0; i < CallerConnections.MAX_CALLS_IN_FLIGHT; i++) {
+            send("/" + i);
+            calls[received++] = gate.next();
+        }
+        for (int i = CallerConnections.MAX_CALLS_IN_FLIGHT; i < sent; i++) {
+            send("/" + i);
+        }
+        assertThat(gate.calls.poll(200, TimeUnit.MILLISECONDS)).isNull();
+        calls[0].answer();
+        readUntil("body of /0");
+        gate.next();
+    }
+
+    /** What is behind a response that closes the connection is sent again, so it must not have been passed on. */
+    @Test
+    void passesNothingOnBehindResponseThatClosesConnection() throws Exception {
+        entry.drainConnections();
+        send("/a");
+        HeldCall first = gate.next();
+        send("/b", "/c");
+        first.answer();
+        String answers = readAll();
+        assertThat(answers).contains("body of /a");
+        assertThat(answers.toLowerCase(Locale.ROOT)).contains("connection: close");
+        assertThat(answers).doesNotContain("body of /b");
+        assertThat(gate.calls.poll()).isNull();
+    }
+
+    /** Calls that were passed on before the connection drains are answered before it closes. */
+    @Test
+    void answersCallsInFlightBeforeDrainingConnectionCloses() throws Exception {
+        send("/a", "/b");
+        HeldCall first = gate.next();
+        HeldCall second = gate.next();
+        entry.drainConnections();
+        send("/c");
+        first.answer();
+        second.answer();
+        HeldCall third = gate.calls.poll(1, TimeUnit.SECONDS);
+        if (third != null) {
+            third.answer();
+        }
+        String answers = readAll();
+        assertThat(answers).contains("body of /a");
+        assertThat(answers).contains("body of /b");
+        assertThat(answers.contains("body of /c")).isEqualTo(third != null);
+    }
+
+    private void send(String... paths) throws IOException {
+        StringBuilder requests = new StringBuilder();
+        for (String path : paths) {
+            requests.append("GET ").append(path).append(" HTTP/1.1\r\nHost: s\r\n\r\n");
+        }
+        caller.getOutputStream().write(requests.toString().getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private String readUntil(String end) throws IOException {
+        StringBuilder text = new StringBuilder();
+        InputStream in = caller.getInputStream();
+        while (text.indexOf(end) < 0) {
+            int next = in.read();
+            if (next < 0) {
+                throw new AssertionError("the connection ended after: " + text);
+            }
+            text.append((char) next);
+        }
+        return text.toString();
+    }
+
+    private String readAll() throws IOException {
+        return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+
+    private static MemberRecord member(int number, boolean serving) {
+        return new MemberRecord()
+                .withId("node-" + number)
+                .withBoot(1L)
+                .withIncarnation(1)
+                .withState(MemberState.ALIVE.toRecordState())
+                .withHost("127.0.0.1")
+                .withFramePort(number + 1)
+                .withGatePort(number + 1)
+                .withRegion("r")
+                .withDomain("d")
+                .withService(SERVICE.value())
+                .withSlots(4)
+                .withServing(serving);
+    }
+
+    private static final class PlainProtocol implements CallerProtocol {
+
+        @Override
+        public Call read(RequestHeaders headers, long now) {
+            CatalogueEntry catalogueEntry = new CatalogueEntry(
+                    SERVICE,
+                    "route",
+                    ServiceClass.STANDARD,
+                    RoutingPolicy.LEAST_COST,
+                    Idempotence.ALWAYS,
+                    60_000,
+                    0,
+                    0,
+                    0,
+                    0,
+                    0,
+                    0,
+                    false);
+            return new Call(
+                    catalogueEntry,
+                    headers,
+                    "route",
+                    ServiceClass.STANDARD,
+                    now + MINUTE_NANOS,
+                    Optional.empty(),
+                    0,
+                    false,
+                    new CallOptions(headers.path(), 2, Long.MAX_VALUE));
+        }
+
+        @Override
+        public RequestLimits limits() {
+            return RequestLimits.NONE;
+        }
+
+        @Override
+        public HttpResponse write(RequestHeaders request, HttpResponse answer) {
+            return answer;
+        }
+    }
+
+    private final class HeldCall {
+
+        private final long number;
+        private final String path;
+        private final CompletableFuture<CallMessage> answer = new CompletableFuture<>();
+        private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
+
+        HeldCall(CallMessage message) {
+            number = message.call();
+            path = packing.unpackRequest(message.head()).path();
+        }
+
+        void answer() {
+            byte[] body = ("body of " + path).getBytes(StandardCharsets.US_ASCII);
+            ResponseHeaders headers = ResponseHeaders.builder(200)
+                    .set(CallHeaders.OUTCOME, Outcome.RAN.token())
+                    .contentLength(body.length)
+                    .build();
+            answer.complete(new CallMessage(number, packing.pack(headers), body));
+        }
+    }
+
+    /** A gate that holds each call until the test answers it. */
+    private final class HeldGate implements Peers {
+
+        private final BlockingQueue<HeldCall> calls = new LinkedBlockingQueue<>();
+        private final Map<Long, HeldCall> byNumber = new ConcurrentHashMap<>();
+
+        HeldCall next() throws InterruptedException {
+            HeldCall call = calls.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            assertThat(call).isNotNull();
+            return call;
+        }
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public <A> CompletableFuture<A> request(
+                InetSocketAddress address, FrameKind kind, Object request, long timeoutMillis) {
+            CallMessage message = (CallMessage) request;
+            if (kind == FrameKind.CANCEL) {
+                byNumber.get(message.call()).cancelled.complete(null);
+                return (CompletableFuture<A>) CompletableFuture.completedFuture(message);
+            }
+            HeldCall call = new HeldCall(message);
+            byNumber.put(call.number, call);
+            calls.add(call);
+            return (CompletableFuture<A>) call.answer;
+        }
+    }
+}
