Add a model of a deployment that runs the decisions of core

Change: mustardusher-model simulates callers, links, processors and servers with noisy neighbours, a knee and cold starts by discrete events with one clock and one seed. Servers are selected, calls admitted, queued, deferred, rejected and retried by the classes that nodes run: ServerSelection, RoutingPolicy, ServerLoad, Admission, EventLoopDelay, RetryPolicy, WindowBudget.

A file format for experiments is not built.

--- /dev/null
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/LoadPattern.java
@@ -0,0 +1,241 @@
+package io.mustardusher.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Load and disturbances of a deployment over time. Times are in milliseconds from the start. */
+public final class LoadPattern {
+
+    private final Map<String, Integer> servers;
+    private final List<CallKind> kinds;
+    private final int slots;
+    private final double slowShare;
+    private final double slowFactor;
+    private final double slowPeriodMillis;
+    private final double coldCostFactor;
+    private final double callCostMillis;
+    private final double lengthMillis;
+    private final List<Burst> bursts;
+    private final List<Restart> restarts;
+
+    private LoadPattern(Builder builder) {
+        this.servers = Map.copyOf(builder.servers);
+        this.kinds = List.copyOf(builder.kinds);
+        this.slots = builder.slots;
+        this.slowShare = builder.slowShare;
+        this.slowFactor = builder.slowFactor;
+        this.slowPeriodMillis = builder.slowPeriodMillis;
+        this.coldCostFactor = builder.coldCostFactor;
+        this.callCostMillis = builder.callCostMillis;
+        this.lengthMillis = builder.lengthMillis;
+        this.bursts = List.copyOf(builder.bursts);
+        this.restarts = List.copyOf(builder.restarts);
+    }
+
+    /**
+     * Returns a builder of a pattern without servers and calls.
+     *
+     * @return the builder
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Returns the names of the services, one entry for each server, in a stable order. */
+    List<String> serviceOfEachServer() {
+        List<String> services = new ArrayList<>();
+        new TreeMap<>(servers).forEach((service, count) -> {
+            for (int i = 0; i < count; i++) {
+                services.add(service);
+            }
+        });
+        return services;
+    }
+
+    List<CallKind> kinds() {
+        return kinds;
+    }
+
+    int slots() {
+        return slots;
+    }
+
+    double slowShare() {
+        return slowShare;
+    }
+
+    double slowFactor() {
+        return slowFactor;
+    }
+
+    double slowPeriodMillis() {
+        return slowPeriodMillis;
+    }
+
+    double coldCostFactor() {
+        return coldCostFactor;
+    }
+
+    double callCostMillis() {
+        return callCostMillis;
+    }
+
+    double lengthMillis() {
+        return lengthMillis;
+    }
+
+    List<Restart> restarts() {
+        return restarts;
+    }
+
+    /**
+     * Returns the factor by which bursts increase the rate of calls.
+     *
+     * @param millis time from the start, in milliseconds
+     * @return the factor; 1 outside of bursts
+     */
+    double rateFactor(double millis) {
+        double factor = 1;
+        for (Burst burst : bursts) {
+            factor *= millis >= burst.fromMillis && millis < burst.toMillis ? burst.factor : 1;
+        }
+        return factor;
+    }
+
+    private record Burst(double fromMillis, double toMillis, double factor) {}
+
+    /**
+     * Loss and return of all nodes at once; backend servers keep running.
+     *
+     * @param atMillis   time of the loss, in milliseconds
+     * @param downMillis time until the nodes accept calls again, in milliseconds
+     */
+    record Restart(double atMillis, double downMillis) {}
+
+    /** Builds a pattern. */
+    public static final class Builder {
+
+        private final Map<String, Integer> servers = new TreeMap<>();
+        private final List<CallKind> kinds = new ArrayList<>();
+        private final List<Burst> bursts = new ArrayList<>();
+        private final List<Restart> restarts = new ArrayList<>();
+        private int slots = 12;
+        private double slowShare;
+        private double slowFactor = 5;
+        private double slowPeriodMillis = 150;
+        private double coldCostFactor = 1;
+        private double callCostMillis = 1;
+        private double lengthMillis = 10_000;
+
+        private Builder() {}
+
+        /**
+         * Adds servers, each with a node beside it.
+         *
+         * @param service service of the servers
+         * @param count   number of servers
+         * @return this builder
+         */
+        public Builder withServers(String service, int count) {
+            servers.put(service, count);
+            return this;
+        }
+
+        /**
+         * Sets the number of calls that a server processes at once. Calls take longer beyond four fifths of them.
+         *
+         * @param value number of slots
+         * @return this builder
+         */
+        public Builder withSlots(int value) {
+            slots = value;
+            return this;
+        }
+
+        /**
+         * Adds calls.
+         *
+         * @param kind the calls
+         * @return this builder
+         */
+        public Builder withCalls(CallKind kind) {
+            kinds.add(kind);
+            return this;
+        }
+
+        /**
+         * Lets noisy neighbours slow down each server.
+         *
+         * @param share        share of the time in which a server is slow
+         * @param factor       factor by which a call that starts then takes longer
+         * @param periodMillis time after which a server may change between slow and undisturbed, in milliseconds
+         * @return this builder
+         */
+        public Builder withNoisyNeighbours(double share, double factor, double periodMillis) {
+            slowShare = share;
+            slowFactor = factor;
+            slowPeriodMillis = periodMillis;
+            return this;
+        }
+
+        /**
+         * Sets the processor time of a node.
+         *
+         * @param callMillis processor time of one attempt at the entry and again at the gate, in milliseconds
+         * @param coldFactor factor by which the first attempts after a restart cost more
+         * @return this builder
+         */
+        public Builder withProcessorTime(double callMillis, double coldFactor) {
+            callCostMillis = callMillis;
+            coldCostFactor = coldFactor;
+            return this;
+        }
+
+        /**
+         * Increases the rate of all calls for a time.
+         *
+         * @param fromMillis start of the burst, in milliseconds
+         * @param toMillis   end of the burst, in milliseconds
+         * @param factor     factor of the rate
+         * @return this builder
+         */
+        public Builder withBurst(double fromMillis, double toMillis, double factor) {
+            bursts.add(new Burst(fromMillis, toMillis, factor));
+            return this;
+        }
+
+        /**
+         * Restarts all nodes at once.
+         *
+         * @param atMillis   time of the loss, in milliseconds
+         * @param downMillis time until the nodes accept calls again, in milliseconds
+         * @return this builder
+         */
+        public Builder withRestartOfAllNodes(double atMillis, double downMillis) {
+            restarts.add(new Restart(atMillis, downMillis));
+            return this;
+        }
+
+        /**
+         * Sets the length of the pattern.
+         *
+         * @param millis length, in milliseconds
+         * @return this builder
+         */
+        public Builder withLength(double millis) {
+            lengthMillis = millis;
+            return this;
+        }
+
+        /**
+         * Builds the pattern.
+         *
+         * @return the pattern
+         */
+        public LoadPattern build() {
+            return new LoadPattern(this);
+        }
+    }
+}
--- /dev/null
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedNode.java
@@ -0,0 +1,187 @@
+package io.mustardusher.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.mustardusher.admission.Admission;
+import io.mustardusher.admission.AdmissionListener;
+import io.mustardusher.admission.CallEnd;
+import io.mustardusher.admission.Ticket;
+import io.mustardusher.budget.SharedAllowance;
+import io.mustardusher.budget.WindowBudget;
+import io.mustardusher.membership.NodeId;
+import io.mustardusher.result.ResultCode;
+import io.mustardusher.retry.RetryPolicy;
+import io.mustardusher.routing.LoadReport;
+import io.mustardusher.routing.ServerLoad;
+import io.mustardusher.routing.ServerPool;
+import io.mustardusher.time.Clock;
+
+/** A node: the entry of the callers on its machine, and the gate to the server on its machine. */
+final class SimulatedNode {
+
+    /** Fraction of the server's slots that the gate uses, as on the platform. */
+    private static final double USABLE_SLOT_FRACTION = 0.8;
+
+    /** Maximum number of queued calls per slot. */
+    private static final int QUEUE_PER_SLOT = 2;
+
+    /** Interval at which the gate checks deferred calls, in nanoseconds. */
+    private static final double POLL_NANOS = 20.0 * Clock.NANOS_PER_MILLI;
+
+    /** Window of the retry budget, in nanoseconds. */
+    private static final long BUDGET_WINDOW_NANOS = 10_000 * Clock.NANOS_PER_MILLI;
+
+    /** Retries of all nodes that the window allows without any calls. */
+    private static final double BUDGET_ALLOWANCE = 60;
+
+    /** Maximum number of gates that are tried for one call. */
+    private static final int MAX_ATTEMPTS = 5;
+
+    private final Deployment deployment;
+    private final Simulation simulation;
+    private final String name;
+    private final String service;
+    private final SimulatedServer server;
+    private final Processor processor;
+    private final Admission admission;
+    private final Map<String, ServerPool> pools = new HashMap<>();
+    private final Map<ServerLoad, SimulatedNode> gates = new HashMap<>();
+    private final Map<String, RetryPolicy> retryPolicies = new HashMap<>();
+    private boolean running = true;
+
+    SimulatedNode(Deployment deployment, String name, String service, SimulatedServer server, double coldFactor) {
+        this.deployment = deployment;
+        this.simulation = deployment.simulation();
+        this.name = name;
+        this.service = service;
+        this.server = server;
+        LoadPattern pattern = deployment.pattern();
+        this.processor = new Processor(simulation, pattern.callCostMillis() * Clock.NANOS_PER_MILLI, coldFactor);
+        this.admission = Admission.withLatencyTargets(simulation, USABLE_SLOT_FRACTION);
+        admission.configure(pattern.slots(), QUEUE_PER_SLOT, 0);
+        admission.open();
+        poll();
+    }
+
+    /**
+     * Makes the servers of all nodes known to the entry of this node.
+     *
+     * @param nodes all nodes, including this one
+     */
+    void discover(List<SimulatedNode> nodes) {
+        Map<String, List<ServerLoad>> loads = new HashMap<>();
+        for (SimulatedNode node : nodes) {
+            long servingSinceNanos = -100_000 * Clock.NANOS_PER_MILLI;
+            ServerLoad load =
+                    new ServerLoad(NodeId.of(node.name), deployment.pattern().slots(), 0, servingSinceNanos);
+            gates.put(load, node);
+            loads.computeIfAbsent(node.service, key -> new ArrayList<>()).add(load);
+        }
+        loads.forEach((key, servers) -> pools.put(key, ServerPool.of(servers)));
+    }
+
+    void stop() {
+        running = false;
+    }
+
+    boolean isRunning() {
+        return running;
+    }
+
+    Processor processor() {
+        return processor;
+    }
+
+    ServerPool pool(String addressed) {
+        return pools.getOrDefault(addressed, ServerPool.EMPTY);
+    }
+
+    SimulatedNode gate(ServerLoad load) {
+        return gates.get(load);
+    }
+
+    RetryPolicy retryPolicy(String addressed) {
+        return retryPolicies.computeIfAbsent(
+                addressed,
+                key -> new RetryPolicy(
+                        new WindowBudget(
+                                simulation,
+                                BUDGET_WINDOW_NANOS,
+                                new SharedAllowance(simulation, BUDGET_ALLOWANCE, () -> gates.size())),
+                        MAX_ATTEMPTS,
+                        RetryPolicy.BudgetExemption.ALL_GATE_REJECTIONS));
+    }
+
+    /**
+     * Offers a call to the gate. Nothing happens if the node stops before the call ends.
+     *
+     * @param kind          kind of the call
+     * @param deadlineNanos time by which it must be answered, in nanoseconds
+     * @param target        time by which an answer is desired
+     * @param listener      receives the end of the call
+     */
+    void offer(CallKind kind, long deadlineNanos, Ticket.LatencyTarget target, GateListener listener) {
+        if (admission.isSlownessStale()) {
+            admission.updateSlowness(server.slownessPercent());
+        }
+        Ticket[] ticket = new Ticket[1];
+        ticket[0] = new Ticket(
+                kind.name(),
+                kind.serviceClass(),
+                deadlineNanos,
+                false,
+                new AdmissionListener() {
+                    @Override
+                    public void onAdmitted() {
+                        double spread = Math.exp(0.3 * simulation.random().nextGaussian());
+                        server.process(kind.workMillis() * spread * Clock.NANOS_PER_MILLI, () -> {
+                            admission.updateSlowness(server.slownessPercent());
+                            admission.release(ticket[0], CallEnd.ANSWERED);
+                            respond(() -> listener.onEnd(null, admission.load()));
+                        });
+                    }
+
+                    @Override
+                    public void onRejected(ResultCode code) {
+                        respond(() -> listener.onEnd(code, admission.load()));
+                    }
+                },
+                target);
+        admission.offer(ticket[0]);
+    }
+
+    private void respond(Runnable response) {
+        processor.run(() -> {
+            if (running) {
+                simulation.schedule(Deployment.LINK_NANOS, response);
+            }
+        });
+    }
+
+    private void poll() {
+        if (!running) {
+            return;
+        }
+        if (admission.isDeferring()) {
+            admission.updateSlowness(server.slownessPercent());
+            admission.poll();
+        }
+        simulation.schedule(POLL_NANOS, this::poll);
+    }
+
+    /** Receives the end of a call at a gate. */
+    @FunctionalInterface
+    interface GateListener {
+
+        /**
+         * Called once.
+         *
+         * @param code reason of the rejection, or {@code null} if the server answered
+         * @param load load of the gate
+         */
+        void onEnd(ResultCode code, LoadReport load);
+    }
+}
