Return a call in favour of a faster server only if one is idle

Change: a gate may return a call only while another server is expected to start it at once: it accepts calls, has a free slot and is not known to be slow.

--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
@@ -169,6 +169,16 @@
                 + last.otherCalls * Math.pow(0.5, (now - last.receivedNanos) / OTHER_CALLS_HALF_LIFE_NANOS);
     }
 
+    /**
+     * Returns whether the server is expected to start a new call at once.
+     *
+     * @param now current time, in nanoseconds
+     * @return {@code true} if it has a free slot and is not known to be slow
+     */
+    boolean startsCallsAtOnce(long now) {
+        return now - slowUntilNanos >= 0 && estimatedCalls(now) + 1 <= lastReport.limit;
+    }
+
     /**
      * Estimates the response time for a new call. Failures and slowness of the server count as further service times.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
@@ -75,6 +75,22 @@
         return false;
     }
 
+    /**
+     * Returns whether any server is expected to start a new call at once.
+     *
+     * @param excluded servers to ignore
+     * @param now      current time, in nanoseconds
+     * @return {@code true} if a server that is not excluded accepts calls, has a free slot and is not known to be slow
+     */
+    public boolean hasIdle(ExcludedServers excluded, long now) {
+        for (ServerLoad server : servers) {
+            if (server.isServing() && !excluded.contains(server) && server.startsCallsAtOnce(now)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Returns the next index in round-robin order.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerSelection.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerSelection.java
@@ -65,7 +65,7 @@
         }
         tried.add(server);
         boolean movable =
-                targetNanos != NO_TARGET && !mustAccept && transferCost.mayReroute(attempt) && pool.hasServing(tried);
+                targetNanos != NO_TARGET && !mustAccept && transferCost.mayReroute(attempt) && pool.hasIdle(tried, now);
         return Optional.of(new Choice(server, movable));
     }
 
--- /dev/null
+++ b/mustardusher-core/src/test/java/io/mustardusher/routing/ServerSelectionTest.java
@@ -0,0 +1,73 @@
+package io.mustardusher.routing;
+
+import java.util.List;
+import java.util.Random;
+
+import io.mustardusher.membership.NodeId;
+import io.mustardusher.time.Clock;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Load pattern: all servers of a service are nearly full. A gate that returns a call in favour of a faster server only
+ * adds work if there is none.
+ */
+class ServerSelectionTest {
+
+    private static final int SLOTS = 4;
+    private static final long TARGET_NANOS = 500 * Clock.NANOS_PER_MILLI;
+    private static final long LONG_AGO_NANOS = -60_000 * Clock.NANOS_PER_MILLI;
+
+    private final ServerLoad first = server("first");
+    private final ServerLoad second = server("second");
+    private final ServerPool pool = ServerPool.of(List.of(first, second));
+
+    @Test
+    void permitsReturnWhileAnotherServerHasFreeSlot() {
+        report(1, false);
+        assertThat(next(selection())).isTrue();
+    }
+
+    @Test
+    void permitsNoReturnWhenOtherServersAreFull() {
+        report(SLOTS, false);
+        assertThat(next(selection())).isFalse();
+    }
+
+    @Test
+    void permitsNoReturnWhenOtherServersAreSlow() {
+        report(1, true);
+        assertThat(next(selection())).isFalse();
+    }
+
+    @Test
+    void choosesSlowServerAgainWhenNoOtherIsLeft() {
+        ServerSelection selection = selection();
+        report(1, false);
+        for (int i = 0; i < 2; i++) {
+            selection.recordSlow(
+                    selection.next(pool, new Random(1), 0).orElseThrow().server());
+        }
+        assertThat(next(selection)).isFalse();
+        assertThat(selection.attempt()).isEqualTo(3);
+    }
+
+    private boolean next(ServerSelection selection) {
+        return selection.next(pool, new Random(1), 0).orElseThrow().movable();
+    }
+
+    private static ServerSelection selection() {
+        return new ServerSelection(RoutingPolicy.LEAST_COST, new TransferCost(), TARGET_NANOS);
+    }
+
+    private void report(int busy, boolean slow) {
+        LoadReport report = new LoadReport(busy, 0, SLOTS, 100_000, false, slow);
+        first.update(report, 0);
+        second.update(report, 0);
+    }
+
+    private static ServerLoad server(String name) {
+        return new ServerLoad(NodeId.of(name), SLOTS, 0, LONG_AGO_NANOS);
+    }
+}
