Defer calls for as long as a slow start would cost

Calls were deferred for 150 ms at most, the length of one spell. Spells follow each other in a quarter of the cases, so many calls started on a slow server all the same and filled its slots for five times as long; a node that had just started knew no service times and deferred nothing.

Change: a call is deferred for at most the time that it would lose, from its service time and the slowness that the server reports instead of an assumed factor of 5, or until the end of the spell while its service time is unknown. No call waits for a server that has been slow for four times as long as its spells last on average, which the gate learns.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -251,10 +251,7 @@
         int ahead = queue.countAhead(ticket.serviceClass) + exclusiveQueue.size();
         int free = effectiveLimit() - busy;
         double rounds = Math.max(0, ahead + 1 - free) / (double) effectiveLimit();
-        double completionNanos = Math.min(
-                times.expectedNanos(ticket.owner, now),
-                times.maxDeferralNanos(ticket.owner) + times.baselineNanos(ticket.owner));
-        double answerNanos = now + completionNanos + times.smoothedNanos() * rounds;
+        double answerNanos = now + times.completionNanos(ticket.owner, now) + times.smoothedNanos() * rounds;
         if (ticket.latencyTarget.movable() && isWorthMoving(ticket, answerNanos, now)) {
             return ResultCode.SLOWER_THAN_TARGET;
         }
@@ -329,7 +326,7 @@
         return !ticket.exclusive
                 && ticket.latencyTarget.isPresent()
                 && times.isSlow(now)
-                && now - ticket.arrivedNanos < times.maxDeferralNanos(ticket.owner);
+                && now - ticket.arrivedNanos < times.maxDeferralNanos(ticket.owner, now);
     }
 
     /**
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
@@ -25,19 +25,24 @@
      */
     private static final long SLOWNESS_REFRESH_NANOS = 40 * Clock.NANOS_PER_MILLI;
 
-    /** Factor by which the service time of a call grows if it starts while the server is slow. */
-    private static final double SLOW_FACTOR = 5;
+    /** Length of a slow spell that is assumed before the first one has ended, in nanoseconds. */
+    private static final double INITIAL_SPELL_NANOS = 150.0 * Clock.NANOS_PER_MILLI;
 
-    /** Longest deferral of a call while the server is slow, in nanoseconds: the time a noisy neighbour is active. */
-    private static final long MAX_DEFERRAL_NANOS = 150 * Clock.NANOS_PER_MILLI;
+    /** Number of average spells after which a server counts as slow for good, so that no call waits for its recovery. */
+    private static final double MAX_SPELLS = 4;
 
-    private static final int BASELINE_PERCENT = 100;
+    private static final double BASELINE_PERCENT = 100;
 
     private final Map<String, Double> baselines = new HashMap<>();
     private double smoothedNanos;
-    private int slownessPercent = BASELINE_PERCENT;
+    private double slownessPercent = BASELINE_PERCENT;
     private long slownessUpdatedNanos = Long.MIN_VALUE / 2;
 
+    /** Start of the current or latest slow spell. */
+    private long slowSinceNanos;
+
+    private double averageSpellNanos = INITIAL_SPELL_NANOS;
+
     /**
      * Records the slowness that the server reports.
      *
@@ -45,6 +50,13 @@
      * @param now     current time, in nanoseconds
      */
     void updateSlowness(int percent, long now) {
+        boolean wasSlow = slownessPercent >= SLOW_THRESHOLD_PERCENT;
+        boolean slow = percent >= SLOW_THRESHOLD_PERCENT;
+        if (slow && !wasSlow) {
+            slowSinceNanos = now;
+        } else if (wasSlow && !slow) {
+            averageSpellNanos += SMOOTHING_FACTOR * (now - slowSinceNanos - averageSpellNanos);
+        }
         slownessPercent = percent;
         slownessUpdatedNanos = now;
     }
@@ -94,13 +106,33 @@
 
     /**
      * Returns for how long a call may be deferred while the server is slow: at most the time that it would lose by
-     * starting immediately.
+     * starting immediately, or until the end of the spell if that is unknown. No call waits for a server that has been
+     * slow for much longer than usual.
      *
      * @param kind kind of call
+     * @param now  current time, in nanoseconds
      * @return time in nanoseconds
      */
-    long maxDeferralNanos(String kind) {
-        return (long) Math.min(MAX_DEFERRAL_NANOS, baselineNanos(kind) * (SLOW_FACTOR - 1));
+    long maxDeferralNanos(String kind, long now) {
+        double longestSpellNanos = MAX_SPELLS * averageSpellNanos;
+        if (now - slowSinceNanos > longestSpellNanos) {
+            return 0;
+        }
+        double baseline = baselineNanos(kind);
+        return (long) (baseline == 0 ? longestSpellNanos : expectedNanos(kind, now) - baseline);
+    }
+
+    /**
+     * Returns the expected time to the completion of a call that is deferred while the server is slow and then started.
+     *
+     * @param kind kind of call
+     * @param now  current time, in nanoseconds
+     * @return time in nanoseconds; 0 before the first answer
+     */
+    double completionNanos(String kind, long now) {
+        boolean deferred = isSlow(now) && maxDeferralNanos(kind, now) > 0;
+        double expected = expectedNanos(kind, now);
+        return deferred ? Math.min(expected, averageSpellNanos + baselineNanos(kind)) : expected;
     }
 
     /**
@@ -122,6 +154,6 @@
      */
     double expectedNanos(String kind, long now) {
         double baseline = baselineNanos(kind);
-        return isSlow(now) ? baseline * SLOW_FACTOR : baseline;
+        return isSlow(now) ? baseline * slownessPercent / BASELINE_PERCENT : baseline;
     }
 }
