Use the slots of calls whose answers are lost

Cause: a server that runs a call and loses its answer, or a full one that never answers, kept the slot of the call at the gate until its deadline, up to 4 s for 200 ms of work, and each such end lowered the concurrency limit as if the server were overloaded. With a sixth of the answers lost, the gates refused calls for which the servers had room.

Change: the load that a server reports tells how many calls it counts. Dispatched calls beyond that number are lost; the gate dispatches into their slots while the report is recent. A call that is not answered lowers the limit only if the server reported all its slots busy, or reports nothing.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -19,6 +19,9 @@
  */
 public final class Admission {
 
+    /** Age from which a report of the calls at the server is ignored, in nanoseconds. */
+    private static final long SERVER_REPORT_EXPIRY_NANOS = 200 * Clock.NANOS_PER_MILLI;
+
     private final Clock clock;
 
     /** Queued calls other than exclusive ones. */
@@ -45,11 +48,23 @@
     /** Number of calls dispatched to the server and not yet completed. */
     private int busy;
 
+    /** Calls at the server by its own count, running or queued; negative before its first report. */
+    private int callsAtServer = -1;
+
+    /** Dispatched calls that the server no longer counted in its last report, although they have not been answered. */
+    private int lostCalls;
+
+    /** Time of the last report of the calls at the server, in nanoseconds. */
+    private long callsReportedNanos;
+
     /** Whether an exclusive call is running. */
     private boolean exclusiveRunning;
 
     private final ServiceTimes times = new ServiceTimes();
 
+    /** Slots that the server announced. */
+    private int announcedSlots = 1;
+
     /** Fraction of the announced slots that is used. */
     private final double usableSlotFraction;
 
@@ -85,13 +100,14 @@
     /**
      * Applies the server's announced slots and the limits of the catalogue, and dispatches queued calls that now fit.
      *
-     * @param announcedSlots slots that the server announced
-     * @param queuePerSlot   maximum number of queued calls for each slot
-     * @param gateShare      portion of the service's concurrency limit for this gate, in calls; 0 for no limit
+     * @param announced    slots that the server announced
+     * @param queuePerSlot maximum number of queued calls for each slot
+     * @param gateShare    portion of the service's concurrency limit for this gate, in calls; 0 for no limit
      */
-    public void configure(int announcedSlots, int queuePerSlot, int gateShare) {
+    public void configure(int announced, int queuePerSlot, int gateShare) {
         updateAndNotify(notifications -> {
-            slots = Math.max(1, (int) (announcedSlots * usableSlotFraction));
+            announcedSlots = announced;
+            slots = Math.max(1, (int) (announced * usableSlotFraction));
             limit.resize(slots);
             queueCapacity = slots * queuePerSlot;
             serviceLimitShare = gateShare <= 0 ? Integer.MAX_VALUE : gateShare;
@@ -183,6 +199,25 @@
         });
     }
 
+    /**
+     * Updates the load that the server reports, and dispatches queued calls that now fit. A call whose answer was lost
+     * keeps its place at this gate until its deadline, but no longer the slot of the server.
+     *
+     * @param calls   calls that the server is running or has queued
+     * @param percent current processing time as a percentage of the normal processing time
+     */
+    public void updateServerLoad(int calls, int percent) {
+        updateAndNotify(notifications -> {
+            long now = clock.nanoTime();
+            callsAtServer = calls;
+            callsReportedNanos = now;
+            // The report may still contain the call that it answers.
+            lostCalls = Math.max(0, busy - calls - 1);
+            times.updateSlowness(percent, now);
+            dispatch(notifications);
+        });
+    }
+
     /** Dispatches calls whose deferral because of a slow server has expired. */
     public void poll() {
         updateAndNotify(this::dispatch);
@@ -371,6 +406,12 @@
                 limit.recordAnswer();
             }
             case OVERLOADED -> limit.recordOverload(now, (long) times.smoothedNanos());
+            case UNANSWERED -> {
+                // A server with free slots has not dropped the call for lack of room.
+                if (callsAtServer < 0 || callsAtServer >= announcedSlots) {
+                    limit.recordOverload(now, (long) times.smoothedNanos());
+                }
+            }
             default -> {
                 // an abandoned call carries no information about the server
             }
@@ -383,7 +424,9 @@
      * @return number of calls, at least 1
      */
     private int effectiveLimit() {
-        return Math.max(1, Math.min(limit.value(), serviceLimitShare));
+        boolean recent = clock.nanoTime() - callsReportedNanos < SERVER_REPORT_EXPIRY_NANOS;
+        int lost = recent ? Math.min(lostCalls, busy) : 0;
+        return Math.max(1, Math.min(limit.value() + lost, serviceLimitShare));
     }
 
     private int queuedCalls() {
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/CallEnd.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/CallEnd.java
@@ -5,9 +5,12 @@
     /** Answered before the deadline. */
     ANSWERED,
 
-    /** Shed by the server, or not answered before the deadline. */
+    /** Shed by the server. */
     OVERLOADED,
 
+    /** Not answered before the deadline: dropped by a full server, or its answer was lost. */
+    UNANSWERED,
+
     /** Ended for a reason that carries no information about the load of the server, such as a cancellation. */
     ABANDONED
 }
--- a/mustardusher-model/src/main/java/io/mustardusher/model/Deployment.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/Deployment.java
@@ -20,7 +20,6 @@
     private final Map<String, TransferCost> transferCosts = new HashMap<>();
     private final List<SimulatedServer> servers = new ArrayList<>();
     private List<SimulatedNode> nodes = List.of();
-    private int restarts;
 
     private Deployment(LoadPattern pattern, long seed) {
         this.pattern = pattern;
@@ -48,8 +47,10 @@
             simulation.schedule(restart.atMillis() * Clock.NANOS_PER_MILLI, () -> {
                 nodes.forEach(SimulatedNode::stop);
                 nodes = List.of();
-                simulation.schedule(
-                        restart.downMillis() * Clock.NANOS_PER_MILLI, () -> startNodes(pattern.coldCostFactor()));
+                simulation.schedule(restart.downMillis() * Clock.NANOS_PER_MILLI, () -> {
+                    servers.forEach(SimulatedServer::restart);
+                    startNodes(pattern.coldCostFactor());
+                });
             });
         }
         double longestDeadline = pattern.kinds().stream()
@@ -60,7 +61,6 @@
     }
 
     private void startNodes(double coldFactor) {
-        restarts++;
         List<String> services = pattern.serviceOfEachServer();
         List<SimulatedNode> started = new ArrayList<>();
         for (int i = 0; i < services.size(); i++) {
--- a/mustardusher-model/src/main/java/io/mustardusher/model/LoadPattern.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/LoadPattern.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import io.mustardusher.time.Clock;
+
 /** Load and disturbances of a deployment over time. Times are in milliseconds from the start. */
 public final class LoadPattern {
 
@@ -17,8 +19,9 @@
     private final double coldCostFactor;
     private final double callCostMillis;
     private final double lengthMillis;
-    private final List<Burst> bursts;
+    private final List<Interval> bursts;
     private final List<Restart> restarts;
+    private final List<Interval> lostAnswers;
 
     private LoadPattern(Builder builder) {
         this.servers = Map.copyOf(builder.servers);
@@ -32,6 +35,7 @@
         this.lengthMillis = builder.lengthMillis;
         this.bursts = List.copyOf(builder.bursts);
         this.restarts = List.copyOf(builder.restarts);
+        this.lostAnswers = List.copyOf(builder.lostAnswers);
     }
 
     /**
@@ -98,19 +102,34 @@
      */
     double rateFactor(double millis) {
         double factor = 1;
-        for (Burst burst : bursts) {
-            factor *= millis >= burst.fromMillis && millis < burst.toMillis ? burst.factor : 1;
+        for (Interval burst : bursts) {
+            factor *= burst.contains(millis) ? burst.factor : 1;
         }
         return factor;
     }
 
-    private record Burst(double fromMillis, double toMillis, double factor) {}
+    /** Returns the share of the answers that are lost now. */
+    double lostAnswerShare(Clock clock) {
+        double millis = clock.nanoTime() / (double) Clock.NANOS_PER_MILLI;
+        return lostAnswers.stream()
+                .filter(interval -> interval.contains(millis))
+                .mapToDouble(Interval::factor)
+                .max()
+                .orElse(0);
+    }
+
+    private record Interval(double fromMillis, double toMillis, double factor) {
+
+        boolean contains(double millis) {
+            return millis >= fromMillis && millis < toMillis;
+        }
+    }
 
     /**
-     * Loss and return of all nodes at once; backend servers keep running.
+     * Loss and return of all machines at once. Servers are slow for some seconds after their start.
      *
      * @param atMillis   time of the loss, in milliseconds
-     * @param downMillis time until the nodes accept calls again, in milliseconds
+     * @param downMillis time until nodes and servers accept calls again, in milliseconds
      */
     record Restart(double atMillis, double downMillis) {}
 
@@ -119,8 +138,9 @@
 
         private final Map<String, Integer> servers = new TreeMap<>();
         private final List<CallKind> kinds = new ArrayList<>();
-        private final List<Burst> bursts = new ArrayList<>();
+        private final List<Interval> bursts = new ArrayList<>();
         private final List<Restart> restarts = new ArrayList<>();
+        private final List<Interval> lostAnswers = new ArrayList<>();
         private int slots = 12;
         private double slowShare;
         private double slowFactor = 5;
@@ -202,18 +222,31 @@
          * @return this builder
          */
         public Builder withBurst(double fromMillis, double toMillis, double factor) {
-            bursts.add(new Burst(fromMillis, toMillis, factor));
+            bursts.add(new Interval(fromMillis, toMillis, factor));
+            return this;
+        }
+
+        /**
+         * Loses answers of the servers for a time; the calls have run.
+         *
+         * @param fromMillis start, in milliseconds
+         * @param toMillis   end, in milliseconds
+         * @param share      share of the answers that are lost
+         * @return this builder
+         */
+        public Builder withLostAnswers(double fromMillis, double toMillis, double share) {
+            lostAnswers.add(new Interval(fromMillis, toMillis, share));
             return this;
         }
 
         /**
-         * Restarts all nodes at once.
+         * Restarts all machines at once.
          *
          * @param atMillis   time of the loss, in milliseconds
-         * @param downMillis time until the nodes accept calls again, in milliseconds
+         * @param downMillis time until nodes and servers accept calls again, in milliseconds
          * @return this builder
          */
-        public Builder withRestartOfAllNodes(double atMillis, double downMillis) {
+        public Builder withRestartOfAllMachines(double atMillis, double downMillis) {
             restarts.add(new Restart(atMillis, downMillis));
             return this;
         }
--- a/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedCall.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedCall.java
@@ -113,12 +113,13 @@
             server.recordCallStart();
             Ticket.LatencyTarget target =
                     new Ticket.LatencyTarget(targetNanos, choice.get().movable());
-            simulation.schedule(Deployment.LINK_NANOS, () -> gate.processor().run(() -> {
-                if (gate.isRunning()) {
-                    gate.offer(kind, deadlineNanos(), target, (code, load) -> entry.processor()
-                            .run(() -> onEnd(server, code, load)));
-                }
-            }));
+            SimulatedNode.GateListener listener =
+                    (code, load) -> entry.processor().run(() -> onEnd(server, code, load));
+            if (gate == entry) {
+                gate.offer(kind, deadlineNanos(), target, listener);
+            } else {
+                simulation.schedule(Deployment.LINK_NANOS, () -> gate.receive(kind, deadlineNanos(), target, listener));
+            }
         }
 
         private void onEnd(ServerLoad server, ResultCode code, LoadReport load) {
--- a/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedNode.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedNode.java
@@ -40,6 +40,9 @@
     /** Maximum number of gates that are tried for one call. */
     private static final int MAX_ATTEMPTS = 5;
 
+    /** Standard deviation of the logarithm of the processing times of a kind of call. */
+    private static final double WORK_SPREAD = 0.3;
+
     private final Deployment deployment;
     private final Simulation simulation;
     private final String name;
@@ -75,8 +78,7 @@
         Map<String, List<ServerLoad>> loads = new HashMap<>();
         for (SimulatedNode node : nodes) {
             long servingSinceNanos = -100_000 * Clock.NANOS_PER_MILLI;
-            ServerLoad load =
-                    new ServerLoad(NodeId.of(node.name), deployment.pattern().slots(), 0, servingSinceNanos);
+            ServerLoad load = new ServerLoad(NodeId.of(node.name), deployment.pattern().slots(), 0, servingSinceNanos);
             gates.put(load, node);
             loads.computeIfAbsent(node.service, key -> new ArrayList<>()).add(load);
         }
@@ -116,62 +118,96 @@
     }
 
     /**
-     * Offers a call to the gate. Nothing happens if the node stops before the call ends.
+     * Receives a call from the entry of another node. Nothing happens if this node stops before the call ends.
      *
      * @param kind          kind of the call
      * @param deadlineNanos time by which it must be answered, in nanoseconds
      * @param target        time by which an answer is desired
      * @param listener      receives the end of the call
      */
-    void offer(CallKind kind, long deadlineNanos, Ticket.LatencyTarget target, GateListener listener) {
-        if (admission.isSlownessStale()) {
-            admission.updateSlowness(server.slownessPercent());
-        }
-        Ticket[] ticket = new Ticket[1];
-        ticket[0] = new Ticket(
-                kind.name(),
-                kind.serviceClass(),
-                deadlineNanos,
-                false,
-                new AdmissionListener() {
-                    @Override
-                    public void onAdmitted() {
-                        double spread = Math.exp(0.3 * simulation.random().nextGaussian());
-                        server.process(kind.workMillis() * spread * Clock.NANOS_PER_MILLI, () -> {
-                            admission.updateSlowness(server.slownessPercent());
-                            admission.release(ticket[0], CallEnd.ANSWERED);
-                            respond(() -> listener.onEnd(null, admission.load()));
-                        });
-                    }
-
-                    @Override
-                    public void onRejected(ResultCode code) {
-                        respond(() -> listener.onEnd(code, admission.load()));
-                    }
-                },
-                target);
-        admission.offer(ticket[0]);
-    }
-
-    private void respond(Runnable response) {
+    void receive(CallKind kind, long deadlineNanos, Ticket.LatencyTarget target, GateListener listener) {
         processor.run(() -> {
             if (running) {
-                simulation.schedule(Deployment.LINK_NANOS, response);
+                offer(
+                        kind,
+                        deadlineNanos,
+                        target,
+                        (code, load) -> processor.run(() -> {
+                            if (running) {
+                                simulation.schedule(Deployment.LINK_NANOS, () -> listener.onEnd(code, load));
+                            }
+                        }));
             }
         });
     }
 
+    /**
+     * Offers a call of this node's own entry to the gate.
+     *
+     * @param kind          kind of the call
+     * @param deadlineNanos time by which it must be answered, in nanoseconds
+     * @param target        time by which an answer is desired
+     * @param listener      receives the end of the call
+     */
+    void offer(CallKind kind, long deadlineNanos, Ticket.LatencyTarget target, GateListener listener) {
+        if (admission.isSlownessStale()) {
+            admission.updateServerLoad(server.busy(), server.slownessPercent());
+        }
+        GateCall call = new GateCall(kind, listener);
+        call.ticket = new Ticket(kind.name(), kind.serviceClass(), deadlineNanos, false, call, target);
+        admission.offer(call.ticket);
+    }
+
     private void poll() {
         if (!running) {
             return;
         }
         if (admission.isDeferring()) {
-            admission.updateSlowness(server.slownessPercent());
+            admission.updateServerLoad(server.busy(), server.slownessPercent());
             admission.poll();
         }
         simulation.schedule(POLL_NANOS, this::poll);
     }
 
+    /** A call from its admission to its end. */
+    private final class GateCall implements AdmissionListener {
+
+        private final CallKind kind;
+        private final GateListener listener;
+        private Ticket ticket;
+        private boolean ended;
+
+        GateCall(CallKind kind, GateListener listener) {
+            this.kind = kind;
+            this.listener = listener;
+        }
+
+        @Override
+        public void onAdmitted() {
+            double spread = Math.exp(WORK_SPREAD * simulation.random().nextGaussian());
+            server.process(kind.workMillis() * spread * Clock.NANOS_PER_MILLI, () -> {
+                admission.updateServerLoad(server.busy(), server.slownessPercent());
+                end(CallEnd.ANSWERED, null);
+            });
+            simulation.schedule(
+                    kind.deadlineMillis() * Clock.NANOS_PER_MILLI,
+                    () -> end(CallEnd.UNANSWERED, ResultCode.DEADLINE_PASSED));
+        }
+
+        @Override
+        public void onRejected(ResultCode code) {
+            listener.onEnd(code, admission.load());
+        }
+
+        private void end(CallEnd end, ResultCode code) {
+            if (!ended) {
+                ended = true;
+                admission.release(ticket, end);
+                listener.onEnd(code, admission.load());
+            }
+        }
+    }
+
     /** Receives the end of a call at a gate. */
     @FunctionalInterface
     interface GateListener {
--- a/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedServer.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedServer.java
@@ -11,12 +11,20 @@
     /** Factor by which calls take longer beyond the knee. */
     private static final double KNEE_FACTOR = 1.7;
 
+    /** Factor by which calls take longer on a server that has just started. */
+    private static final double COLD_FACTOR = 2;
+
+    /** Time for which a server is cold after its start, in nanoseconds. */
+    private static final long COLD_NANOS = 3_000 * Clock.NANOS_PER_MILLI;
+
     private static final int BASELINE_PERCENT = 100;
 
     private final Simulation simulation;
     private final LoadPattern pattern;
     private boolean slow;
     private int busy;
+    private int starts = 1;
+    private long coldUntilNanos;
 
     SimulatedServer(Simulation simulation, LoadPattern pattern) {
         this.simulation = simulation;
@@ -44,12 +52,30 @@
     void process(double workNanos, Runnable whenDone) {
         busy++;
         double crowding = busy > pattern.slots() * KNEE_FRACTION ? KNEE_FACTOR : 1;
-        simulation.schedule(workNanos * crowding * slownessPercent() / BASELINE_PERCENT, () -> {
-            busy--;
-            whenDone.run();
+        double cold = simulation.nanoTime() < coldUntilNanos ? COLD_FACTOR : 1;
+        int start = starts;
+        simulation.schedule(workNanos * crowding * cold * slownessPercent() / BASELINE_PERCENT, () -> {
+            if (start == starts) {
+                busy--;
+                if (simulation.random().nextDouble() >= pattern.lostAnswerShare(simulation)) {
+                    whenDone.run();
+                }
+            }
         });
     }
 
+    /** Returns the number of calls that the server is processing. */
+    int busy() {
+        return busy;
+    }
+
+    /** Ends all calls without an answer and starts cold. */
+    void restart() {
+        starts++;
+        busy = 0;
+        coldUntilNanos = simulation.nanoTime() + COLD_NANOS;
+    }
+
     private void changeSpeed() {
         slow = simulation.random().nextDouble() < pattern.slowShare();
         double phase = 0.5 + simulation.random().nextDouble();
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
@@ -167,7 +167,7 @@
                 && !cancelled.toCompletableFuture().isDone()) {
             return gate.crashDetector().checkAfterLoss(ticket).thenApply(crash -> resultAfterLoss(exception, crash));
         }
-        CallEnd end = exception.code() == ResultCode.DEADLINE_PASSED ? CallEnd.OVERLOADED : CallEnd.ABANDONED;
+        CallEnd end = exception.code() == ResultCode.DEADLINE_PASSED ? CallEnd.UNANSWERED : CallEnd.ABANDONED;
         return ended(end, exception.code(), exception.getMessage());
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -144,7 +144,7 @@
      * @param load load of the backend server
      */
     public void recordServerLoad(ReportedServerLoad load) {
-        admission.updateSlowness(load.slownessPercent());
+        admission.updateServerLoad(load.running() + load.queued(), load.slownessPercent());
     }
 
     /** Rejects new calls; calls in flight continue. */
--- a/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
@@ -47,11 +47,15 @@
     @BeforeEach
     void listen() throws IOException {
         socket = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+        link = open(Clock.ForSystem.INSTANCE);
+    }
+
+    private ServerLink open(Clock clock) {
         Announcement announced = new Announcement()
                 .withHost(socket.getInetAddress().getHostAddress())
                 .withPort(socket.getLocalPort())
                 .withInstance("i-1");
-        link = BufferedServerLink.factory(group, EchoDialect.INSTANCE, load -> {}, Clock.ForSystem.INSTANCE)
+        return BufferedServerLink.factory(group, EchoDialect.INSTANCE, load -> {}, clock)
                 .open(announced);
     }
 
@@ -80,7 +84,7 @@
     @Test
     void truncatedResponseFails() {
         serve((number, id) -> "HTTP/1.1 200 OK\r\nid: " + id + "\r\ncontent-length: 10\r\n\r\nshort" + CLOSE);
-        assertThat(failureCode("one")).isEqualTo(ResultCode.CONNECTION_LOST);
+        assertThat(failureCode(send("one"))).isEqualTo(ResultCode.CONNECTION_LOST);
     }
 
     @Test
@@ -92,19 +96,30 @@
     @Test
     void responseDelimitedByResetFails() {
         serve((number, id) -> "HTTP/1.1 200 OK\r\nid: " + id + "\r\n\r\nto the end" + RESET);
-        assertThat(failureCode("one")).isEqualTo(ResultCode.CONNECTION_LOST);
+        assertThat(failureCode(send("one"))).isEqualTo(ResultCode.CONNECTION_LOST);
     }
 
     @Test
     void malformedResponseFails() {
         serve((number, id) -> "what is this\r\n\r\n");
-        assertThat(failureCode("one")).isEqualTo(ResultCode.CONNECTION_LOST);
+        assertThat(failureCode(send("one"))).isEqualTo(ResultCode.CONNECTION_LOST);
     }
 
     @Test
     void refusedConnectionFailsAsUnreachable() throws IOException {
         socket.close();
-        assertThat(failureCode("one")).isEqualTo(ResultCode.SERVER_UNREACHABLE);
+        assertThat(failureCode(send("one"))).isEqualTo(ResultCode.SERVER_UNREACHABLE);
+    }
+
+    /** A full server never answers, and it answers nothing that is sent later on the same connection. */
+    @Test
+    void unansweredRequestFailsAtDeadlineAndItsConnectionIsNotReused() {
+        serve((number, id) -> number == 0 ? "" : response(id, "a" + number));
+        // The clock stands still, so that the request is sent however long the connection takes.
+        link = open(new Clock.Manual());
+        assertThat(failureCode(send("one", Clock.NANOS_PER_MILLI))).isEqualTo(ResultCode.DEADLINE_PASSED);
+        assertThat(responseBody("two")).isEqualTo("a1");
+        assertThat(connections.get()).isEqualTo(2);
     }
 
     private static final String CLOSE = "\u0000close";
@@ -127,20 +142,23 @@
                 .contentUtf8();
     }
 
-    private ResultCode failureCode(String id) {
-        Exchange exchange = send(id);
+    private static ResultCode failureCode(Exchange exchange) {
         CompletionException thrown =
                 assertThrows(CompletionException.class, () -> exchange.headers().join());
         return ((MustardusherException) thrown.getCause()).code();
     }
 
     private Exchange send(String id) {
+        return send(id, REMAINING_NANOS);
+    }
+
+    private Exchange send(String id, long remainingNanos) {
         RequestHeaders headers = RequestHeaders.builder(HttpMethod.GET, "/")
                 .authority("h.example")
                 .set("id", id)
                 .set(CallHeaders.IDEMPOTENT, "1")
                 .build();
-        return link.send(HttpRequest.of(headers), REMAINING_NANOS);
+        return link.send(HttpRequest.of(headers), remainingNanos);
     }
 
     private void serve(ResponseScript script) {
