--- a/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedNode.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedNode.java
@@ -78,7 +78,8 @@
         Map<String, List<ServerLoad>> loads = new HashMap<>();
         for (SimulatedNode node : nodes) {
             long servingSinceNanos = -100_000 * Clock.NANOS_PER_MILLI;
-            ServerLoad load = new ServerLoad(NodeId.of(node.name), deployment.pattern().slots(), 0, servingSinceNanos);
+            ServerLoad load =
+                    new ServerLoad(NodeId.of(node.name), deployment.pattern().slots(), 0, servingSinceNanos);
             gates.put(load, node);
             loads.computeIfAbsent(node.service, key -> new ArrayList<>()).add(load);
         }
