--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 
 /**
  * The backend servers of one service as seen by one entry. The set of servers is immutable; their loads and the
@@ -67,12 +68,7 @@
      * @return {@code true} if a server that is not excluded accepts calls
      */
     public boolean hasServing(ExcludedServers excluded) {
-        for (ServerLoad server : servers) {
-            if (server.isServing() && !excluded.contains(server)) {
-                return true;
-            }
-        }
-        return false;
+        return hasServing(excluded, server -> true);
     }
 
     /**
@@ -83,8 +79,23 @@
      * @return {@code true} if a server that is not excluded accepts calls, has a free slot and is not known to be slow
      */
     public boolean hasIdle(ExcludedServers excluded, long now) {
+        return hasServing(excluded, server -> server.startsCallsAtOnce(now));
+    }
+
+    /**
+     * Returns whether any server is expected to have room for a new call.
+     *
+     * @param excluded servers to ignore
+     * @param now      current time, in nanoseconds
+     * @return {@code true} if a server that is not excluded accepts calls and has at most one queued call per slot
+     */
+    public boolean hasRoom(ExcludedServers excluded, long now) {
+        return hasServing(excluded, server -> server.hasRoom(now));
+    }
+
+    private boolean hasServing(ExcludedServers excluded, Predicate<ServerLoad> condition) {
         for (ServerLoad server : servers) {
-            if (server.isServing() && !excluded.contains(server) && server.startsCallsAtOnce(now)) {
+            if (server.isServing() && !excluded.contains(server) && condition.test(server)) {
                 return true;
             }
         }
--- a/mustardusher-model/src/main/java/io/mustardusher/model/LoadPattern.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/LoadPattern.java
@@ -47,7 +47,11 @@
         return new Builder();
     }
 
-    /** Returns the names of the services, one entry for each server, in a stable order. */
+    /**
+     * Returns the services of the servers.
+     *
+     * @return name of the service of each server, in a stable order
+     */
     List<String> serviceOfEachServer() {
         List<String> services = new ArrayList<>();
         new TreeMap<>(servers).forEach((service, count) -> {
@@ -108,7 +112,12 @@
         return factor;
     }
 
-    /** Returns the share of the answers that are lost now. */
+    /**
+     * Returns the share of the answers that are lost now.
+     *
+     * @param clock source of time
+     * @return fraction between 0 and 1
+     */
     double lostAnswerShare(Clock clock) {
         double millis = clock.nanoTime() / (double) Clock.NANOS_PER_MILLI;
         return lostAnswers.stream()
--- a/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedServer.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedServer.java
@@ -64,7 +64,11 @@
         });
     }
 
-    /** Returns the number of calls that the server is processing. */
+    /**
+     * Returns the number of calls that the server is processing.
+     *
+     * @return number of calls
+     */
     int busy() {
         return busy;
     }
