Ask fewer gates after a rejection, and refresh slowness after 40 ms

In the seconds after a restart of all nodes, which the model's processor time does not reproduce, full queues reject most attempts, each attempt costs code that is not compiled yet, and so does each probe.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/ServiceTimes.java
@@ -19,8 +19,8 @@
     /** Age from which a slowness report is ignored, in nanoseconds; noisy neighbours are active for 150 ms. */
     private static final long SLOWNESS_EXPIRY_NANOS = 100 * Clock.NANOS_PER_MILLI;
 
-    /** Age from which a slowness report is to be refreshed, in nanoseconds; servers change within 100 ms. */
-    private static final long SLOWNESS_REFRESH_NANOS = 20 * Clock.NANOS_PER_MILLI;
+    /** Age from which a slowness report is to be refreshed, in nanoseconds. */
+    private static final long SLOWNESS_REFRESH_NANOS = 40 * Clock.NANOS_PER_MILLI;
 
     /** Length of a slow spell that is assumed before the first one has ended, in nanoseconds. */
     private static final double INITIAL_SPELL_NANOS = 150.0 * Clock.NANOS_PER_MILLI;
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
@@ -33,6 +33,9 @@
     /** Penalty for a slow server, in service times; such a server takes about five times as long. */
     private static final double SLOW_PENALTY = 4;
 
+    /** Number of calls per slot, running or queued, from which a server is expected to have no room. */
+    private static final int MAX_CALLS_PER_SLOT = 2;
+
     private final NodeId node;
 
     private final long roundTripNanos;
@@ -179,6 +182,16 @@
         return now - slowUntilNanos >= 0 && estimatedCalls(now) + 1 <= lastReport.limit;
     }
 
+    /**
+     * Returns whether the server is expected to have room for a new call.
+     *
+     * @param now current time, in nanoseconds
+     * @return {@code true} if it has at most one queued call per slot
+     */
+    boolean hasRoom(long now) {
+        return estimatedCalls(now) + 1 <= MAX_CALLS_PER_SLOT * lastReport.limit;
+    }
+
     /**
      * Estimates the response time for a new call. Failures and slowness of the server count as further service times.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
@@ -82,6 +82,17 @@
         return hasServing(excluded, server -> server.startsCallsAtOnce(now));
     }
 
+    /**
+     * Returns whether any server is expected to have room for a new call.
+     *
+     * @param excluded servers to ignore
+     * @param now      current time, in nanoseconds
+     * @return {@code true} if a server that is not excluded accepts calls and has at most one queued call per slot
+     */
+    public boolean hasRoom(ExcludedServers excluded, long now) {
+        return hasServing(excluded, server -> server.hasRoom(now));
+    }
+
     private boolean hasServing(ExcludedServers excluded, Predicate<ServerLoad> condition) {
         for (ServerLoad server : servers) {
             if (server.isServing() && !excluded.contains(server) && condition.test(server)) {
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerSelection.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerSelection.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
+import io.mustardusher.result.ResultCode;
+
 /**
  * Selects the servers for the attempts of one call. A gate may return a call in favour of a faster server only while
  * another server remains to be tried. Not thread-safe.
@@ -78,6 +80,23 @@
         slowServers.add(server);
     }
 
+    /**
+     * Returns whether another server may accept a call that a gate rejected. After a rejection for lack of room or time
+     * it is only worth asking one that is expected to have it, because each attempt adds to the work of busy nodes.
+     *
+     * @param code reason of the rejection
+     * @param pool servers of the service
+     * @param now  current time, in nanoseconds
+     * @return {@code true} if the call should be sent to another gate
+     */
+    public boolean mayBeAcceptedElsewhere(ResultCode code, ServerPool pool, long now) {
+        return switch (code) {
+            case OVERLOADED, LIMIT_REACHED -> pool.hasRoom(tried, now);
+            case DEADLINE_UNREACHABLE -> pool.hasIdle(tried, now);
+            default -> true;
+        };
+    }
+
     /**
      * Returns the number of the current attempt.
      *
--- a/mustardusher-core/src/test/java/io/mustardusher/routing/ServerSelectionTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/routing/ServerSelectionTest.java
@@ -4,6 +4,7 @@
 import java.util.Random;
 
 import io.mustardusher.membership.NodeId;
+import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.api.Test;
 
@@ -53,6 +54,39 @@
         assertThat(selection.attempt()).isEqualTo(3);
     }
 
+    @Test
+    void asksNoFurtherGateAfterRejectionWhenServersAreFull() {
+        ServerSelection selection = selection();
+        next(selection);
+        report(2 * SLOTS, false);
+        assertThat(selection.mayBeAcceptedElsewhere(ResultCode.OVERLOADED, pool, 0))
+                .isFalse();
+        report(SLOTS, false);
+        assertThat(selection.mayBeAcceptedElsewhere(ResultCode.OVERLOADED, pool, 0))
+                .isTrue();
+    }
+
+    @Test
+    void asksFurtherGateAfterUnreachableDeadlineOnlyIfItIsIdle() {
+        ServerSelection selection = selection();
+        next(selection);
+        report(SLOTS, false);
+        assertThat(selection.mayBeAcceptedElsewhere(ResultCode.DEADLINE_UNREACHABLE, pool, 0))
+                .isFalse();
+        report(1, false);
+        assertThat(selection.mayBeAcceptedElsewhere(ResultCode.DEADLINE_UNREACHABLE, pool, 0))
+                .isTrue();
+    }
+
+    @Test
+    void asksFurtherGateAfterRejectionThatIsUnrelatedToLoad() {
+        ServerSelection selection = selection();
+        next(selection);
+        report(2 * SLOTS, true);
+        assertThat(selection.mayBeAcceptedElsewhere(ResultCode.DRAINING, pool, 0))
+                .isTrue();
+    }
+
     private boolean next(ServerSelection selection) {
         return selection.next(pool, new Random(1), 0).orElseThrow().movable();
     }
--- a/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedCall.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedCall.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import io.mustardusher.admission.Ticket;
+import io.mustardusher.result.Outcome;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.retry.FailedAttempt;
 import io.mustardusher.retry.RetryPolicy;
@@ -139,7 +140,9 @@
             long remaining = deadlineNanos() - simulation.nanoTime();
             FailedAttempt failed =
                     new FailedAttempt(servers.attempt(), 0, 2, code, kind.idempotent(), true, false, remaining);
-            if (retries.mayRetry(failed)) {
+            boolean worthwhile = code.outcome() != Outcome.NOT_RUN
+                    || servers.mayBeAcceptedElsewhere(code, entry.pool(kind.service()), simulation.nanoTime());
+            if (worthwhile && retries.mayRetry(failed)) {
                 send();
             } else {
                 tryLater();
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -347,7 +347,8 @@
      * @return {@code true} to send the call again
      */
     private boolean mayRetry(ResultCode code, long now) {
-        if (cancelled.toCompletableFuture().isDone()) {
+        ServerPool pool = router.directory().pool(call.service());
+        if (cancelled.toCompletableFuture().isDone() || !servers.mayBeAcceptedElsewhere(code, pool, now)) {
             return false;
         }
         return retryPolicy.mayRetry(new FailedAttempt(
