Bound the waits of a stopping node after its calls have ended

Cause: after the calls of a stopping node had ended or its grace time was nearly over, it closed its listeners, told eight nodes that it had left and removed its row from the table service, one after the other: up to 0.5, 0.5 and 2 s, where 0.7 s are reserved.

Change: the three run at the same time, and the last two are awaited for 400 ms at most. Other nodes detect the end of a node, and a row that stays is overwritten by the next start or ignored.

Test: RoutedNodeTest.stopsWhileTableServiceDoesNotAnswer never ended before the change.

--- a/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
@@ -158,6 +158,7 @@
         core.awaitIdle(this::inFlight, settings.getStopGraceMillis());
         int cutOff = inFlight();
         listeners.stop();
+        core.announceEnd().join();
         core.close();
         NodeLog.LOG.stopped(settings.getId(), cutOff);
         return cutOff;
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -84,6 +84,9 @@
     /** Number of rounds in which a leaving node sends its record to other nodes. */
     private static final int LEAVE_ROUNDS = 3;
 
+    /** Maximum time that a node waits for the responses to its last messages, in milliseconds. */
+    private static final long LEAVE_NOTICE_TIMEOUT_MILLIS = 400;
+
     /** Interval at which a stopping node checks for calls in flight, in milliseconds. */
     private static final long STOP_POLL_MILLIS = 20;
 
@@ -240,11 +243,22 @@
         }
     }
 
-    /** Notifies other nodes that this one has left, and closes all connections. */
-    void close() {
+    /**
+     * Notifies other nodes and the table service that this node has left. Waits for a short time only: a node that does
+     * not stop in time is killed, and other nodes detect its end in any case.
+     *
+     * @return completes when all have responded, at the latest after {@value #LEAVE_NOTICE_TIMEOUT_MILLIS} ms
+     */
+    CompletableFuture<Void> announceEnd() {
         members.updateSelf(self -> self.setState(MemberState.LEFT.toRecordState()));
-        gossiper.sendToRandomMembers(CHANGE_FANOUT).join();
-        discovery.unregister(settings.getId(), members.self().getBoot()).join();
+        return CompletableFuture.allOf(
+                        gossiper.sendToRandomMembers(CHANGE_FANOUT),
+                        discovery.unregister(settings.getId(), members.self().getBoot()))
+                .completeOnTimeout(null, LEAVE_NOTICE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Closes all connections. */
+    void close() {
         timers.shutdownNow();
         frameServer.close();
         frames.close();
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -1,6 +1,7 @@
 package io.mustardusher.node;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.linecorp.armeria.server.HttpService;
@@ -205,7 +206,7 @@
 
     /** Closes all listeners and connections without waiting for calls in flight. */
     public void close() {
-        httpServer.stop().join();
+        CompletableFuture.allOf(httpServer.stop(), core.announceEnd()).join();
         core.close();
     }
 
--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/node/RoutedNodeTest.java
@@ -0,0 +1,165 @@
+package io.mustardusher.node;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
+import io.mustardusher.call.Call;
+import io.mustardusher.call.CallerProtocol;
+import io.mustardusher.generated.DistanceSettings;
+import io.mustardusher.generated.NodeSettings;
+import io.mustardusher.generated.PortSettings;
+import io.mustardusher.generated.RouteDocument;
+import io.mustardusher.result.MustardusherException;
+import io.mustardusher.result.ResultCode;
+import io.mustardusher.route.RequestLimits;
+import io.mustardusher.route.RouteTable;
+import io.mustardusher.server.ServerDialect;
+import io.mustardusher.store.Row;
+import io.mustardusher.store.TableService;
+import io.mustardusher.store.Transaction;
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.AsciiString;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+
+class RoutedNodeTest {
+
+    private static final int PORTS = 4;
+
+    /** The platform kills a node that has not stopped by the end of its grace time. */
+    @Test
+    void stopsWhileTableServiceDoesNotAnswer() throws IOException {
+        RoutedNode node =
+                new RoutedNode(settings(), new RoutedNode.RetryBounds(1_000_000_000L, 0, 0), new SilentEnvironment());
+        node.start();
+        int cutOff = assertTimeoutPreemptively(Duration.ofSeconds(30), node::stop);
+        assertThat(cutOff).isEqualTo(0);
+    }
+
+    private static NodeSettings settings() throws IOException {
+        List<Integer> ports = freePorts();
+        return new NodeSettings()
+                .withId("node-1")
+                .withHost(InetAddress.getLoopbackAddress().getHostAddress())
+                .withRegion("r")
+                .withFailureDomain("d")
+                .withPorts(new PortSettings()
+                        .withCaller(ports.get(0))
+                        .withGate(ports.get(1))
+                        .withFrame(ports.get(2))
+                        .withAdmin(ports.get(3)))
+                .withSeeds(List.of())
+                .withCredential("secret")
+                .withRegionDistancesMicros(new DistanceSettings())
+                .withGossipIntervalMillis(200)
+                .withStopGraceMillis(100)
+                .withWarmUpMillis(0);
+    }
+
+    private static List<Integer> freePorts() throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < PORTS; i++) {
+            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            sockets.add(socket);
+            ports.add(socket.getLocalPort());
+        }
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+        return ports;
+    }
+
+    /** A platform whose table service never answers and that never has routes. */
+    private static final class SilentEnvironment implements NodeEnvironment {
+
+        @Override
+        public TableService openTable(EventLoopGroup group) {
+            return new SilentTable();
+        }
+
+        @Override
+        public void watchRoutes(Consumer<RouteDocument> listener) {
+            // There are no routes.
+        }
+
+        @Override
+        public RouteTable decodeRoutes(RouteDocument document) {
+            throw new AssertionError("there are no routes");
+        }
+
+        @Override
+        public CallerProtocol callerProtocol(Supplier<RouteTable> routes) {
+            return new RejectingProtocol();
+        }
+
+        @Override
+        public ServerDialect serverDialect() {
+            return ServerDialect.Plain.INSTANCE;
+        }
+
+        @Override
+        public LocalServer localServer() {
+            return new LocalServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), "s");
+        }
+
+        @Override
+        public List<AsciiString> frequentHeaders() {
+            return List.of();
+        }
+
+        @Override
+        public String callName(RequestHeaders call) {
+            return "-";
+        }
+    }
+
+    private static final class RejectingProtocol implements CallerProtocol {
+
+        @Override
+        public Call read(RequestHeaders headers, long now) {
+            throw new MustardusherException(ResultCode.NODE_STARTING, "there are no routes");
+        }
+
+        @Override
+        public RequestLimits limits() {
+            return RequestLimits.NONE;
+        }
+
+        @Override
+        public HttpResponse write(RequestHeaders request, HttpResponse answer) {
+            return answer;
+        }
+    }
+
+    private static final class SilentTable implements TableService {
+
+        @Override
+        public CompletableFuture<Optional<Row>> read(String key) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Long> commit(Transaction transaction) {
+            return new CompletableFuture<>();
+        }
+    }
+}
