--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -187,18 +187,6 @@
         return ticket.exclusive ? exclusiveQueue.remove(ticket) : queue.remove(ticket);
     }
 
-    /**
-     * Updates the slowness that the server reports, and dispatches queued calls if it is no longer slow.
-     *
-     * @param percent current processing time as a percentage of the normal processing time
-     */
-    public void updateSlowness(int percent) {
-        updateAndNotify(notifications -> {
-            times.updateSlowness(percent, clock.nanoTime());
-            dispatch(notifications);
-        });
-    }
-
     /**
      * Updates the load that the server reports, and dispatches queued calls that now fit. A call whose answer was lost
      * keeps its place at this gate until its deadline, but no longer the slot of the server.
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/NoisyNeighbourTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/NoisyNeighbourTest.java
@@ -32,7 +32,7 @@
 
     @Test
     void rejectsMovableCallAsSlowerThanTargetWhenServerIsSlow() {
-        admission.updateSlowness(SLOW_PERCENT);
+        reportSlowness(SLOW_PERCENT);
         assertThat(offer(true).code).isEqualTo(ResultCode.SLOWER_THAN_TARGET);
     }
 
@@ -40,7 +40,7 @@
     @Test
     void keepsMovableCallThatCannotMeetItsTargetAnywhere() {
         recordBaselineServiceTimes();
-        admission.updateSlowness(SLOW_PERCENT);
+        reportSlowness(SLOW_PERCENT);
         TestCall call =
                 new TestCall(clock.nanoTime() - (TARGET_MILLIS - WORK_MILLIS + 1) * Clock.NANOS_PER_MILLI, true);
         admission.offer(call.ticket);
@@ -49,19 +49,19 @@
 
     @Test
     void defersCallThatIsNotMovableUntilServerRecovers() {
-        admission.updateSlowness(SLOW_PERCENT);
+        reportSlowness(SLOW_PERCENT);
         TestCall call = offer(false);
         assertThat(call.admitted).isFalse();
         assertThat(admission.isDeferring()).isTrue();
         clock.advanceMillis(60);
-        admission.updateSlowness(BASELINE_PERCENT);
+        reportSlowness(BASELINE_PERCENT);
         assertThat(call.admitted).isTrue();
     }
 
     /** A call of 90 ms that starts on a server five times as slow loses 360 ms, so it waits no longer than that. */
     @Test
     void limitsDeferralToLossOfSlowStart() {
-        admission.updateSlowness(SLOW_PERCENT);
+        reportSlowness(SLOW_PERCENT);
         TestCall call = offer(false);
         stayAtPercent(SLOW_PERCENT, 320);
         assertThat(call.admitted).isFalse();
@@ -72,7 +72,7 @@
     /** The slowness that the server reports determines the loss, so the same call waits less for a server half as slow. */
     @Test
     void limitsDeferralByReportedSlowness() {
-        admission.updateSlowness(SLOW_PERCENT / 2);
+        reportSlowness(SLOW_PERCENT / 2);
         TestCall call = offer(false);
         stayAtPercent(SLOW_PERCENT / 2, 120);
         assertThat(call.admitted).isFalse();
@@ -83,11 +83,11 @@
     @Test
     void doesNotWaitForServerThatStaysSlow() {
         for (int i = 0; i < 20; i++) {
-            admission.updateSlowness(SLOW_PERCENT);
+            reportSlowness(SLOW_PERCENT);
             stayAtPercent(SLOW_PERCENT, 80);
-            admission.updateSlowness(BASELINE_PERCENT);
+            reportSlowness(BASELINE_PERCENT);
         }
-        admission.updateSlowness(SLOW_PERCENT);
+        reportSlowness(SLOW_PERCENT);
         stayAtPercent(SLOW_PERCENT, 1_000);
         assertThat(offer(false).admitted).isTrue();
     }
@@ -98,18 +98,18 @@
         Admission restarted = Admission.withLatencyTargets(clock, 1);
         restarted.configure(4, 4, 0);
         restarted.open();
-        restarted.updateSlowness(SLOW_PERCENT);
+        restarted.updateServerLoad(0, SLOW_PERCENT);
         TestCall call = new TestCall(clock.nanoTime(), false);
         restarted.offer(call.ticket);
         assertThat(call.admitted).isFalse();
         clock.advanceMillis(40);
-        restarted.updateSlowness(BASELINE_PERCENT);
+        restarted.updateServerLoad(0, BASELINE_PERCENT);
         assertThat(call.admitted).isTrue();
     }
 
     @Test
     void ignoresExpiredSlownessReport() {
-        admission.updateSlowness(SLOW_PERCENT);
+        reportSlowness(SLOW_PERCENT);
         clock.advanceMillis(200);
         assertThat(offer(false).admitted).isTrue();
     }
@@ -123,13 +123,13 @@
         for (int i = 0; i < calls; i++) {
             boolean slow = random.nextInt(100) < 35;
             long remainingSlowMillis = slow ? 1 + random.nextInt(150) : 0;
-            admission.updateSlowness(slow ? SLOW_PERCENT : BASELINE_PERCENT);
+            reportSlowness(slow ? SLOW_PERCENT : BASELINE_PERCENT);
             TestCall call = offer(false);
             long waitedMillis = 0;
             while (!call.admitted) {
                 clock.advanceMillis(10);
                 waitedMillis += 10;
-                admission.updateSlowness(waitedMillis < remainingSlowMillis ? SLOW_PERCENT : BASELINE_PERCENT);
+                reportSlowness(waitedMillis < remainingSlowMillis ? SLOW_PERCENT : BASELINE_PERCENT);
             }
             long workMillis = waitedMillis < remainingSlowMillis ? WORK_MILLIS * 5 : WORK_MILLIS;
             clock.advanceMillis(workMillis);
@@ -139,10 +139,14 @@
         assertThat(met).isAtLeast(calls * 9 / 10);
     }
 
+    private void reportSlowness(int percent) {
+        admission.updateServerLoad(admission.inFlight(), percent);
+    }
+
     private void stayAtPercent(int percent, long millis) {
         for (long waited = 0; waited < millis; waited += 40) {
             clock.advanceMillis(40);
-            admission.updateSlowness(percent);
+            reportSlowness(percent);
         }
     }
 
