--- a/mustardusher-model/src/test/java/io/mustardusher/model/LoadPatternsTest.java
+++ b/mustardusher-model/src/test/java/io/mustardusher/model/LoadPatternsTest.java
@@ -79,6 +79,15 @@
         assertThat(mean(pattern, outcomes -> outcomes.worth(11, 14))).isAtLeast(0.9);
     }
 
+    @Test
+    void sameSeedGivesSameOutcomes() {
+        LoadPattern pattern = office(1.7).build();
+        Outcomes first = Deployment.simulate(pattern, 7);
+        Outcomes second = Deployment.simulate(pattern, 7);
+        assertThat(second.worth()).isEqualTo(first.worth());
+        assertThat(second.attemptsPerCall()).isEqualTo(first.attemptsPerCall());
+    }
+
     private static LoadPattern.Builder office(double load) {
         return LoadPattern.builder()
                 .withServers("reader", 7)
