--- a/mustardusher-node/src/test/java/io/mustardusher/entry/PipelinedCallsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/PipelinedCallsTest.java
@@ -10,7 +10,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -18,7 +17,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 
 import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.HttpResponse;
@@ -34,21 +32,13 @@
 import io.mustardusher.catalogue.CatalogueEntry;
 import io.mustardusher.catalogue.Idempotence;
 import io.mustardusher.catalogue.ServiceClass;
-import io.mustardusher.catalogue.ServiceName;
 import io.mustardusher.frame.CallMessage;
-import io.mustardusher.frame.Credential;
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.frame.Peers;
-import io.mustardusher.generated.DistanceSettings;
-import io.mustardusher.generated.MemberRecord;
-import io.mustardusher.health.SuspectTable;
-import io.mustardusher.membership.MemberState;
-import io.mustardusher.membership.MemberTable;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.routing.RoutingPolicy;
 import io.mustardusher.time.Clock;
-import io.netty.util.concurrent.ImmediateEventExecutor;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -58,7 +48,6 @@
 /** Load pattern: callers send further requests on a connection before the first one has been answered. */
 class PipelinedCallsTest {
 
-    private static final ServiceName SERVICE = ServiceName.of("s");
     private static final long MINUTE_NANOS = 60_000 * Clock.NANOS_PER_MILLI;
     private static final long WAIT_SECONDS = 20;
 
@@ -72,28 +61,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        MemberTable members = new MemberTable(member(0, false), clock, new Random(1));
-        members.merge(List.of(member(1, true)));
-        ServerDirectory directory = new ServerDirectory(
-                members,
-                null,
-                new DistanceSettings(),
-                () -> {
-                    throw new AssertionError("no call is streamed");
-                },
-                new Credential("secret"),
-                clock);
-        directory.useFrames(
-                new ServerDirectory.FrameTransport(gate, packing, new AtomicLong(), ImmediateEventExecutor.INSTANCE));
-        directory.refresh();
-        Router router = new Router(
-                directory,
-                new SuspectTable(clock),
-                report -> {},
-                new RetryPolicyFactory.ForWindow(clock, MINUTE_NANOS, () -> 0),
-                timers,
-                clock,
-                new MetricRegistry());
+        Router router = RouterFixture.create(clock, timers, packing, gate, List.of(true));
         entry = new Entry(
                 router, null, new PlainProtocol(), call -> {}, new EventLoopDelay(clock), clock, new MetricRegistry());
         server = Server.builder()
@@ -217,28 +185,12 @@
         return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
     }
 
-    private static MemberRecord member(int number, boolean serving) {
-        return new MemberRecord()
-                .withId("node-" + number)
-                .withBoot(1L)
-                .withIncarnation(1)
-                .withState(MemberState.ALIVE.toRecordState())
-                .withHost("127.0.0.1")
-                .withFramePort(number + 1)
-                .withGatePort(number + 1)
-                .withRegion("r")
-                .withDomain("d")
-                .withService(SERVICE.value())
-                .withSlots(4)
-                .withServing(serving);
-    }
-
     private static final class PlainProtocol implements CallerProtocol {
 
         @Override
         public Call read(RequestHeaders headers, long now) {
             CatalogueEntry catalogueEntry = new CatalogueEntry(
-                    SERVICE,
+                    RouterFixture.SERVICE,
                     "route",
                     ServiceClass.STANDARD,
                     RoutingPolicy.LEAST_COST,
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/RoutedCallTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/RoutedCallTest.java
@@ -4,14 +4,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.stream.IntStream;
 
-import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.RequestHeaders;
@@ -24,21 +20,13 @@
 import io.mustardusher.catalogue.CatalogueEntry;
 import io.mustardusher.catalogue.Idempotence;
 import io.mustardusher.catalogue.ServiceClass;
-import io.mustardusher.catalogue.ServiceName;
 import io.mustardusher.frame.CallMessage;
-import io.mustardusher.frame.Credential;
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.frame.Peers;
-import io.mustardusher.generated.DistanceSettings;
-import io.mustardusher.generated.MemberRecord;
-import io.mustardusher.health.SuspectTable;
-import io.mustardusher.membership.MemberState;
-import io.mustardusher.membership.MemberTable;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.routing.RoutingPolicy;
 import io.mustardusher.time.Clock;
-import io.netty.util.concurrent.ImmediateEventExecutor;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -51,13 +39,11 @@
  */
 class RoutedCallTest {
 
-    private static final ServiceName SERVICE = ServiceName.of("s");
     private static final long SECOND = 1_000 * Clock.NANOS_PER_MILLI;
 
     private final Clock.Manual clock = new Clock.Manual();
     private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
     private final HeaderPacking packing = new HeaderPacking(List.of());
-    private final MemberTable members = new MemberTable(member(0, false), clock, new Random(1));
     private final SlowGates gates = new SlowGates();
 
     @AfterEach
@@ -85,30 +71,8 @@
         assertThat(gates.movableFlags).containsExactly(true, true, false, false).inOrder();
     }
 
-    private Outcome call(boolean... serving) {
-        members.merge(IntStream.range(0, serving.length)
-                .mapToObj(i -> member(i + 1, serving[i]))
-                .toList());
-        ServerDirectory directory = new ServerDirectory(
-                members,
-                null,
-                new DistanceSettings(),
-                () -> {
-                    throw new AssertionError("no call is streamed");
-                },
-                new Credential("secret"),
-                clock);
-        directory.useFrames(
-                new ServerDirectory.FrameTransport(gates, packing, new AtomicLong(), ImmediateEventExecutor.INSTANCE));
-        directory.refresh();
-        Router router = new Router(
-                directory,
-                new SuspectTable(clock),
-                report -> {},
-                new RetryPolicyFactory.ForWindow(clock, SECOND, () -> 0),
-                timers,
-                clock,
-                new MetricRegistry());
+    private Outcome call(Boolean... serving) {
+        Router router = RouterFixture.create(clock, timers, packing, gates, List.of(serving));
         CompletableFuture<Void> neverCancelled = new CompletableFuture<>();
         AggregatedHttpResponse answer = router.route(call(), CallBody.Buffered.EMPTY, true, neverCancelled)
                 .aggregate()
@@ -118,7 +82,7 @@
 
     private Call call() {
         CatalogueEntry entry = new CatalogueEntry(
-                SERVICE,
+                RouterFixture.SERVICE,
                 "route",
                 ServiceClass.STANDARD,
                 RoutingPolicy.LEAST_COST,
@@ -144,22 +108,6 @@
                 new CallOptions("call", 2, SECOND / 2));
     }
 
-    private static MemberRecord member(int number, boolean serving) {
-        return new MemberRecord()
-                .withId("node-" + number)
-                .withBoot(1L)
-                .withIncarnation(1)
-                .withState(MemberState.ALIVE.toRecordState())
-                .withHost("127.0.0.1")
-                .withFramePort(number + 1)
-                .withGatePort(number + 1)
-                .withRegion("r")
-                .withDomain("d")
-                .withService(SERVICE.value())
-                .withSlots(4)
-                .withServing(serving);
-    }
-
     /** Gates that return every call that they may return in favour of another server. */
     private final class SlowGates implements Peers {
 
--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/RouterFixture.java
@@ -0,0 +1,84 @@
+package io.mustardusher.entry;
+
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.codahale.metrics.MetricRegistry;
+import io.mustardusher.call.HeaderPacking;
+import io.mustardusher.catalogue.ServiceName;
+import io.mustardusher.frame.Credential;
+import io.mustardusher.frame.Peers;
+import io.mustardusher.generated.DistanceSettings;
+import io.mustardusher.generated.MemberRecord;
+import io.mustardusher.health.SuspectTable;
+import io.mustardusher.membership.MemberState;
+import io.mustardusher.membership.MemberTable;
+import io.mustardusher.time.Clock;
+import io.netty.util.concurrent.ImmediateEventExecutor;
+
+/** Creates routers whose calls go to the simulated gates of other nodes. */
+final class RouterFixture {
+
+    /** Service of all servers. */
+    static final ServiceName SERVICE = ServiceName.of("s");
+
+    private static final long BUDGET_WINDOW_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
+
+    private RouterFixture() {}
+
+    /**
+     * Creates a router without a budget for retries.
+     *
+     * @param clock   source of time
+     * @param timers  executor of timers
+     * @param packing encoding of headers
+     * @param gates   receives the frames to other nodes
+     * @param serving whether the server of each other node accepts calls
+     * @return the router
+     */
+    static Router create(
+            Clock clock, ScheduledExecutorService timers, HeaderPacking packing, Peers gates, List<Boolean> serving) {
+        MemberTable members = new MemberTable(member(0, false), clock, new Random(1));
+        for (int i = 0; i < serving.size(); i++) {
+            members.merge(List.of(member(i + 1, serving.get(i))));
+        }
+        ServerDirectory directory = new ServerDirectory(
+                members,
+                null,
+                new DistanceSettings(),
+                () -> {
+                    throw new AssertionError("no call is streamed");
+                },
+                new Credential("secret"),
+                clock);
+        directory.useFrames(
+                new ServerDirectory.FrameTransport(gates, packing, new AtomicLong(), ImmediateEventExecutor.INSTANCE));
+        directory.refresh();
+        return new Router(
+                directory,
+                new SuspectTable(clock),
+                report -> {},
+                new RetryPolicyFactory.ForWindow(clock, BUDGET_WINDOW_NANOS, () -> 0),
+                timers,
+                clock,
+                new MetricRegistry());
+    }
+
+    private static MemberRecord member(int number, boolean serving) {
+        return new MemberRecord()
+                .withId("node-" + number)
+                .withBoot(1L)
+                .withIncarnation(1)
+                .withState(MemberState.ALIVE.toRecordState())
+                .withHost("127.0.0.1")
+                .withFramePort(number + 1)
+                .withGatePort(number + 1)
+                .withRegion("r")
+                .withDomain("d")
+                .withService(SERVICE.value())
+                .withSlots(4)
+                .withServing(serving);
+    }
+}
