--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -99,6 +99,9 @@
         metrics.gauge("gate.busy", () -> () -> load().busy());
         metrics.gauge("gate.queued", () -> () -> load().queued());
         metrics.gauge("gate.limit", () -> () -> load().limit());
+        metrics.gauge(
+                "gate.slots",
+                () -> () -> announcement().map(Announcement::getSlots).orElse(0L));
     }
 
     /**
