--- a/mustardusher-core/src/main/java/io/mustardusher/admission/ConcurrencyLimit.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/ConcurrencyLimit.java
@@ -2,8 +2,8 @@
 
 /**
  * Limit on the number of calls that a gate dispatches concurrently, with additive increase and multiplicative decrease
- * (AIMD). It starts at the slots that may be used, is multiplied by a factor below 1 when the server sheds calls or misses
- * deadlines, and grows by a small step with each call that is answered in time.
+ * (AIMD). It starts at the slots that may be used, is multiplied by a factor below 1 when the server sheds calls or
+ * misses deadlines, and grows by a small step with each call that is answered in time.
  */
 final class ConcurrencyLimit {
 
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/UsableSlots.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/UsableSlots.java
@@ -27,7 +27,7 @@
     /** Number of calls that a decision is based on if the slowdown is clear. */
     private static final int MIN_CLEAR_SAMPLES = 6;
 
-    /** Number of calls after which a further slot is tried; few calls are slowed if the server turns out to slow down. */
+    /** Number of calls after which a further slot is tried, so that a server that slows down slows only few calls. */
     private static final int SAMPLES_PER_TRIAL_SLOT = 8;
 
     /** Number of calls over which the slowdown is averaged. */
