Log and export the conditions that backend servers state in their answers

The dialect reads Server-Limit and Server-Leaving into ServerConditions; ConditionsTracker keeps those of the current instance, whose answers may overtake each other; event 1105 and the metric gate.callsPerSecondLimit show them. No decision depends on them yet. Answers of another instance (421) and of health probes do not count.

--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -23,6 +23,8 @@
 import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.generated.Announcement;
 import io.mustardusher.health.SuspectTable;
+import io.mustardusher.instance.ConditionsTracker;
+import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
@@ -56,6 +58,9 @@
 
     private final TokenBucket probeBudget;
 
+    /** What the backend server states in its answers. */
+    private final ConditionsTracker conditions = new ConditionsTracker();
+
     private volatile Function<String, String> healthPaths = service -> "/";
 
     private final Timer callTimer;
@@ -99,6 +104,7 @@
         metrics.gauge("gate.busy", () -> () -> load().busy());
         metrics.gauge("gate.queued", () -> () -> load().queued());
         metrics.gauge("gate.limit", () -> () -> load().limit());
+        metrics.gauge("gate.callsPerSecondLimit", () -> this::callsPerSecondLimit);
         metrics.gauge(
                 "gate.slots",
                 () -> () -> announcement().map(Announcement::getSlots).orElse(0L));
@@ -112,6 +118,7 @@
      */
     public void applyAnnouncement(Announcement announcement) {
         Backend current = backend;
+        conditions.setInstance(announcement.getInstance());
         if (current == null || !current.isSameServer(announcement)) {
             backend = new Backend(announcement, links.open(announcement));
             if (current != null) {
@@ -150,6 +157,19 @@
         admission.updateServerLoad(load.running() + load.queued(), load.slownessPercent());
     }
 
+    /**
+     * Records the conditions that the backend server states in an answer.
+     *
+     * @param instance  identifier of the instance that answered
+     * @param stated    the conditions
+     * @param sentNanos time at which the call was sent to the server, in nanoseconds
+     */
+    public void recordConditions(String instance, ServerConditions stated, long sentNanos) {
+        if (conditions.recordAnswer(instance, stated, sentNanos, clock.nanoTime())) {
+            NodeLog.LOG.serverStatedConditions(instance, stated.maxCallsPerSecond(), stated.leaving());
+        }
+    }
+
     /** Rejects new calls; calls in flight continue. */
     public void close() {
         admission.close();
@@ -260,6 +280,12 @@
         probeBudget.resize(perSecond, perSecond / 4);
     }
 
+    // The metric of an unlimited server is 0, because not all readers of metrics understand infinity.
+    private double callsPerSecondLimit() {
+        ServerConditions current = conditions.current();
+        return current.isLimited() ? current.maxCallsPerSecond() : 0;
+    }
+
     private static Ticket.LatencyTarget latencyTarget(RequestHeaders headers, long now) {
         String target = headers.get(CallHeaders.TARGET);
         if (target == null) {
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -240,6 +240,17 @@
     @Message(id = 1104, value = "announcement from %s rejected: %s")
     void announcementRejected(String instance, String text);
 
+    /**
+     * A backend server stated new conditions in an answer.
+     *
+     * @param instance          identifier of the server instance
+     * @param maxCallsPerSecond maximum rate of calls from all nodes together; infinite if there is none
+     * @param leaving           whether the server is about to end
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 1105, value = "backend server %s accepts up to %s calls per second, leaving %s")
+    void serverStatedConditions(String instance, double maxCallsPerSecond, boolean leaving);
+
     /**
      * A backend server answered a call.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
@@ -18,15 +19,19 @@
 import io.mustardusher.frame.CallMessage;
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.gate.FramedGate;
+import io.mustardusher.gate.Gate;
 import io.mustardusher.generated.Announcement;
 import io.mustardusher.generated.CataloguePull;
 import io.mustardusher.generated.NodeSettings;
 import io.mustardusher.gossip.RouteReplica;
 import io.mustardusher.health.SuspectTable;
+import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.route.RouteTable;
 import io.mustardusher.server.BufferedServerLink;
+import io.mustardusher.server.ReportedServerLoad;
+import io.mustardusher.server.ServerReports;
 import io.mustardusher.store.TableService;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.EventExecutor;
@@ -89,10 +94,7 @@
         core = new NodeCore(
                 settings,
                 created -> BufferedServerLink.factory(
-                        created.group(),
-                        environment.serverDialect(),
-                        load -> created.gate().recordServerLoad(load),
-                        created.clock()),
+                        created.group(), environment.serverDialect(), new GateReports(created::gate), created.clock()),
                 time -> Admission.withLatencyTargets(time, SAFE_SLOT_FRACTION),
                 SuspectTable.Policy.REJECT_AFTER_THREE_CRASHES,
                 environment::callName);
@@ -259,6 +261,24 @@
         }
     }
 
+    /**
+     * Passes the reports of the backend server to the gate.
+     *
+     * @param gate supplies the gate, which is created after the link to the server
+     */
+    private record GateReports(Supplier<Gate> gate) implements ServerReports {
+
+        @Override
+        public void onLoad(ReportedServerLoad load) {
+            gate.get().recordServerLoad(load);
+        }
+
+        @Override
+        public void onConditions(String instance, ServerConditions conditions, long sentNanos) {
+            gate.get().recordConditions(instance, conditions, sentNanos);
+        }
+    }
+
     /**
      * Bounds that apply to all nodes of a deployment.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -5,7 +5,6 @@
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -61,7 +60,7 @@
     private final InetSocketAddress address;
     private final String instance;
     private final ServerDialect dialect;
-    private final Consumer<ReportedServerLoad> onLoad;
+    private final ServerReports reports;
     private final Clock clock;
     private final Deque<ServerConnection> idleConnections = new ArrayDeque<>();
     private boolean closed;
@@ -71,13 +70,13 @@
             InetSocketAddress address,
             String instance,
             ServerDialect dialect,
-            Consumer<ReportedServerLoad> onLoad,
+            ServerReports reports,
             Clock clock) {
         this.loop = group.next();
         this.address = address;
         this.instance = instance;
         this.dialect = dialect;
-        this.onLoad = onLoad;
+        this.reports = reports;
         this.clock = clock;
         this.bootstrap = new Bootstrap()
                 .group(loop)
@@ -98,18 +97,17 @@
      *
      * @param group   event loops of the connections
      * @param dialect conventions for the headers of requests and responses
-     * @param onLoad  receives the load that a server reports in a response
+     * @param reports receives what a server reports in a response
      * @param clock   source of time
      * @return factory of buffered links
      */
-    public static Factory factory(
-            EventLoopGroup group, ServerDialect dialect, Consumer<ReportedServerLoad> onLoad, Clock clock) {
+    public static Factory factory(EventLoopGroup group, ServerDialect dialect, ServerReports reports, Clock clock) {
         return announcement -> new BufferedServerLink(
                 group,
                 new InetSocketAddress(announcement.getHost(), (int) announcement.getPort()),
                 announcement.getInstance(),
                 dialect,
-                onLoad,
+                reports,
                 clock);
     }
 
@@ -122,8 +120,8 @@
      * @return link to the service, to be used through {@link #exchange} only
      */
     public static BufferedServerLink toService(EventLoopGroup group, InetSocketAddress address, Clock clock) {
-        BufferedServerLink link =
-                new BufferedServerLink(group, address, null, ServerDialect.Plain.INSTANCE, load -> {}, clock);
+        BufferedServerLink link = new BufferedServerLink(
+                group, address, null, ServerDialect.Plain.INSTANCE, ServerReports.Discarding.INSTANCE, clock);
         DeadPeerDetection.configure(link.bootstrap, TransportType.socketChannelType(group));
         return link;
     }
@@ -140,7 +138,7 @@
     public CompletableFuture<AggregatedHttpResponse> exchange(
             AggregatedHttpRequest request, long remainingNanos, boolean idempotent) {
         CompletableFuture<AggregatedHttpResponse> response = new CompletableFuture<>();
-        ServerExchange exchange = ServerExchange.ofUnmodified(dialect, onLoad, response);
+        ServerExchange exchange = ServerExchange.ofUnmodified(dialect, reports, clock, response);
         long deadlineNanos = clock.nanoTime() + remainingNanos;
         loop.execute(() -> dispatch(exchange, request, deadlineNanos, idempotent));
         return response;
@@ -150,7 +148,7 @@
     public Exchange send(HttpRequest call, long remainingNanos) {
         CompletableFuture<AggregatedHttpResponse> response = new CompletableFuture<>();
         boolean idempotent = "1".equals(call.headers().get(CallHeaders.IDEMPOTENT));
-        ServerExchange exchange = new ServerExchange(dialect, onLoad, response);
+        ServerExchange exchange = new ServerExchange(dialect, reports, clock, response);
         long deadlineNanos = clock.nanoTime() + remainingNanos;
         // Aggregated on the event loop of the link, because exchanges are confined to it.
         call.aggregate(loop).whenComplete((request, failure) -> {
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
@@ -5,6 +5,7 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.instance.ServerConditions;
 
 /** Conventions for the headers of requests to the backend servers of a deployment and of their responses. */
 public interface ServerDialect {
@@ -36,6 +37,14 @@
      */
     Optional<ReportedServerLoad> load(ResponseHeaders response);
 
+    /**
+     * Reads the conditions under which the server accepts calls.
+     *
+     * @param response headers of a response to a call
+     * @return the conditions; {@link ServerConditions#NONE} if the response states none
+     */
+    ServerConditions conditions(ResponseHeaders response);
+
     /**
      * Reads the identifier of the server instance that responded.
      *
@@ -64,6 +73,11 @@
             return Optional.empty();
         }
 
+        @Override
+        public ServerConditions conditions(ResponseHeaders response) {
+            return ServerConditions.NONE;
+        }
+
         @Override
         public Optional<String> instance(ResponseHeaders response) {
             return Optional.empty();
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -2,10 +2,10 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
-import java.util.function.Consumer;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.call.CallHeaders;
@@ -13,33 +13,40 @@
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.result.ResultCode;
+import io.mustardusher.time.Clock;
 
 /** One request to a backend server and its response. Confined to the event loop of the link. */
 final class ServerExchange {
 
     private final ServerDialect dialect;
-    private final Consumer<ReportedServerLoad> onLoad;
+    private final ServerReports reports;
+    private final Clock clock;
     private final CompletableFuture<AggregatedHttpResponse> response;
     private RequestHeaders request;
+    private String instance;
+    private long sentNanos;
     private ServerConnection connection;
     private ScheduledFuture<?> timeout;
     private boolean unmodified;
 
     ServerExchange(
             ServerDialect dialect,
-            Consumer<ReportedServerLoad> onLoad,
+            ServerReports reports,
+            Clock clock,
             CompletableFuture<AggregatedHttpResponse> response) {
         this.dialect = dialect;
-        this.onLoad = onLoad;
+        this.reports = reports;
+        this.clock = clock;
         this.response = response;
     }
 
     // Creates an exchange that sends the request unmodified and does not classify the response.
     static ServerExchange ofUnmodified(
             ServerDialect dialect,
-            Consumer<ReportedServerLoad> onLoad,
+            ServerReports reports,
+            Clock clock,
             CompletableFuture<AggregatedHttpResponse> response) {
-        ServerExchange exchange = new ServerExchange(dialect, onLoad, response);
+        ServerExchange exchange = new ServerExchange(dialect, reports, clock, response);
         exchange.unmodified = true;
         return exchange;
     }
@@ -53,22 +60,35 @@
     }
 
     // Assigns the connection that carries this exchange and returns the headers to send on it.
-    RequestHeaders assign(ServerConnection assigned, RequestHeaders call, String instance, long remainingNanos) {
+    RequestHeaders assign(ServerConnection assigned, RequestHeaders call, String targetInstance, long remainingNanos) {
         connection = assigned;
-        request = unmodified ? call : dialect.requestHeaders(CallHeaders.copyForServer(call), instance, remainingNanos);
+        instance = targetInstance;
+        sentNanos = clock.nanoTime();
+        request = unmodified
+                ? call
+                : dialect.requestHeaders(CallHeaders.copyForServer(call), targetInstance, remainingNanos);
         return request;
     }
 
-    // Classifies the response by its headers and reports the load that it contains.
+    // Classifies the response by its headers and reports what the server states in it.
     ServerDialect.ResponseKind classify(ResponseHeaders headers) {
         ServerDialect.ResponseKind kind =
                 unmodified ? ServerDialect.ResponseKind.RAN : dialect.classify(request, headers);
         if (kind != ServerDialect.ResponseKind.MISMATCHED) {
-            dialect.load(headers).ifPresent(onLoad);
+            dialect.load(headers).ifPresent(reports::onLoad);
+        }
+        if (statesConditions(kind, headers)) {
+            reports.onConditions(instance, dialect.conditions(headers), sentNanos);
         }
         return kind;
     }
 
+    // A misdirected request was answered by another instance than the one that it was meant for.
+    private boolean statesConditions(ServerDialect.ResponseKind kind, ResponseHeaders headers) {
+        boolean fromInstance = kind == ServerDialect.ResponseKind.RAN || kind == ServerDialect.ResponseKind.NOT_RUN;
+        return fromInstance && !unmodified && !headers.status().equals(HttpStatus.MISDIRECTED_REQUEST);
+    }
+
     void complete(ServerDialect.ResponseKind kind, ResponseHeaders headers, HttpData body) {
         switch (kind) {
             case RAN -> end(() ->
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerReports.java
@@ -0,0 +1,39 @@
+package io.mustardusher.server;
+
+import io.mustardusher.instance.ServerConditions;
+
+/** Receives what a backend server reports about itself in its answers. */
+public interface ServerReports {
+
+    /**
+     * Handles the load of the server.
+     *
+     * @param load the load
+     */
+    void onLoad(ReportedServerLoad load);
+
+    /**
+     * Handles the conditions that the server states in an answer to a call.
+     *
+     * @param instance   identifier of the server instance; {@code null} if it has none
+     * @param conditions the conditions; without any if the answer states none
+     * @param sentNanos  time at which the call was sent to the server, in nanoseconds
+     */
+    void onConditions(String instance, ServerConditions conditions, long sentNanos);
+
+    /** Ignores all reports. */
+    enum Discarding implements ServerReports {
+        /** The only instance. */
+        INSTANCE;
+
+        @Override
+        public void onLoad(ReportedServerLoad load) {
+            // not needed
+        }
+
+        @Override
+        public void onConditions(String instance, ServerConditions conditions, long sentNanos) {
+            // not needed
+        }
+    }
+}
--- a/mustardusher-node/src/test/java/io/mustardusher/node/InitialServerProbeTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/node/InitialServerProbeTest.java
@@ -9,6 +9,7 @@
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.generated.Announcement;
+import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.server.ReportedServerLoad;
 import io.mustardusher.server.ServerDialect;
 import org.junit.jupiter.api.Test;
@@ -71,6 +72,11 @@
             return Optional.of(new ReportedServerLoad(0, 0, answer.getInt("slots"), 100));
         }
 
+        @Override
+        public ServerConditions conditions(ResponseHeaders response) {
+            return ServerConditions.NONE;
+        }
+
         @Override
         public Optional<String> instance(ResponseHeaders answer) {
             return Optional.ofNullable(answer.get("instance"));
--- a/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
@@ -20,6 +20,7 @@
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.generated.Announcement;
+import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
@@ -55,7 +56,7 @@
                 .withHost(socket.getInetAddress().getHostAddress())
                 .withPort(socket.getLocalPort())
                 .withInstance("i-1");
-        return BufferedServerLink.factory(group, EchoDialect.INSTANCE, load -> {}, clock)
+        return BufferedServerLink.factory(group, EchoDialect.INSTANCE, ServerReports.Discarding.INSTANCE, clock)
                 .open(announced);
     }
 
@@ -229,6 +230,11 @@
             return request.get("id").equals(response.get("id")) ? ResponseKind.RAN : ResponseKind.MISMATCHED;
         }
 
+        @Override
+        public ServerConditions conditions(ResponseHeaders response) {
+            return ServerConditions.NONE;
+        }
+
         @Override
         public Optional<String> instance(ResponseHeaders response) {
             return Optional.empty();
