Add a failing test of a server that receives more calls than it states to accept

Guards against what the record of second1 shows: a server states 2, 13.5, 17.9 or 40 calls a second, 100 a second are made, and 400 reach it in 4 s, where one and a half times the stated rate and five more are allowed.

--- a/mustardusher-node/src/test/java/io/mustardusher/gate/GateFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/GateFixture.java
@@ -40,6 +40,27 @@
             ScheduledExecutorService timers,
             int slots,
             Supplier<CompletableFuture<AggregatedHttpResponse>> server) {
+        return of(clock, timers, new Admission(clock), null, slots, server);
+    }
+
+    /**
+     * Creates a gate with an announced server that is serving.
+     *
+     * @param clock     source of time
+     * @param timers    schedules the removal of queued calls at their deadlines
+     * @param admission admission control of the gate
+     * @param instance  identifier of the server instance, or {@code null}
+     * @param slots     slots of the server
+     * @param server    returns the response to each call that reaches the server
+     * @return the gate
+     */
+    static Gate of(
+            Clock clock,
+            ScheduledExecutorService timers,
+            Admission admission,
+            String instance,
+            int slots,
+            Supplier<CompletableFuture<AggregatedHttpResponse>> server) {
         CrashDetector crashDetector =
                 new CrashDetector(0, () -> new InetSocketAddress(0), timers, suspect -> {}, () -> {});
         Gate gate = new Gate(
@@ -48,7 +69,7 @@
                 announcement -> new SimulatedLink(server),
                 timers,
                 crashDetector,
-                new Admission(clock),
+                admission,
                 new EventLoopDelay(clock),
                 call -> "-",
                 METRICS);
@@ -56,6 +77,7 @@
                 .withService(SERVICE)
                 .withHost("127.0.0.1")
                 .withPort(1L)
+                .withInstance(instance)
                 .withSlots((long) slots)
                 .withState(Announcement.State.SERVING));
         gate.configureLimits(1, 0);
--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/LimitedServerTest.java
@@ -0,0 +1,140 @@
+package io.mustardusher.gate;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.admission.Admission;
+import io.mustardusher.call.CallHeaders;
+import io.mustardusher.instance.ServerConditions;
+import io.mustardusher.result.Outcome;
+import io.mustardusher.time.Clock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Load pattern: a server states a maximum rate of calls in its answers while many more calls are made. */
+class LimitedServerTest {
+
+    private static final String INSTANCE = "i-1";
+    private static final int STEP_MILLIS = 5;
+    private static final int CALL_INTERVAL_MILLIS = 10;
+    private static final int POLL_MILLIS = 20;
+    private static final int SERVICE_MILLIS = 100;
+
+    /** Time after the first statement of a limit from which it binds. */
+    private static final int GRACE_MILLIS = 3_000;
+
+    private static final int WINDOW_MILLIS = 4_000;
+
+    private final Clock.Manual clock = new Clock.Manual();
+    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+    private final List<Long> arrivalsMillis = new ArrayList<>();
+    private final List<RunningCall> running = new ArrayList<>();
+    private ServerConditions stated = ServerConditions.NONE;
+    private Gate gate = startGate();
+
+    @AfterEach
+    void close() {
+        timers.shutdownNow();
+    }
+
+    // Guards against a server that receives more calls than it states to accept, from all nodes together.
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(doubles = {2, 13.5, 17.9, 40})
+    void serverReceivesNoMoreCallsThanItAccepts(double callsPerSecond) {
+        call(1_000);
+        state(callsPerSecond);
+        call(12_000);
+        assertThat(mostCallsInWindow(1_000 + GRACE_MILLIS)).isAtMost((int) (1.5 * callsPerSecond * 4 + 5));
+        assertThat(callsSince(clockMillis() - WINDOW_MILLIS)).isAtLeast((int) (0.85 * callsPerSecond * 4));
+    }
+
+    private void state(double callsPerSecond) {
+        stated = new ServerConditions(callsPerSecond, false);
+    }
+
+    /** Makes 100 calls per second for some time. */
+    private void call(int millis) {
+        for (int elapsed = 0; elapsed < millis; elapsed += STEP_MILLIS) {
+            if (elapsed % CALL_INTERVAL_MILLIS == 0) {
+                gate.handle(HttpRequest.of(callHeaders()), new CompletableFuture<>())
+                        .aggregate();
+            }
+            if (elapsed % POLL_MILLIS == 0) {
+                gate.poll();
+            }
+            clock.advanceMillis(STEP_MILLIS);
+            answerFinishedCalls();
+        }
+    }
+
+    private RequestHeaders callHeaders() {
+        RequestHeadersBuilder headers = RequestHeaders.builder(HttpMethod.GET, "/clip")
+                .set(CallHeaders.SERVICE, GateFixture.SERVICE)
+                .set(CallHeaders.OWNER, "clips")
+                .set(CallHeaders.TIMEOUT, "1200m")
+                .set(CallHeaders.TARGET, "300m");
+        return headers.build();
+    }
+
+    private void answerFinishedCalls() {
+        for (RunningCall call : List.copyOf(running)) {
+            if (clockMillis() - call.sentMillis >= SERVICE_MILLIS) {
+                running.remove(call);
+                gate.recordConditions(INSTANCE, stated, call.sentMillis * Clock.NANOS_PER_MILLI);
+                call.response.complete(AggregatedHttpResponse.of(ResponseHeaders.builder(HttpStatus.OK)
+                        .set(CallHeaders.OUTCOME, Outcome.RAN.token())
+                        .build()));
+            }
+        }
+    }
+
+    private CompletableFuture<AggregatedHttpResponse> arrive() {
+        arrivalsMillis.add(clockMillis());
+        RunningCall call = new RunningCall(clockMillis(), new CompletableFuture<>());
+        running.add(call);
+        return call.response;
+    }
+
+    private Gate startGate() {
+        Admission admission = Admission.withLatencyTargets(clock, 1);
+        return GateFixture.of(clock, timers, admission, INSTANCE, 17, this::arrive);
+    }
+
+    private int mostCallsInWindow(long fromMillis) {
+        int most = 0;
+        for (long start : arrivalsMillis) {
+            if (start >= fromMillis) {
+                most = Math.max(most, (int) arrivalsMillis.stream()
+                        .filter(arrival -> arrival >= start && arrival < start + WINDOW_MILLIS)
+                        .count());
+            }
+        }
+        return most;
+    }
+
+    private int callsSince(long fromMillis) {
+        return (int)
+                arrivalsMillis.stream().filter(arrival -> arrival >= fromMillis).count();
+    }
+
+    private long clockMillis() {
+        return clock.nanoTime() / Clock.NANOS_PER_MILLI;
+    }
+
+    private record RunningCall(long sentMillis, CompletableFuture<AggregatedHttpResponse> response) {}
+}
