Keep to the rate of calls that a backend server states

Cause: nothing read the limit; gates admit by free slots only. Class: what a server states about itself is known only in part, and a new statement is passed on like any header.

Change: a gate is the only way to its server, so it keeps to the rate for all entries together (CallRate), whichever servers they choose. It sends no probes meanwhile, reports a limit of calls that fits the rate, and rejects at once what would miss its deadline. Entries remember what a server stated and send it with their calls, so that a gate that restarted, and lost it, keeps to it from its first call. The limit ends with an answer without one to a call that was sent after it was stated.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -57,6 +57,9 @@
     /** Whether an exclusive call is running. */
     private boolean exclusiveRunning;
 
+    /** Rate at which calls are dispatched. */
+    private final CallRate rate;
+
     private final ServiceTimes times = new ServiceTimes();
 
     /** Slots that the server announced. */
@@ -73,12 +76,14 @@
     public Admission(Clock clock) {
         this.clock = clock;
         this.queue = new FairQueue();
+        this.rate = new CallRate(clock);
         this.usableSlots = new UsableSlots(1);
     }
 
     private Admission(Clock clock, double safeSlotFraction) {
         this.clock = clock;
         this.queue = new TargetQueue(ticket -> (long) times.expectedNanos(ticket.owner, clock.nanoTime()));
+        this.rate = new CallRate(clock);
         this.usableSlots = new UsableSlots(safeSlotFraction);
     }
 
@@ -111,6 +116,18 @@
         });
     }
 
+    /**
+     * Sets the maximum rate at which calls are dispatched, and dispatches queued calls that are now permitted.
+     *
+     * @param callsPerSecond the maximum rate; infinite for no limit
+     */
+    public void limitRate(double callsPerSecond) {
+        updateAndNotify(notifications -> {
+            rate.limit(callsPerSecond);
+            dispatch(notifications);
+        });
+    }
+
     /** Starts accepting new calls. */
     public synchronized void open() {
         closed = false;
@@ -202,13 +219,14 @@
         });
     }
 
-    /** Dispatches calls whose deferral because of a slow server has expired. */
+    /** Dispatches calls that no longer have to wait for a slow server or for the maximum rate. */
     public void poll() {
         updateAndNotify(this::dispatch);
     }
 
     /**
-     * Returns whether calls are queued although slots are free, which happens while the server is slow.
+     * Returns whether calls are queued although slots are free, which happens while the server is slow or limits the
+     * rate of calls.
      *
      * @return {@code true} if calls are being deferred
      */
@@ -232,7 +250,8 @@
      */
     public synchronized LoadReport load() {
         long micros = (long) (times.smoothedNanos() / Clock.NANOS_PER_MICRO);
-        return new LoadReport(busy, queuedCalls(), effectiveLimit(), micros, closed, times.isSlow(clock.nanoTime()));
+        int usable = Math.min(effectiveLimit(), rate.concurrency(times.smoothedNanos()));
+        return new LoadReport(busy, queuedCalls(), usable, micros, closed, times.isSlow(clock.nanoTime()));
     }
 
     /**
@@ -270,11 +289,14 @@
         int ahead = queue.countAhead(ticket.serviceClass) + exclusiveQueue.size();
         int free = effectiveLimit() - busy;
         double rounds = Math.max(0, ahead + 1 - free) / (double) effectiveLimit();
-        double answerNanos = now + times.completionNanos(ticket.owner, now) + times.smoothedNanos() * rounds;
+        double rateDelayNanos = rate.delayNanos(ahead);
+        double waitNanos = Math.max(times.smoothedNanos() * rounds, rateDelayNanos);
+        double answerNanos = now + times.completionNanos(ticket.owner, now) + waitNanos;
         if (ticket.latencyTarget.movable() && isWorthMoving(ticket, answerNanos, now)) {
             return ResultCode.SLOWER_THAN_TARGET;
         }
-        return busy > 0 && answerNanos > ticket.deadlineNanos ? ResultCode.DEADLINE_UNREACHABLE : null;
+        boolean waits = busy > 0 || rateDelayNanos > 0;
+        return waits && answerNanos > ticket.deadlineNanos ? ResultCode.DEADLINE_UNREACHABLE : null;
     }
 
     /**
@@ -299,7 +321,8 @@
      * @param notifications collects the tasks to run after the lock is released
      */
     private void enqueue(Ticket ticket, List<Runnable> notifications) {
-        boolean full = busy >= effectiveLimit() && queuedCalls() >= limit.slots() * queuePerSlot;
+        boolean blocked = busy >= effectiveLimit() || rate.delayNanos(0) > 0;
+        boolean full = blocked && queuedCalls() >= limit.slots() * queuePerSlot;
         if (full) {
             ResultCode code = serviceLimitShare < limit.value() ? ResultCode.LIMIT_REACHED : ResultCode.OVERLOADED;
             Ticket evicted = queue.findEvictionCandidate(ticket);
@@ -318,13 +341,14 @@
     }
 
     /**
-     * Dispatches queued calls while slots are free, the next one is not deferred and no exclusive call prevents it.
+     * Dispatches queued calls while slots are free, the rate permits it, the next one is not deferred and no exclusive
+     * call prevents it.
      *
      * @param notifications collects the tasks to run after the lock is released
      */
     private void dispatch(List<Runnable> notifications) {
         limit.resize(usableSlots.count(clock.nanoTime()));
-        while (!exclusiveRunning && busy < effectiveLimit()) {
+        while (!exclusiveRunning && busy < effectiveLimit() && rate.delayNanos(0) == 0) {
             if (!exclusiveQueue.isEmpty() && busy > 0) {
                 return;
             }
@@ -366,6 +390,7 @@
         ticket.dispatchedNanos = now;
         ticket.dispatchedSlow = times.isSlow(now);
         busy++;
+        rate.recordDispatch();
         ticket.dispatchedNearlyFull = usableSlots.isNearlyFull(busy);
         exclusiveRunning |= ticket.exclusive;
         queue.onDispatch(ticket.owner);
--- a/mustardusher-core/src/main/java/io/mustardusher/budget/TokenBucket.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/budget/TokenBucket.java
@@ -59,6 +59,17 @@
         return true;
     }
 
+    /**
+     * Returns the time until a number of tokens can have been taken, one after the other.
+     *
+     * @param count number of tokens
+     * @return time in nanoseconds; 0 if the tokens are available, infinite if the bucket is not refilled
+     */
+    public synchronized double nanosUntil(double count) {
+        refill();
+        return tokens >= count ? 0 : (count - tokens) / tokensPerSecond * NANOS_PER_SECOND;
+    }
+
     /**
      * Changes the refill rate and the capacity; tokens above the new capacity are discarded.
      *
--- a/mustardusher-core/src/test/java/io/mustardusher/instance/ConditionsTrackerTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/instance/ConditionsTrackerTest.java
@@ -50,6 +50,32 @@
         assertThat(tracker.current()).isEqualTo(ServerConditions.NONE);
     }
 
+    @Test
+    void limitReceivedByOtherNodeAppliesUntilInstanceAnswersThisOne() {
+        InstanceConditions hint = new InstanceConditions(INSTANCE, LIMITED);
+        assertThat(tracker.recordHint(hint, 10)).isTrue();
+        tracker.recordAnswer(INSTANCE, ServerConditions.NONE, 11, 20);
+        assertThat(tracker.recordHint(hint, 21)).isFalse();
+        assertThat(tracker.current()).isEqualTo(ServerConditions.NONE);
+    }
+
+    @Test
+    void instanceThatToldOtherNodeOfLeavingDoesNotReturn() {
+        tracker.recordAnswer(INSTANCE, ServerConditions.NONE, 0, 10);
+        assertThat(tracker.recordHint(new InstanceConditions(INSTANCE, LEAVING), 20))
+                .isTrue();
+        assertThat(tracker.current().leaving()).isTrue();
+        assertThat(tracker.recordHint(new InstanceConditions("i-2", LIMITED), 21))
+                .isFalse();
+    }
+
+    @Test
+    void hintContainsInstance() {
+        assertThat(tracker.toHint()).isEmpty();
+        tracker.recordAnswer(INSTANCE, LIMITED, 0, 10);
+        assertThat(tracker.toHint()).hasValue(new InstanceConditions(INSTANCE, LIMITED));
+    }
+
     @Test
     void newInstanceStartsWithoutConditions() {
         tracker.recordAnswer(INSTANCE, LEAVING, 0, 10);
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -62,6 +62,9 @@
     /** Present if the entry can send the call to another gate instead; only between nodes. */
     public static final AsciiString MOVABLE = AsciiString.cached("mustardusher-movable");
 
+    /** Conditions that the backend server stated in an answer; only between nodes. */
+    public static final AsciiString CONDITIONS = AsciiString.cached("mustardusher-conditions");
+
     /** Class of the call; only between nodes. */
     public static final AsciiString CLASS = AsciiString.cached("mustardusher-class");
 
@@ -80,14 +83,14 @@
             HttpHeaderNames.EXPECT);
 
     /** Request headers that only nodes may set. */
-    private static final List<AsciiString> NODE_REQUEST_HEADERS =
-            List.of(FINGERPRINT, CRASH, ROLE, CLASS, IDEMPOTENT, TARGET, MOVABLE, HttpHeaderNames.AUTHORIZATION);
+    private static final List<AsciiString> NODE_REQUEST_HEADERS = List.of(
+            FINGERPRINT, CRASH, ROLE, CLASS, IDEMPOTENT, TARGET, MOVABLE, CONDITIONS, HttpHeaderNames.AUTHORIZATION);
 
     /** Request headers of the native protocol, which other protocols do not pass on to a backend server. */
     private static final List<AsciiString> NATIVE_PROTOCOL_HEADERS = List.of(SERVICE, OWNER, DEPTH, ATTEMPT, TIMEOUT);
 
     /** Response headers that only nodes may set. */
-    private static final List<AsciiString> NODE_RESPONSE_HEADERS = List.of(OUTCOME, CODE, LOAD, CRASH);
+    private static final List<AsciiString> NODE_RESPONSE_HEADERS = List.of(OUTCOME, CODE, LOAD, CRASH, CONDITIONS);
 
     private static final Set<AsciiString> STRIPPED_FROM_CALLER_REQUESTS = union(HOP_BY_HOP, NODE_REQUEST_HEADERS);
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -20,6 +20,7 @@
 import io.mustardusher.call.Fingerprint;
 import io.mustardusher.call.Problem;
 import io.mustardusher.call.Timeout;
+import io.mustardusher.instance.InstanceConditions;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.Outcome;
@@ -189,19 +190,21 @@
             server.ejection().startTrial();
         }
         server.recordCallStart();
-        Exchange exchange =
-                link.send(body.toRequest(requestHeaders(remainingNanos, now, movable)), remainingNanos, cancelled);
+        Optional<InstanceConditions> conditions = router.statedConditions().of(server.node());
+        RequestHeaders headersForNode = requestHeaders(remainingNanos, now, movable, conditions);
+        Exchange exchange = link.send(body.toRequest(headersForNode), remainingNanos, cancelled);
         exchange.headers().whenComplete((headers, failure) -> {
             if (failure != null) {
                 server.recordCallEnd();
                 onFailure(server, failure);
             } else {
-                onHeaders(server, exchange, headers);
+                onHeaders(server, exchange, headers, conditions);
             }
         });
     }
 
-    private RequestHeaders requestHeaders(long remainingNanos, long now, boolean movable) {
+    private RequestHeaders requestHeaders(
+            long remainingNanos, long now, boolean movable, Optional<InstanceConditions> conditions) {
         RequestHeadersBuilder headers = call.headersForNode(servers.attempt(), remainingNanos, fingerprint);
         if (targetNanos != ServerSelection.NO_TARGET) {
             headers.set(CallHeaders.TARGET, Timeout.format(targetNanos - now));
@@ -209,22 +212,27 @@
                 headers.set(CallHeaders.MOVABLE, "1");
             }
         }
+        conditions.ifPresent(stated -> headers.set(CallHeaders.CONDITIONS, stated.toHeader()));
         return headers.build();
     }
 
     /**
      * Handles the headers of an answer, which may come from the backend server or only from its gate.
      *
-     * @param server   the server
-     * @param exchange the exchange
-     * @param headers  headers of the answer
+     * @param server     the server
+     * @param exchange   the exchange
+     * @param headers    headers of the answer
+     * @param conditions conditions of the server that were sent with the call
      */
-    private void onHeaders(ServerLoad server, Exchange exchange, ResponseHeaders headers) {
+    private void onHeaders(
+            ServerLoad server, Exchange exchange, ResponseHeaders headers, Optional<InstanceConditions> conditions) {
         long now = router.clock().nanoTime();
         LoadReport.parse(headers.get(CallHeaders.LOAD)).ifPresent(load -> server.update(load, now));
         exchange.whenComplete().whenComplete((ignored, failure) -> server.recordCallEnd());
         Outcome outcome = Outcome.of(headers.get(CallHeaders.OUTCOME)).orElse(Outcome.UNKNOWN);
         if (outcome == Outcome.RAN) {
+            Optional<InstanceConditions> stated = InstanceConditions.parse(headers.get(CallHeaders.CONDITIONS));
+            router.statedConditions().recordAnswer(server.node(), stated, conditions);
             onServerAnswer(server, exchange, headers, now);
             return;
         }
@@ -393,6 +401,7 @@
         ResponseHeadersBuilder builder = headers.toBuilder();
         builder.remove(CallHeaders.LOAD);
         builder.remove(CallHeaders.CRASH);
+        builder.remove(CallHeaders.CONDITIONS);
         builder.set(CallHeaders.CODE, Integer.toString(ResultCode.OK.number()));
         return builder.build();
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
@@ -36,6 +36,8 @@
 
     private final RetryPolicyFactory policyFactory;
 
+    private final StatedConditions statedConditions = new StatedConditions();
+
     private final Map<String, TransferCost> transferCosts = new ConcurrentHashMap<>();
 
     /** Retry policies by service. */
@@ -120,6 +122,15 @@
         return transferCosts.computeIfAbsent(route, name -> new TransferCost());
     }
 
+    /**
+     * Returns what backend servers stated in their answers.
+     *
+     * @return the conditions
+     */
+    StatedConditions statedConditions() {
+        return statedConditions;
+    }
+
     /**
      * Returns the servers and the links to their gates.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
@@ -149,6 +149,7 @@
         CallHeaders.stripAnswer(forwarded);
         forwarded.set(CallHeaders.OUTCOME, Outcome.RAN.token());
         forwarded.set(CallHeaders.LOAD, gate.load().toHeader());
+        gate.statedConditions().ifPresent(stated -> forwarded.set(CallHeaders.CONDITIONS, stated.toHeader()));
         CallEnd onSuccess = headers.status().isServerError() ? CallEnd.ABANDONED : CallEnd.ANSWERED;
         CompletableFuture<Result> result = exchange.whenComplete()
                 .handle((ignored, failure) -> new Result(failure == null ? onSuccess : CallEnd.ABANDONED, () -> {}));
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -24,6 +24,7 @@
 import io.mustardusher.generated.Announcement;
 import io.mustardusher.health.SuspectTable;
 import io.mustardusher.instance.ConditionsTracker;
+import io.mustardusher.instance.InstanceConditions;
 import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.result.MustardusherException;
@@ -119,6 +120,7 @@
     public void applyAnnouncement(Announcement announcement) {
         Backend current = backend;
         conditions.setInstance(announcement.getInstance());
+        admission.limitRate(conditions.current().maxCallsPerSecond());
         if (current == null || !current.isSameServer(announcement)) {
             backend = new Backend(announcement, links.open(announcement));
             if (current != null) {
@@ -166,10 +168,22 @@
      */
     public void recordConditions(String instance, ServerConditions stated, long sentNanos) {
         if (conditions.recordAnswer(instance, stated, sentNanos, clock.nanoTime())) {
-            NodeLog.LOG.serverStatedConditions(instance, stated.maxCallsPerSecond(), stated.leaving());
+            applyConditions(instance);
         }
     }
 
+    private void recordHint(InstanceConditions received) {
+        if (conditions.recordHint(received, clock.nanoTime())) {
+            applyConditions(received.instance());
+        }
+    }
+
+    private void applyConditions(String instance) {
+        ServerConditions current = conditions.current();
+        NodeLog.LOG.serverStatedConditions(instance, current.maxCallsPerSecond(), current.leaving());
+        admission.limitRate(current.maxCallsPerSecond());
+    }
+
     /** Rejects new calls; calls in flight continue. */
     public void close() {
         admission.close();
@@ -215,6 +229,7 @@
         if (current == null || !current.announcement().getService().equals(service)) {
             return Problem.response(ResultCode.NO_SERVER, "no such backend server here");
         }
+        InstanceConditions.parse(request.headers().get(CallHeaders.CONDITIONS)).ifPresent(this::recordHint);
         ServiceClass serviceClass = ServiceClass.of(request.headers().get(CallHeaders.CLASS, DEFAULT_CLASS));
         if (eventLoopDelay.rejects(serviceClass)) {
             return reject(ResultCode.OVERLOADED, request.headers());
@@ -246,7 +261,7 @@
             }
         };
         boolean hasTargetLatency = request.headers().contains(CallHeaders.TARGET);
-        if (hasTargetLatency && admission.isSlownessStale() && probeBudget.tryTake()) {
+        if (hasTargetLatency && mayProbe()) {
             current.link().probe(healthPaths.apply(service)).thenRun(offer);
         } else {
             offer.run();
@@ -255,15 +270,15 @@
     }
 
     /**
-     * Probes a slow server whose reported load is out of date, and dispatches the calls that are deferred because of
-     * its slowness once they have waited long enough.
+     * Probes a slow server whose reported load is out of date, and dispatches the calls that no longer have to wait for
+     * it or for the maximum rate.
      */
     public void poll() {
         if (!admission.isDeferring()) {
             return;
         }
         Backend current = backend;
-        if (current != null && admission.isSlownessStale() && probeBudget.tryTake()) {
+        if (current != null && mayProbe()) {
             current.link().probe(healthPaths.apply(current.announcement().getService()));
         }
         admission.poll();
@@ -280,6 +295,11 @@
         probeBudget.resize(perSecond, perSecond / 4);
     }
 
+    // A server that limits the rate of calls is not probed, because probes are requests too.
+    private boolean mayProbe() {
+        return !conditions.current().isLimited() && admission.isSlownessStale() && probeBudget.tryTake();
+    }
+
     // The metric of an unlimited server is 0, because not all readers of metrics understand infinity.
     private double callsPerSecondLimit() {
         ServerConditions current = conditions.current();
@@ -351,6 +371,15 @@
                 failure.getMessage());
     }
 
+    /**
+     * Returns the conditions that the backend server stated, for the entry of a call.
+     *
+     * @return the conditions, or empty if there are none
+     */
+    Optional<InstanceConditions> statedConditions() {
+        return conditions.toHint();
+    }
+
     /**
      * Returns the source of time.
      *
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/GateFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/GateFixture.java
@@ -40,7 +40,7 @@
             ScheduledExecutorService timers,
             int slots,
             Supplier<CompletableFuture<AggregatedHttpResponse>> server) {
-        return of(clock, timers, new Admission(clock), null, slots, server);
+        return of(clock, timers, new Admission(clock), null, slots, new SimulatedLink(server));
     }
 
     /**
@@ -51,7 +51,7 @@
      * @param admission admission control of the gate
      * @param instance  identifier of the server instance, or {@code null}
      * @param slots     slots of the server
-     * @param server    returns the response to each call that reaches the server
+     * @param link      link to the server
      * @return the gate
      */
     static Gate of(
@@ -60,13 +60,13 @@
             Admission admission,
             String instance,
             int slots,
-            Supplier<CompletableFuture<AggregatedHttpResponse>> server) {
+            ServerLink link) {
         CrashDetector crashDetector =
                 new CrashDetector(0, () -> new InetSocketAddress(0), timers, suspect -> {}, () -> {});
         Gate gate = new Gate(
                 clock,
                 new SuspectTable(clock),
-                announcement -> new SimulatedLink(server),
+                announcement -> link,
                 timers,
                 crashDetector,
                 admission,
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/LimitedServerTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/LimitedServerTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -15,11 +16,14 @@
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.Exchange;
+import io.mustardusher.instance.InstanceConditions;
 import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.result.Outcome;
+import io.mustardusher.server.ServerLink;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -44,6 +48,11 @@
     private final List<Long> arrivalsMillis = new ArrayList<>();
     private final List<RunningCall> running = new ArrayList<>();
     private ServerConditions stated = ServerConditions.NONE;
+
+    /** Conditions that entries send with their calls. */
+    private Optional<InstanceConditions> hint = Optional.empty();
+
+    private int probes;
     private Gate gate = startGate();
 
     @AfterEach
@@ -52,7 +61,6 @@
     }
 
     // Guards against a server that receives more calls than it states to accept, from all nodes together.
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(doubles = {2, 13.5, 17.9, 40})
     void serverReceivesNoMoreCallsThanItAccepts(double callsPerSecond) {
@@ -63,6 +71,52 @@
         assertThat(callsSince(clockMillis() - WINDOW_MILLIS)).isAtLeast((int) (0.85 * callsPerSecond * 4));
     }
 
+    // Guards against a gate that forgets the limit of its server when its node restarts.
+    @ParameterizedTest
+    @ValueSource(doubles = {2, 13.5, 17.9, 40})
+    void keepsLimitThatEntriesReceivedBeforeRestartOfGate(double callsPerSecond) {
+        state(callsPerSecond);
+        call(GRACE_MILLIS);
+        hint = Optional.of(new InstanceConditions(INSTANCE, stated));
+        gate = startGate();
+        call(WINDOW_MILLIS + GRACE_MILLIS);
+        assertThat(mostCallsInWindow(GRACE_MILLIS)).isAtMost((int) (1.5 * callsPerSecond * 4 + 5));
+    }
+
+    @Test
+    void limitEndsWhenServerNoLongerStatesIt() {
+        state(13.5);
+        call(GRACE_MILLIS);
+        stated = ServerConditions.NONE;
+        call(WINDOW_MILLIS);
+        assertThat(callsSince(clockMillis() - 1_000)).isAtLeast(95);
+    }
+
+    @Test
+    void hintOfOtherInstanceHasNoEffect() {
+        hint = Optional.of(new InstanceConditions("i-0", new ServerConditions(2, false)));
+        call(1_000);
+        assertThat(arrivalsMillis.size()).isAtLeast(95);
+    }
+
+    @Test
+    void serverIsNotProbedWhileItLimitsCalls() {
+        gate.enableProbes(service -> "/health", 30);
+        state(13.5);
+        call(GRACE_MILLIS);
+        int before = probes;
+        call(WINDOW_MILLIS);
+        assertThat(before).isGreaterThan(0);
+        assertThat(probes).isEqualTo(before);
+    }
+
+    @Test
+    void answersStateLimitToEntries() {
+        state(13.5);
+        call(GRACE_MILLIS);
+        assertThat(gate.statedConditions()).hasValue(new InstanceConditions(INSTANCE, stated));
+    }
+
     private void state(double callsPerSecond) {
         stated = new ServerConditions(callsPerSecond, false);
     }
@@ -88,6 +142,7 @@
                 .set(CallHeaders.OWNER, "clips")
                 .set(CallHeaders.TIMEOUT, "1200m")
                 .set(CallHeaders.TARGET, "300m");
+        hint.ifPresent(conditions -> headers.set(CallHeaders.CONDITIONS, conditions.toHeader()));
         return headers.build();
     }
 
@@ -112,7 +167,7 @@
 
     private Gate startGate() {
         Admission admission = Admission.withLatencyTargets(clock, 1);
-        return GateFixture.of(clock, timers, admission, INSTANCE, 17, this::arrive);
+        return GateFixture.of(clock, timers, admission, INSTANCE, 17, new LimitedLink());
     }
 
     private int mostCallsInWindow(long fromMillis) {
@@ -136,5 +191,24 @@
         return clock.nanoTime() / Clock.NANOS_PER_MILLI;
     }
 
+    private final class LimitedLink implements ServerLink {
+
+        @Override
+        public Exchange send(HttpRequest call, long remainingNanos) {
+            return Exchange.ofAggregated(arrive(), () -> {});
+        }
+
+        @Override
+        public CompletableFuture<Void> probe(String path) {
+            probes++;
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public void close() {
+            // There are no connections.
+        }
+    }
+
     private record RunningCall(long sentMillis, CompletableFuture<AggregatedHttpResponse> response) {}
 }
