Send no new calls to a backend server that states in its answers that it is leaving

Servers now say so in all their answers (Server-Leaving), some before their announcement and some without one. Nodes read only announcements, so a server whose announcement is late or lost, or whose gate restarted since, went on to get new calls.

Change: a gate treats such an answer like an announcement: the phase of the instance becomes draining and stays so whatever it announces afterwards, the gate closes, other nodes are told. The next instance at the same node is not affected.

--- a/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceTracker.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceTracker.java
@@ -66,6 +66,23 @@
         return true;
     }
 
+    /**
+     * Handles the statement of a process that it is leaving.
+     *
+     * @param instance name of the server
+     * @return {@code true} if the current process accepted new calls until now
+     */
+    public synchronized boolean drain(String instance) {
+        boolean serving = current != null
+                && current.instance().equals(instance)
+                && current.phase() == InstanceState.Phase.SERVING;
+        if (serving) {
+            current = new InstanceState(
+                    instance, current.startMillis(), current.sequence(), InstanceState.Phase.DRAINING);
+        }
+        return serving;
+    }
+
     /**
      * Handles the deregistration of a process.
      *
--- a/mustardusher-core/src/test/java/io/mustardusher/instance/InstanceTrackerTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/instance/InstanceTrackerTest.java
@@ -29,6 +29,16 @@
         assertThat(current().phase()).isEqualTo(Phase.SERVING);
     }
 
+    @Test
+    void processThatStatesThatItIsLeavingStaysSo() {
+        tracker.update(new InstanceState("a", 0, 9, Phase.SERVING));
+        assertThat(tracker.drain("b")).isFalse();
+        assertThat(tracker.drain("a")).isTrue();
+        assertThat(tracker.drain("a")).isFalse();
+        tracker.update(new InstanceState("a", 0, 10, Phase.SERVING));
+        assertThat(current().phase()).isEqualTo(Phase.DRAINING);
+    }
+
     @Test
     void restartUnderSameNameStartsNewSequence() {
         tracker.update(new InstanceState("a", 100, 40, Phase.DRAINING));
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -233,6 +233,9 @@
         if (outcome == Outcome.RAN) {
             Optional<InstanceConditions> stated = InstanceConditions.parse(headers.get(CallHeaders.CONDITIONS));
             router.statedConditions().recordAnswer(server.node(), stated, conditions);
+            if (stated.isPresent() && stated.get().conditions().leaving()) {
+                server.setServing(false);
+            }
             onServerAnswer(server, exchange, headers, now);
             return;
         }
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import com.codahale.metrics.MetricRegistry;
@@ -62,6 +63,9 @@
     /** What the backend server states in its answers. */
     private final ConditionsTracker conditions = new ConditionsTracker();
 
+    /** Receives the instance of a server that states that it is leaving. */
+    private volatile Consumer<String> leavingListener = instance -> {};
+
     private volatile Function<String, String> healthPaths = service -> "/";
 
     private final Timer callTimer;
@@ -182,6 +186,9 @@
         ServerConditions current = conditions.current();
         NodeLog.LOG.serverStatedConditions(instance, current.maxCallsPerSecond(), current.leaving());
         admission.limitRate(current.maxCallsPerSecond());
+        if (current.leaving()) {
+            leavingListener.accept(instance);
+        }
     }
 
     /** Rejects new calls; calls in flight continue. */
@@ -284,6 +291,15 @@
         admission.poll();
     }
 
+    /**
+     * Sets the listener for servers that are leaving. It has to announce the server to this gate as draining.
+     *
+     * @param listener receives the identifier of the server instance
+     */
+    public void onServerLeaving(Consumer<String> listener) {
+        leavingListener = listener;
+    }
+
     /**
      * Enables health probes of the backend server, which are disabled by default.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -46,8 +46,8 @@
     private static final int QUEUE_PER_SLOT = 2;
 
     /**
-     * Fraction of a server's slots that is always used. Beyond four fifths of their slots, some servers take much longer
-     * for each call.
+     * Fraction of a server's slots that is always used. Beyond four fifths of their slots, some servers take much
+     * longer for each call.
      */
     private static final double SAFE_SLOT_FRACTION = 0.8;
 
@@ -101,6 +101,7 @@
         clock = core.clock();
         core.gate().enableProbes(service -> routes().current().healthPath(service), PROBES_PER_SECOND);
         serverTracker = new ServerTracker(clock, this::handleAnnouncement);
+        core.gate().onServerLeaving(serverTracker::recordLeaving);
         routes = new RouteReplica(environment::decodeRoutes, core.frames(), core.timers(), this::routesChanged);
         TableService table = environment.openTable(core.group());
         core.configureGossip(routes, table);
--- a/mustardusher-node/src/main/java/io/mustardusher/node/ServerTracker.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/ServerTracker.java
@@ -9,9 +9,9 @@
 import io.mustardusher.time.Clock;
 
 /**
- * Tracks the state of the backend server beside a node from its announcements and, before the first announcement, from
- * its answer to a probe. Announcements are sent seconds apart; the probe saves a node that restarts beside a running
- * server from waiting for one.
+ * Tracks the state of the backend server beside a node from its announcements, from answers in which it states that it
+ * is leaving, and, before the first announcement, from its answer to a probe. Announcements are sent seconds apart; the
+ * probe saves a node that restarts beside a running server from waiting for one.
  */
 public final class ServerTracker {
 
@@ -62,6 +62,17 @@
         }
     }
 
+    /**
+     * Processes the statement of a server in an answer that it is leaving.
+     *
+     * @param instance name of the server
+     */
+    public synchronized void recordLeaving(String instance) {
+        if (instances.drain(instance)) {
+            notifyListener();
+        }
+    }
+
     /**
      * Processes the answer of a healthy server to a probe. It is ignored once the state of the server is known.
      *
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/RoutedCallTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/RoutedCallTest.java
@@ -3,29 +3,20 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
-import com.linecorp.armeria.common.HttpMethod;
-import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
-import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
-import io.mustardusher.call.CallOptions;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.call.Problem;
-import io.mustardusher.catalogue.CatalogueEntry;
-import io.mustardusher.catalogue.Idempotence;
-import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.frame.CallMessage;
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.frame.Peers;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.result.ResultCode;
-import io.mustardusher.routing.RoutingPolicy;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -39,8 +30,6 @@
  */
 class RoutedCallTest {
 
-    private static final long SECOND = 1_000 * Clock.NANOS_PER_MILLI;
-
     private final Clock.Manual clock = new Clock.Manual();
     private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
     private final HeaderPacking packing = new HeaderPacking(List.of());
@@ -74,40 +63,13 @@
     private Outcome call(Boolean... serving) {
         Router router = RouterFixture.create(clock, timers, packing, gates, List.of(serving));
         CompletableFuture<Void> neverCancelled = new CompletableFuture<>();
-        AggregatedHttpResponse answer = router.route(call(), CallBody.Buffered.EMPTY, true, neverCancelled)
+        AggregatedHttpResponse answer = router.route(
+                        RouterFixture.call(clock), CallBody.Buffered.EMPTY, true, neverCancelled)
                 .aggregate()
                 .join();
         return Outcome.of(answer.headers().get(CallHeaders.OUTCOME)).orElseThrow();
     }
 
-    private Call call() {
-        CatalogueEntry entry = new CatalogueEntry(
-                RouterFixture.SERVICE,
-                "route",
-                ServiceClass.STANDARD,
-                RoutingPolicy.LEAST_COST,
-                Idempotence.ALWAYS,
-                1_000,
-                0,
-                0,
-                0,
-                0,
-                0,
-                0,
-                false);
-        RequestHeaders headers = RequestHeaders.of(HttpMethod.GET, "/");
-        return new Call(
-                entry,
-                headers,
-                "route",
-                ServiceClass.STANDARD,
-                clock.nanoTime() + SECOND,
-                Optional.empty(),
-                0,
-                false,
-                new CallOptions("call", 2, SECOND / 2));
-    }
-
     /** Gates that return every call that they may return in favour of another server. */
     private final class SlowGates implements Peers {
 
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/RouterFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/RouterFixture.java
@@ -1,12 +1,20 @@
 package io.mustardusher.entry;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.RequestHeaders;
+import io.mustardusher.call.Call;
+import io.mustardusher.call.CallOptions;
 import io.mustardusher.call.HeaderPacking;
+import io.mustardusher.catalogue.CatalogueEntry;
+import io.mustardusher.catalogue.Idempotence;
+import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.catalogue.ServiceName;
 import io.mustardusher.frame.Credential;
 import io.mustardusher.frame.Peers;
@@ -15,6 +23,7 @@
 import io.mustardusher.health.SuspectTable;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
+import io.mustardusher.routing.RoutingPolicy;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.ImmediateEventExecutor;
 
@@ -24,7 +33,9 @@
     /** Service of all servers. */
     static final ServiceName SERVICE = ServiceName.of("s");
 
-    private static final long BUDGET_WINDOW_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
+    private static final long SECOND_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
+
+    private static final long BUDGET_WINDOW_NANOS = SECOND_NANOS;
 
     private RouterFixture() {}
 
@@ -66,6 +77,40 @@
                 new MetricRegistry());
     }
 
+    /**
+     * Creates an idempotent call with a deadline after one second.
+     *
+     * @param clock source of time
+     * @return the call
+     */
+    static Call call(Clock clock) {
+        CatalogueEntry entry = new CatalogueEntry(
+                SERVICE,
+                "route",
+                ServiceClass.STANDARD,
+                RoutingPolicy.LEAST_COST,
+                Idempotence.ALWAYS,
+                1_000,
+                0,
+                0,
+                0,
+                0,
+                0,
+                0,
+                false);
+        RequestHeaders headers = RequestHeaders.of(HttpMethod.GET, "/");
+        return new Call(
+                entry,
+                headers,
+                "route",
+                ServiceClass.STANDARD,
+                clock.nanoTime() + SECOND_NANOS,
+                Optional.empty(),
+                0,
+                false,
+                new CallOptions("call", 2, SECOND_NANOS / 2));
+    }
+
     private static MemberRecord member(int number, boolean serving) {
         return new MemberRecord()
                 .withId("node-" + number)
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/GateFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/GateFixture.java
@@ -84,7 +84,7 @@
         return gate;
     }
 
-    private record SimulatedLink(Supplier<CompletableFuture<AggregatedHttpResponse>> server) implements ServerLink {
+    record SimulatedLink(Supplier<CompletableFuture<AggregatedHttpResponse>> server) implements ServerLink {
 
         @Override
         public Exchange send(HttpRequest call, long remainingNanos) {
--- a/mustardusher-node/src/test/java/io/mustardusher/node/ServerTrackerTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/node/ServerTrackerTest.java
@@ -67,6 +67,17 @@
         assertThat(changes).containsExactly("i-1 serving", "i-1 draining").inOrder();
     }
 
+    @Test
+    void reportsDrainingWhenServerStatesThatItIsLeaving() {
+        tracker.recordLeaving("i-1");
+        tracker.recordAnnouncement(new InstanceState("i-1", 0, 40, Phase.SERVING), server("i-1"));
+        tracker.recordLeaving("i-0");
+        tracker.recordLeaving("i-1");
+        tracker.recordLeaving("i-1");
+
+        assertThat(changes).containsExactly("i-1 serving", "i-1 draining").inOrder();
+    }
+
     private static Announcement server(String instance) {
         return new Announcement()
                 .withService("s")
