--- a/mustardusher-node/src/test/java/io/mustardusher/gate/LimitedServerTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/LimitedServerTest.java
@@ -71,15 +71,34 @@
         assertThat(callsSince(clockMillis() - WINDOW_MILLIS)).isAtLeast((int) (0.85 * callsPerSecond * 4));
     }
 
-    // Guards against a gate that forgets the limit of its server when its node restarts.
+    // Guards against a gate that forgets the limit of its server each time its node restarts.
     @ParameterizedTest
     @ValueSource(doubles = {2, 13.5, 17.9, 40})
-    void keepsLimitThatEntriesReceivedBeforeRestartOfGate(double callsPerSecond) {
+    void keepsLimitThatEntriesReceivedBeforeRestartsOfGate(double callsPerSecond) {
         state(callsPerSecond);
         call(GRACE_MILLIS);
         hint = Optional.of(new InstanceConditions(INSTANCE, stated));
-        gate = startGate();
-        call(WINDOW_MILLIS + GRACE_MILLIS);
+        for (int restart = 0; restart < 12; restart++) {
+            restartGate();
+            call(500);
+        }
+        assertThat(mostCallsInWindow(GRACE_MILLIS)).isAtMost((int) (1.5 * callsPerSecond * 4 + 5));
+    }
+
+    // Guards against a node that makes up for a pause, after which many calls wait for it.
+    @ParameterizedTest
+    @ValueSource(doubles = {2, 13.5, 17.9, 40})
+    void doesNotMakeUpForPauseOfNode(double callsPerSecond) {
+        state(callsPerSecond);
+        call(GRACE_MILLIS);
+        for (int pause = 0; pause < 4; pause++) {
+            clock.advanceMillis(WINDOW_MILLIS / 2);
+            for (int i = 0; i < 200; i++) {
+                gate.handle(HttpRequest.of(callHeaders()), new CompletableFuture<>())
+                        .aggregate();
+            }
+            call(WINDOW_MILLIS / 4);
+        }
         assertThat(mostCallsInWindow(GRACE_MILLIS)).isAtMost((int) (1.5 * callsPerSecond * 4 + 5));
     }
 
@@ -170,6 +189,12 @@
         return GateFixture.of(clock, timers, admission, INSTANCE, 17, new LimitedLink());
     }
 
+    // The server drops the calls of a gate that ends.
+    private void restartGate() {
+        running.clear();
+        gate = startGate();
+    }
+
     private int mostCallsInWindow(long fromMillis) {
         int most = 0;
         for (long start : arrivalsMillis) {
