Charge the retry of a call that may have run twice

Cause: all servers of reservierung shed half of their calls. Runs of price-lookup that call them fail and are retried; all calls of such a retry count as extra attempts at reservierung, with their own retries, but only the budget of katalog is charged, for one. Class: a bound that each service keeps for itself although the work for one is caused at another.

Change: a retry of a call that may have run costs two. Retries of what is proven not run cost one as before.

--- a/mustardusher-core/src/main/java/io/mustardusher/budget/RatioBudget.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/budget/RatioBudget.java
@@ -23,11 +23,11 @@
     }
 
     @Override
-    public synchronized boolean trySpend() {
-        if (balance < 1) {
+    public synchronized boolean trySpend(int attempts) {
+        if (balance < attempts) {
             return false;
         }
-        balance -= 1;
+        balance -= attempts;
         return true;
     }
 }
--- a/mustardusher-core/src/main/java/io/mustardusher/budget/RetryBudget.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/budget/RetryBudget.java
@@ -15,5 +15,15 @@
      *
      * @return {@code true} if it was spent, {@code false} if the budget is exhausted
      */
-    boolean trySpend();
+    default boolean trySpend() {
+        return trySpend(1);
+    }
+
+    /**
+     * Spends some extra attempts if the budget allows all of them, and none otherwise.
+     *
+     * @param attempts number of extra attempts
+     * @return {@code true} if they were spent
+     */
+    boolean trySpend(int attempts);
 }
--- a/mustardusher-core/src/main/java/io/mustardusher/budget/WindowBudget.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/budget/WindowBudget.java
@@ -48,10 +48,10 @@
     }
 
     @Override
-    public synchronized boolean trySpend() {
+    public synchronized boolean trySpend(int attempts) {
         advance();
         double credit = allowance.getAsDouble() * PERCENT;
-        int debit = 1;
+        int debit = attempts;
         for (int i = 0; i < BUCKETS; i++) {
             credit += earned[i];
             debit += spent[i];
@@ -59,7 +59,7 @@
         if (debit * PERCENT > credit) {
             return false;
         }
-        spent[index(currentBucket)]++;
+        spent[index(currentBucket)] += attempts;
         return true;
     }
 
--- a/mustardusher-core/src/main/java/io/mustardusher/retry/RetryPolicy.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/retry/RetryPolicy.java
@@ -16,6 +16,12 @@
     /** Default of the maximum number of attempts of one entry to send a call to a gate. */
     public static final int DEFAULT_MAX_ATTEMPTS = 3;
 
+    /**
+     * Extra attempts that the retry of a call is charged for if the call may have run: the calls that the run made are
+     * repeated too, at services with budgets of their own.
+     */
+    private static final int COST_AFTER_RUN = 2;
+
     /** Rejections that any other server would repeat. */
     private static final Set<ResultCode> NOT_RETRYABLE = EnumSet.of(
             ResultCode.SUSPECT_REFUSED,
@@ -82,8 +88,10 @@
         if (attempt.retry()) {
             return false;
         }
-        boolean allowed = attempt.isProvenNotRun() || attempt.idempotent();
-        return allowed && budget.trySpend();
+        if (attempt.isProvenNotRun()) {
+            return budget.trySpend();
+        }
+        return attempt.idempotent() && budget.trySpend(COST_AFTER_RUN);
     }
 
     /** Rejections whose retries are not charged to the budget, because no backend server received the call. */
