--- a/mustardusher-node/src/test/java/io/mustardusher/entry/ConditionsInCallsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/ConditionsInCallsTest.java
@@ -35,6 +35,7 @@
     private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
     private final HeaderPacking packing = new HeaderPacking(List.of());
     private final ServerGate gate = new ServerGate();
+    private final Router router = RouterFixture.create(clock, timers, packing, gate, List.of(true));
 
     @AfterEach
     void close() {
@@ -43,13 +44,12 @@
 
     @Test
     void callsCarryWhatServerStated() {
-        Router router = RouterFixture.create(clock, timers, packing, gate, List.of(true));
         gate.stated = Optional.of(LIMITED);
-        call(router);
-        call(router);
+        call();
+        call();
         gate.stated = Optional.empty();
-        call(router);
-        call(router);
+        call();
+        call();
         assertThat(gate.received)
                 .containsExactly(Optional.empty(), Optional.of(LIMITED), Optional.of(LIMITED), Optional.empty())
                 .inOrder();
@@ -57,21 +57,19 @@
 
     @Test
     void callersDoNotReceiveHeaderOfNodes() {
-        Router router = RouterFixture.create(clock, timers, packing, gate, List.of(true));
         gate.stated = Optional.of(LIMITED);
-        assertThat(call(router).headers().contains(CallHeaders.CONDITIONS)).isFalse();
+        assertThat(call().headers().contains(CallHeaders.CONDITIONS)).isFalse();
     }
 
     @Test
     void leavingServerIsNotChosenAgain() {
-        Router router = RouterFixture.create(clock, timers, packing, gate, List.of(true));
         gate.stated = Optional.of(LEAVING);
-        call(router);
-        call(router);
+        call();
+        call();
         assertThat(gate.received).hasSize(1);
     }
 
-    private AggregatedHttpResponse call(Router router) {
+    private AggregatedHttpResponse call() {
         return router.route(RouterFixture.call(clock), CallBody.Buffered.EMPTY, true, new CompletableFuture<>())
                 .aggregate()
                 .join();
