--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/MusherLab.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/MusherLab.java
@@ -22,6 +22,7 @@
 import io.mustardusher.lab.load.LoadGenerator;
 import io.mustardusher.lab.load.LoadSpec;
 import io.mustardusher.lab.load.Tally;
+import io.mustardusher.lab.profile.NodeCostBenchmark;
 import io.mustardusher.lab.report.Report;
 import io.mustardusher.lab.scenario.Scenario;
 import io.mustardusher.lab.scenario.ScenarioResult;
@@ -286,6 +287,32 @@
         return CommandLine.ExitCode.OK;
     }
 
+    /**
+     * Measures what a start, an idle node and a call cost.
+     *
+     * @param nodes   number of nodes
+     * @param seconds length of each phase, in seconds
+     * @param sample  whether the first node prints where its event loop spends its time
+     * @param folder  folder for the output of the nodes
+     * @return the exit code
+     * @throws IOException          if a node cannot be started
+     * @throws InterruptedException if a wait is interrupted
+     */
+    @Command(
+            name = "profile",
+            description = "Measures the processor time and the wake-ups of a start, an idle node and a call.")
+    int profile(
+            @Option(names = "--nodes", defaultValue = "2", description = "Number of nodes; 2 by default.") int nodes,
+            @Option(names = "--seconds", defaultValue = "10", description = "Length of each phase.") int seconds,
+            @Option(names = "--sample", description = "Writes to node-0.err where the first node spends its time.")
+                    boolean sample,
+            @Option(names = "--folder", defaultValue = "target/profile", description = "Folder for the output.")
+                    Path folder)
+            throws IOException, InterruptedException {
+        new NodeCostBenchmark(nodes, seconds * MILLIS_PER_SECOND, sample, folder, System.out).run();
+        return CommandLine.ExitCode.OK;
+    }
+
     /**
      * Sends calls to a service and prints their latencies.
      *
--- /dev/null
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/profile/package-info.java
@@ -0,0 +1,2 @@
+/** Processor time, wake-ups and memory of nodes that are configured by routes. */
+package io.mustardusher.lab.profile;
