Serve routed nodes from a listener on Netty's codec

Change: HttpListener and HttpConnection decode requests with Netty's codec and hand them to the entry, which keeps serving the HTTP server of nodes with a catalogue. They pipeline as before, collect short bodies (also chunked ones, which went by HTTP/2 until now and were not retried), stream long ones under back-pressure, and enforce the operator's limits on the time for a header block and on idle connections, which were open promises. Calls whose body is too large for a frame go to the other gate by HTTP/1.1.

--- a/mustardusher-node/src/main/java/io/mustardusher/admin/MetricsResource.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/admin/MetricsResource.java
@@ -44,6 +44,15 @@
 
     @Override
     public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
+        return page();
+    }
+
+    /**
+     * Returns the metrics as a response.
+     *
+     * @return the response
+     */
+    public HttpResponse page() {
         return HttpResponse.of(HttpStatus.OK, MediaType.parse(TextFormat.CONTENT_TYPE_004), text());
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/CallerConnections.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/CallerConnections.java
@@ -7,10 +7,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
+import com.linecorp.armeria.server.ServiceRequestContext;
+import io.mustardusher.http.RequestExchange;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.util.concurrent.EventExecutor;
 
 /**
  * Connections of callers and their calls in flight. Detects disconnects at once; the HTTP server reports them to its
@@ -46,15 +49,15 @@
     }
 
     /**
-     * Marks a connection as closing after the response to its next call, unless it has calls in flight, whose responses
-     * would be lost.
+     * Marks a connection as closing after the response to a call that is watched, unless it has other calls in flight,
+     * whose responses would be lost.
      *
      * @param caller address of the caller's side of the connection
      * @return {@code true} if the connection is closing
      */
-    boolean closeAfterNextCall(SocketAddress caller) {
+    boolean closeAfterOnlyCall(SocketAddress caller) {
         Connection connection = connections.get(caller);
-        return connection == null || connection.closeAfterNextCall();
+        return connection == null || connection.closeAfterOnlyCall();
     }
 
     /**
@@ -69,6 +72,16 @@
         return connection != null && connection.closing;
     }
 
+    /**
+     * Returns the exchange of a request that is served by an HTTP server, and watches its connection.
+     *
+     * @param context context of the request
+     * @return the exchange
+     */
+    RequestExchange exchange(ServiceRequestContext context) {
+        return new ServedExchange(context);
+    }
+
     private final class DisconnectHandler extends ChannelInboundHandlerAdapter {
 
         @Override
@@ -98,8 +111,8 @@
             this.channel = channel;
         }
 
-        synchronized boolean closeAfterNextCall() {
-            closing |= calls.isEmpty();
+        synchronized boolean closeAfterOnlyCall() {
+            closing |= calls.size() == 1;
             return closing;
         }
 
@@ -117,4 +130,57 @@
             }
         }
     }
+
+    /** A request that is served by an HTTP server. */
+    private final class ServedExchange implements RequestExchange {
+
+        private final ServiceRequestContext context;
+        private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
+        private final CompletableFuture<Void> ended = new CompletableFuture<>();
+        private final boolean unanswerable;
+
+        ServedExchange(ServiceRequestContext context) {
+            this.context = context;
+            unanswerable = isClosing(context.remoteAddress());
+            // The close of the connection is the earliest sign that the caller has disconnected. A single call of a
+            // multiplexed connection is cancelled in the context of its request or in the response.
+            Runnable unwatch = watch(context.remoteAddress(), cancelled);
+            ended.thenRun(unwatch);
+            context.whenRequestCancelling().thenRun(() -> cancelled.complete(null));
+            context.log().whenComplete().thenRun(() -> ended.complete(null));
+        }
+
+        @Override
+        public CompletableFuture<Void> cancelled() {
+            return cancelled;
+        }
+
+        @Override
+        public CompletableFuture<Void> ended() {
+            return ended;
+        }
+
+        @Override
+        public boolean isUnanswerable() {
+            return unanswerable;
+        }
+
+        // A connection without streams closes after the response to one call, which must be the last one in flight.
+        @Override
+        public void closeAfterResponse() {
+            if (context.sessionProtocol().isMultiplex() || closeAfterOnlyCall(context.remoteAddress())) {
+                context.initiateConnectionShutdown();
+            }
+        }
+
+        @Override
+        public void responseProduced() {
+            ended.complete(null);
+        }
+
+        @Override
+        public EventExecutor executor() {
+            return context.eventLoop();
+        }
+    }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -20,12 +20,14 @@
 import io.mustardusher.call.CallerProtocol;
 import io.mustardusher.call.Problem;
 import io.mustardusher.catalogue.CatalogueEntry;
+import io.mustardusher.http.RequestExchange;
+import io.mustardusher.http.RequestHandler;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
 
-/** HTTP service that accepts the calls of callers and routes them. */
-public final class Entry implements HttpService {
+/** Accepts the calls of callers and routes them, as the service of an HTTP server or as the handler of a listener. */
+public final class Entry implements HttpService, RequestHandler {
 
     /** Largest body of a call without an idempotency key that is buffered rather than streamed, in bytes. */
     private static final long MAX_BUFFERED_BODY_BYTES = 64L << 10;
@@ -124,47 +126,39 @@
 
     @Override
     public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
+        return handle(request, callerConnections.exchange(context));
+    }
+
+    @Override
+    public HttpResponse handle(HttpRequest request, RequestExchange exchange) {
         long startNanos = clock.nanoTime();
         Runnable end = inFlight.start();
         // Also completes if the connection is lost before the response has a subscriber, or if this method throws.
-        context.log().whenComplete().thenRun(end);
-        boolean unanswerable = callerConnections.isClosing(context.remoteAddress());
+        exchange.ended().thenRun(end);
+        boolean unanswerable = exchange.isUnanswerable();
         if (draining && !unanswerable) {
-            drainConnection(context);
+            exchange.closeAfterResponse();
         }
-        // The close of the connection is the earliest sign that the caller has disconnected. A single call of a
-        // multiplexed connection is cancelled in the context of its request or in the response.
-        CompletableFuture<Void> cancelled = new CompletableFuture<>();
-        Runnable unwatch = callerConnections.watch(context.remoteAddress(), cancelled);
-        context.whenRequestCancelling().thenRun(() -> cancelled.complete(null));
         HttpResponse response;
         try {
             if (unanswerable) {
                 throw new MustardusherException(ResultCode.NODE_STOPPING, "the connection closes before this call");
             }
-            response = accept(context, request, cancelled);
+            response = accept(exchange, request);
         } catch (MustardusherException e) {
             response = Problem.response(callerRejection(request, e));
         }
         response = protocol.write(request.headers(), response);
         response.whenComplete().whenComplete((ignored, failure) -> {
             if (failure != null) {
-                cancelled.complete(null);
+                exchange.cancelled().complete(null);
             }
-            unwatch.run();
-            end.run();
+            exchange.responseProduced();
             served.update(clock.nanoTime() - startNanos, TimeUnit.NANOSECONDS);
         });
         return response;
     }
 
-    // A connection without streams closes after the response to one call, which must be the last one in flight.
-    private void drainConnection(ServiceRequestContext context) {
-        if (context.sessionProtocol().isMultiplex() || callerConnections.closeAfterNextCall(context.remoteAddress())) {
-            context.initiateConnectionShutdown();
-        }
-    }
-
     /**
      * Handles a call that another entry has routed to this node as the home of its key.
      *
@@ -185,12 +179,11 @@
     /**
      * Accepts a call.
      *
-     * @param context   context of the request
-     * @param request   the request
-     * @param cancelled completes when the caller has cancelled the call
+     * @param exchange the request's place on its connection
+     * @param request  the request
      * @return response for the caller
      */
-    private HttpResponse accept(ServiceRequestContext context, HttpRequest request, CompletableFuture<Void> cancelled) {
+    private HttpResponse accept(RequestExchange exchange, HttpRequest request) {
         if (stopping) {
             throw new MustardusherException(ResultCode.NODE_STOPPING, "this node is stopping");
         }
@@ -207,8 +200,9 @@
         CallLimits.check(request.headers(), protocol.limits());
         long length = request.isEmpty() ? 0 : request.headers().getLong("content-length", Long.MAX_VALUE);
         if (keyed) {
-            return acceptKeyed(context, call, request, length);
+            return acceptKeyed(exchange, call, request, length);
         }
+        CompletableFuture<Void> cancelled = exchange.cancelled();
         if (length == 0) {
             request.abort();
             return router.route(call, CallBody.Buffered.EMPTY, idempotent, cancelled);
@@ -216,7 +210,7 @@
         if (length > MAX_BUFFERED_BODY_BYTES) {
             return router.route(call, new CallBody.Streamed(request), idempotent, cancelled);
         }
-        return HttpResponse.of(bufferBody(context, call, request)
+        return HttpResponse.of(bufferBody(exchange, call, request)
                 .thenApply(body -> router.route(call, body, idempotent, cancelled))
                 .exceptionally(Problem::response));
     }
@@ -241,17 +235,17 @@
     /**
      * Accepts a call with an idempotency key.
      *
-     * @param context context of the request
-     * @param call    the call
-     * @param request the request
-     * @param length  length of the body, in bytes
+     * @param exchange the request's place on its connection
+     * @param call     the call
+     * @param request  the request
+     * @param length   length of the body, in bytes
      * @return response for the caller
      */
-    private HttpResponse acceptKeyed(ServiceRequestContext context, Call call, HttpRequest request, long length) {
+    private HttpResponse acceptKeyed(RequestExchange exchange, Call call, HttpRequest request, long length) {
         if (length > MAX_KEYED_BODY_BYTES) {
             throw new MustardusherException(ResultCode.BODY_TOO_LARGE, "send a body of known length, at most 1 MiB");
         }
-        return HttpResponse.of(bufferBody(context, call, request)
+        return HttpResponse.of(bufferBody(exchange, call, request)
                 .thenCompose(body -> homes.route(call, body))
                 .exceptionally(Problem::response));
     }
@@ -259,17 +253,16 @@
     /**
      * Buffers the body of a request. Fails if the body is not complete by the deadline.
      *
-     * @param context context of the request
-     * @param call    the call
-     * @param request the request
+     * @param exchange the request's place on its connection
+     * @param call     the call
+     * @param request  the request
      * @return the body
      */
-    private CompletableFuture<CallBody.Buffered> bufferBody(
-            ServiceRequestContext context, Call call, HttpRequest request) {
+    private CompletableFuture<CallBody.Buffered> bufferBody(RequestExchange exchange, Call call, HttpRequest request) {
         MustardusherException late = new MustardusherException(ResultCode.DEADLINE_EXPIRED, "the body came too late");
-        ScheduledFuture<?> timeout = context.eventLoop()
+        ScheduledFuture<?> timeout = exchange.executor()
                 .schedule(() -> request.abort(late), call.deadlineNanos() - clock.nanoTime(), TimeUnit.NANOSECONDS);
-        return request.aggregate().handle((aggregated, failure) -> {
+        return request.aggregate(exchange.executor()).handle((aggregated, failure) -> {
             timeout.cancel(false);
             if (failure != null) {
                 boolean expired = failure.getCause() == late || failure == late;
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -197,7 +197,8 @@
             return new GateLink.ForLocal(gate);
         }
         Endpoint endpoint = Endpoint.of(member.getHost(), (int) member.getGatePort());
-        Supplier<WebClient> client = new Lazy<>(() -> WebClient.builder(SessionProtocol.H2C, endpoint)
+        SessionProtocol protocol = transport == null ? SessionProtocol.H2C : SessionProtocol.H1C;
+        Supplier<WebClient> client = new Lazy<>(() -> WebClient.builder(protocol, endpoint)
                 .factory(clientFactory.get())
                 .build());
         GateLink streams = new GateLink.ForRemote(client, credential.authorization());
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -0,0 +1,431 @@
+package io.mustardusher.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.channels.ClosedChannelException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpRequestWriter;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.RequestHeaders;
+import io.mustardusher.log.NodeLog;
+import io.mustardusher.route.RequestLimits;
+import io.mustardusher.time.Clock;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.EventExecutor;
+
+/**
+ * A connection of a listener. Senders may pipeline requests: they are handled as they arrive, and their responses are
+ * sent in the order of the requests. Confined to the event loop of its channel.
+ */
+final class HttpConnection extends ChannelInboundHandlerAdapter {
+
+    /** Number of requests in flight from which no further one is read. */
+    static final int MAX_REQUESTS_IN_FLIGHT = 16;
+
+    /** Largest body that is collected before its request is handled, in bytes; a longer one is streamed. */
+    private static final int MAX_COLLECTED_BYTES = 64 << 10;
+
+    /** Time for which an incomplete body is collected; after it, the request is handled while the rest arrives. */
+    private static final long MAX_COLLECTION_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
+
+    /**
+     * Time for which the rest of a body is read after the response to its request. A connection that is closed with
+     * unread bytes is reset, and the response may be lost.
+     */
+    private static final long MAX_LINGER_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
+
+    private final Channel channel;
+    private final RequestHandler handler;
+    private final Supplier<RequestLimits> limits;
+    private final Clock clock;
+
+    /** Requests without a response, in the order of their arrival. */
+    private final Deque<PendingRequest> pending = new ArrayDeque<>();
+
+    /** Request whose body is arriving; {@code null} between two requests. */
+    private PendingRequest receiving;
+
+    /** Whether the connection closes after the outstanding responses, so that further requests are ignored. */
+    private boolean closing;
+
+    /** Whether the receiver of a streamed body is behind, so that nothing is read until it has caught up. */
+    private boolean bodyBlocked;
+
+    /** Whether a part of a header block has arrived, but not its end. */
+    private boolean headIncomplete;
+
+    private long headStartNanos;
+    private long lastActiveNanos;
+
+    HttpConnection(Channel channel, RequestHandler handler, Supplier<RequestLimits> limits, Clock clock) {
+        this.channel = channel;
+        this.handler = handler;
+        this.limits = limits;
+        this.clock = clock;
+        this.lastActiveNanos = clock.nanoTime();
+    }
+
+    /**
+     * Returns the handler that notes when bytes arrive, to be placed before the codec.
+     *
+     * @return the handler
+     */
+    ChannelHandler activityHandler() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                lastActiveNanos = clock.nanoTime();
+                if (receiving == null && !headIncomplete) {
+                    headIncomplete = true;
+                    headStartNanos = lastActiveNanos;
+                }
+                context.fireChannelRead(message);
+            }
+        };
+    }
+
+    /** Closes the connection, also while requests are in flight. */
+    void close() {
+        channel.close();
+    }
+
+    /** Closes the connection if a header block takes too long or if it has been idle for too long. */
+    void checkTimeouts() {
+        long now = clock.nanoTime();
+        if (receiving != null) {
+            if (receiving.response != null && now - receiving.respondedNanos > MAX_LINGER_NANOS) {
+                channel.close();
+            } else if (now - receiving.arrivalNanos > MAX_COLLECTION_NANOS) {
+                receiving.handOver();
+            }
+            return;
+        }
+        RequestLimits current = limits.get();
+        if (headIncomplete && exceeds(now - headStartNanos, current.headerTimeoutMillis())) {
+            reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            return;
+        }
+        boolean idle = pending.isEmpty() && !headIncomplete;
+        if (idle && exceeds(now - lastActiveNanos, current.idleTimeoutMillis())) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (message instanceof io.netty.handler.codec.http.HttpRequest head) {
+                receiveHead(head);
+            }
+            if (message instanceof HttpContent content && receiving != null) {
+                receiveContent(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        closing = true;
+        if (receiving != null) {
+            receiving.abortBody();
+            receiving = null;
+        }
+        while (!pending.isEmpty()) {
+            PendingRequest lost = pending.removeFirst();
+            lost.cancelled.complete(null);
+            lost.ended.complete(null);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        updateReading();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    private void receiveHead(io.netty.handler.codec.http.HttpRequest head) {
+        headIncomplete = false;
+        if (closing) {
+            return;
+        }
+        if (head.decoderResult().isFailure()) {
+            reject(statusOf(head.decoderResult().cause()));
+            return;
+        }
+        RequestHeaders headers;
+        try {
+            headers = HttpMessages.toRequestHeaders(head);
+        } catch (IllegalArgumentException e) {
+            reject(HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        receiving = new PendingRequest(
+                headers, HttpUtil.isKeepAlive(head), head.method().equals(HttpMethod.HEAD));
+        pending.addLast(receiving);
+        closing = receiving.closeAfter;
+        if (HttpUtil.is100ContinueExpected(head) && pending.size() == 1) {
+            channel.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+        updateReading();
+    }
+
+    private void receiveContent(HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            // Where the next request would start is unknown.
+            closing = true;
+            receiving.abortBody();
+            receiving = null;
+            channel.close();
+            return;
+        }
+        receiving.append(content.content());
+        if (content instanceof LastHttpContent) {
+            PendingRequest complete = receiving;
+            receiving = null;
+            complete.endBody();
+            if (closing && pending.isEmpty()) {
+                channel.close();
+            }
+        }
+    }
+
+    // Answers what is not a request after the outstanding responses, and closes the connection.
+    private void reject(HttpResponseStatus status) {
+        headIncomplete = false;
+        closing = true;
+        PendingRequest malformed = new PendingRequest(null, false, false);
+        pending.addLast(malformed);
+        malformed.respond(AggregatedHttpResponse.of(HttpStatus.valueOf(status.code())));
+    }
+
+    private void sendCompleteResponses() {
+        boolean flush = false;
+        while (!pending.isEmpty() && pending.peekFirst().response != null) {
+            PendingRequest next = pending.removeFirst();
+            FullHttpResponse response = HttpMessages.toFullResponse(next.response, next.toHead);
+            lastActiveNanos = clock.nanoTime();
+            if (!next.closeAfter) {
+                channel.write(response).addListener(sent -> next.ended.complete(null));
+                flush = true;
+                continue;
+            }
+            closing = true;
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            ChannelFuture written = channel.writeAndFlush(response);
+            written.addListener(sent -> next.ended.complete(null));
+            if (receiving == null) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+            return;
+        }
+        if (flush) {
+            channel.flush();
+            updateReading();
+        }
+    }
+
+    private void updateReading() {
+        boolean read = channel.isWritable() && !bodyBlocked && pending.size() < MAX_REQUESTS_IN_FLIGHT;
+        if (channel.config().isAutoRead() != read) {
+            channel.config().setAutoRead(read);
+        }
+    }
+
+    private static boolean exceeds(long nanos, long limitMillis) {
+        return limitMillis > 0 && nanos > limitMillis * Clock.NANOS_PER_MILLI;
+    }
+
+    private static HttpResponseStatus statusOf(Throwable failure) {
+        return failure instanceof TooLongHttpHeaderException
+                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                : HttpResponseStatus.BAD_REQUEST;
+    }
+
+    /** A request of this connection whose response has not been sent. */
+    private final class PendingRequest implements RequestExchange {
+
+        private final RequestHeaders headers;
+        private final boolean toHead;
+        private final long arrivalNanos = clock.nanoTime();
+        private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
+        private final CompletableFuture<Void> ended = new CompletableFuture<>();
+
+        /** Body until the request is handed over; {@code null} afterwards. */
+        private ByteArrayOutputStream collected;
+
+        /** Rest of the body after the request was handed over before its end. */
+        private HttpRequestWriter writer;
+
+        private boolean handedOver;
+        private boolean closeAfter;
+        private AggregatedHttpResponse response;
+        private long respondedNanos;
+
+        PendingRequest(RequestHeaders headers, boolean keepAlive, boolean toHead) {
+            this.headers = headers;
+            this.toHead = toHead;
+            this.closeAfter = !keepAlive;
+        }
+
+        @Override
+        public CompletableFuture<Void> cancelled() {
+            return cancelled;
+        }
+
+        @Override
+        public CompletableFuture<Void> ended() {
+            return ended;
+        }
+
+        @Override
+        public boolean isUnanswerable() {
+            return closing && !closeAfter;
+        }
+
+        @Override
+        public void closeAfterResponse() {
+            if (pending.peekFirst() == this) {
+                closeAfter = true;
+                closing = true;
+            }
+        }
+
+        @Override
+        public EventExecutor executor() {
+            return channel.eventLoop();
+        }
+
+        void append(ByteBuf bytes) {
+            if (!bytes.isReadable() || response != null) {
+                return;
+            }
+            byte[] copy = new byte[bytes.readableBytes()];
+            bytes.getBytes(bytes.readerIndex(), copy);
+            if (writer != null) {
+                stream(copy);
+                return;
+            }
+            if (collected == null) {
+                collected = new ByteArrayOutputStream(copy.length);
+            }
+            collected.writeBytes(copy);
+            if (collected.size() > MAX_COLLECTED_BYTES) {
+                handOver();
+            }
+        }
+
+        // Hands the request over while its body is still arriving.
+        void handOver() {
+            if (handedOver) {
+                return;
+            }
+            writer = HttpRequest.streaming(headers);
+            handle(writer);
+            if (collected != null) {
+                stream(collected.toByteArray());
+                collected = null;
+            }
+        }
+
+        void endBody() {
+            if (writer != null) {
+                writer.close();
+                return;
+            }
+            HttpData body = collected == null ? HttpData.empty() : HttpData.wrap(collected.toByteArray());
+            collected = null;
+            handle(HttpRequest.of(headers, body));
+        }
+
+        void abortBody() {
+            if (writer != null) {
+                writer.close(new ClosedChannelException());
+            }
+        }
+
+        void respond(AggregatedHttpResponse complete) {
+            response = complete;
+            respondedNanos = clock.nanoTime();
+            if (receiving == this) {
+                // The rest of the body is discarded, and nothing is known of its length.
+                closeAfter = true;
+                bodyBlocked = false;
+                updateReading();
+            }
+            sendCompleteResponses();
+        }
+
+        private void stream(byte[] bytes) {
+            if (!writer.tryWrite(HttpData.wrap(bytes))) {
+                return;
+            }
+            CompletableFuture<Void> consumed = writer.whenConsumed();
+            if (!consumed.isDone()) {
+                bodyBlocked = true;
+                updateReading();
+                consumed.whenComplete((ignored, failure) -> runOnLoop(() -> {
+                    bodyBlocked = false;
+                    updateReading();
+                }));
+            }
+        }
+
+        private void handle(HttpRequest request) {
+            handedOver = true;
+            try {
+                handler.handle(request, this)
+                        .aggregate(channel.eventLoop())
+                        .whenComplete((complete, failure) -> runOnLoop(() -> {
+                            if (failure == null) {
+                                respond(complete);
+                            } else {
+                                channel.close();
+                            }
+                        }));
+            } catch (RuntimeException e) {
+                NodeLog.LOG.warn("request failed", e);
+                channel.close();
+            }
+        }
+
+        private void runOnLoop(Runnable task) {
+            if (channel.eventLoop().inEventLoop()) {
+                task.run();
+            } else {
+                channel.eventLoop().execute(task);
+            }
+        }
+    }
+}
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -17,8 +17,6 @@
 import com.linecorp.armeria.client.ClientFactoryBuilder;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.metric.NoopMeterRegistry;
-import com.linecorp.armeria.common.util.EventLoopGroups;
-import com.linecorp.armeria.common.util.TransportType;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.admission.EventLoopDelay;
 import io.mustardusher.call.Lazy;
@@ -41,6 +39,7 @@
 import io.mustardusher.gossip.ReplicatedConfiguration;
 import io.mustardusher.gossip.SuspectReplicator;
 import io.mustardusher.health.SuspectTable;
+import io.mustardusher.http.Transport;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
@@ -94,7 +93,7 @@
     private final Clock clock = Clock.ForSystem.INSTANCE;
     private final Random random = new Random();
     private final MetricRegistry metrics = new MetricRegistry();
-    private final EventLoopGroup group = EventLoopGroups.newEventLoopGroup(EVENT_LOOPS, "mushd", true);
+    private final EventLoopGroup group = Transport.newEventLoops(EVENT_LOOPS, "mushd");
     private final ScheduledExecutorService timers =
             Executors.newScheduledThreadPool(1, task -> daemonThread(task, "mushd-timers"));
     /**
@@ -135,7 +134,7 @@
         credential = new Credential(settings.getCredential());
         MemberRecord self = selfRecord(settings, clock.epochMillis());
         members = new MemberTable(self, clock, random);
-        frames = new FrameClient(group, TransportType.socketChannelType(group), credential, traffic);
+        frames = new FrameClient(group, Transport.of(group).socketChannelType(), credential, traffic);
         frameServer =
                 new FrameServer(credential, traffic, cause -> NodeLog.LOG.frameConnectionClosed(cause.toString()));
         suspects = new SuspectTable(clock, suspicion);
@@ -180,7 +179,7 @@
                 settings.getHost(),
                 (int) settings.getPorts().getFrame(),
                 group,
-                TransportType.serverChannelType(group));
+                Transport.of(group).serverChannelType());
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -1,17 +1,20 @@
 package io.mustardusher.node;
 
 import java.net.InetSocketAddress;
-import java.util.concurrent.CompletableFuture;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
-import com.linecorp.armeria.server.HttpService;
-import com.linecorp.armeria.server.Server;
-import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
 import io.mustardusher.admin.MetricsResource;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.budget.SharedAllowance;
+import io.mustardusher.call.CallerProtocol;
 import io.mustardusher.call.HeaderPacking;
+import io.mustardusher.call.Problem;
 import io.mustardusher.entry.Entry;
 import io.mustardusher.entry.RetryPolicyFactory;
 import io.mustardusher.entry.Router;
@@ -25,9 +28,14 @@
 import io.mustardusher.generated.NodeSettings;
 import io.mustardusher.gossip.RouteReplica;
 import io.mustardusher.health.SuspectTable;
+import io.mustardusher.http.HttpListener;
+import io.mustardusher.http.RequestExchange;
+import io.mustardusher.http.RequestHandler;
 import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.membership.MemberState;
+import io.mustardusher.result.ResultCode;
+import io.mustardusher.route.RequestLimits;
 import io.mustardusher.route.RouteTable;
 import io.mustardusher.server.BufferedServerLink;
 import io.mustardusher.server.ReportedServerLoad;
@@ -57,17 +65,6 @@
     /** Maximum number of probes of a backend server per second: half of what its operator allows. */
     private static final double PROBES_PER_SECOND = 30;
 
-    /**
-     * Maximum size of a header block that is parsed, in bytes. The operator's limit is lower, and requests above it are
-     * rejected with status 431.
-     */
-    private static final int MAX_HEADER_BYTES = 64 << 10;
-
-    /**
-     * Time after which an idle connection is closed, in milliseconds; longer than the time for which callers reuse one.
-     */
-    private static final long IDLE_TIMEOUT_MILLIS = 300_000;
-
     private final NodeSettings settings;
     private final NodeEnvironment environment;
     private final RetryBounds bounds;
@@ -75,9 +72,10 @@
     private final Clock clock;
     private final RouteReplica routes;
     private final Entry entry;
-    private final ServerBuilder listeners;
+    private final CallerProtocol protocol;
+    private final HttpListener listener;
+    private final Map<InetSocketAddress, RequestHandler> addresses = new LinkedHashMap<>();
     private final ServerTracker serverTracker;
-    private Server httpServer;
     private volatile boolean stopping;
 
     /**
@@ -127,50 +125,30 @@
                 core.timers(),
                 clock,
                 core.metrics());
-        entry = new Entry(
-                router,
-                null,
-                environment.callerProtocol(routes::current),
-                call -> {},
-                core.eventLoopDelay(),
-                clock,
-                core.metrics());
-        listeners = Listeners.serverBuilder(core.group())
-                .childChannelPipelineCustomizer(entry.callerConnections()::accept)
-                .maxRequestLength(0)
-                .http1MaxHeaderSize(MAX_HEADER_BYTES)
-                .idleTimeoutMillis(IDLE_TIMEOUT_MILLIS)
-                .disableServerHeader()
-                .disableDateHeader();
+        protocol = environment.callerProtocol(routes::current);
+        entry = new Entry(router, null, protocol, call -> {}, core.eventLoopDelay(), clock, core.metrics());
+        listener = new HttpListener(core.group(), clock);
         core.metrics().gauge("routes.version", () -> routes::revision);
     }
 
     /**
-     * Adds a listener, which is opened when the node starts.
+     * Adds an address to listen at, which is opened when the node starts.
      *
-     * @param host    address to bind
-     * @param port    port to bind
-     * @param service handles requests
+     * @param address address to bind
+     * @param handler handles requests
      */
-    public void listen(String host, int port, HttpService service) {
-        // One server for all listeners: each additional server would add a twentieth to the start time of a node.
-        listeners.http(new InetSocketAddress(host, port)).virtualHost(port).serviceUnder("/", service);
+    public void listen(InetSocketAddress address, RequestHandler handler) {
+        addresses.put(address, handler);
     }
 
     /** Starts the node: opens the listeners, joins the cluster and watches the operator's configuration. */
     public void start() {
-        String host = settings.getHost();
         core.listen();
-        listen(host, (int) settings.getPorts().getCaller(), entry);
-        listen(host, (int) settings.getPorts().getAdmin(), new MetricsResource(core.metrics()));
-        listen(
-                host,
-                (int) settings.getPorts().getGate(),
-                Listeners.requireCredential(
-                        (context, request) -> core.gate().handle(request, context.whenRequestCancelling()),
-                        core.credential()));
-        httpServer = listeners.build();
-        httpServer.start().join();
+        MetricsResource metrics = new MetricsResource(core.metrics());
+        listen(address(settings.getPorts().getAdmin()), (request, exchange) -> metrics.page());
+        listen(address(settings.getPorts().getGate()), this::handleStreamedCall);
+        listener.bind(address(settings.getPorts().getCaller()), entry, protocol::limits);
+        addresses.forEach((address, handler) -> listener.bind(address, handler, () -> RequestLimits.NONE));
         environment.watchRoutes(document -> routes.offer(document, "store"));
         core.measureEventLoopDelay();
         NodeEnvironment.LocalServer localServer = environment.localServer();
@@ -209,7 +187,8 @@
 
     /** Closes all listeners and connections without waiting for calls in flight. */
     public void close() {
-        CompletableFuture.allOf(httpServer.stop(), core.announceEnd()).join();
+        core.announceEnd().join();
+        listener.close();
         core.close();
     }
 
@@ -246,6 +225,17 @@
         return entry.inFlight() + core.gate().inFlight();
     }
 
+    // Calls whose body is too large for a frame arrive as requests.
+    private HttpResponse handleStreamedCall(HttpRequest request, RequestExchange exchange) {
+        return core.credential().matches(request.headers().get(HttpHeaderNames.AUTHORIZATION))
+                ? core.gate().handle(request, exchange.cancelled())
+                : Problem.response(ResultCode.UNAUTHORIZED, "send the shared credential as a bearer token");
+    }
+
+    private InetSocketAddress address(long port) {
+        return new InetSocketAddress(settings.getHost(), (int) port);
+    }
+
     private RouteReplica routes() {
         return routes;
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -11,10 +11,10 @@
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.RequestHeaders;
-import com.linecorp.armeria.common.util.TransportType;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.frame.DeadPeerDetection;
+import io.mustardusher.http.Transport;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
 import io.netty.bootstrap.Bootstrap;
@@ -80,7 +80,7 @@
         this.clock = clock;
         this.bootstrap = new Bootstrap()
                 .group(loop)
-                .channel(TransportType.socketChannelType(group))
+                .channel(Transport.of(group).socketChannelType())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(new ChannelInitializer<>() {
@@ -122,7 +122,7 @@
     public static BufferedServerLink toService(EventLoopGroup group, InetSocketAddress address, Clock clock) {
         BufferedServerLink link = new BufferedServerLink(
                 group, address, null, ServerDialect.Plain.INSTANCE, ServerReports.Discarding.INSTANCE, clock);
-        DeadPeerDetection.configure(link.bootstrap, TransportType.socketChannelType(group));
+        DeadPeerDetection.configure(link.bootstrap, Transport.of(group).socketChannelType());
         return link;
     }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/PipelinedCallsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/PipelinedCallsTest.java
@@ -64,22 +64,31 @@
         Router router = RouterFixture.create(clock, timers, packing, gate, List.of(true));
         entry = new Entry(
                 router, null, new PlainProtocol(), call -> {}, new EventLoopDelay(clock), clock, new MetricRegistry());
+        caller = new Socket(InetAddress.getLoopbackAddress(), open(entry));
+        caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        caller.close();
+        close();
+        timers.shutdownNow();
+    }
+
+    /** Opens a listener for the entry and returns its port. */
+    int open(Entry opened) {
         server = Server.builder()
                 .http(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                 .gracefulShutdownTimeoutMillis(0, 0)
-                .childChannelPipelineCustomizer(entry.callerConnections()::accept)
-                .serviceUnder("/", entry)
+                .childChannelPipelineCustomizer(opened.callerConnections()::accept)
+                .serviceUnder("/", opened)
                 .build();
         server.start().join();
-        caller = new Socket(InetAddress.getLoopbackAddress(), server.activeLocalPort());
-        caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+        return server.activeLocalPort();
     }
 
-    @AfterEach
-    void stop() throws IOException {
-        caller.close();
+    void close() {
         server.stop().join();
-        timers.shutdownNow();
     }
 
     @Test
