Wake a node up only when something is due, and make calls between nodes cheaper

Cause: an idle node wakes up 204 times a second (profile): the gate polls every 20 ms, the directory looks at the member table every 50 ms, the event loop measures its delay every 50 ms, and the probe of the local server keeps running every 100 ms after it has found it. In calls, 16% of the event loop's samples lie in encoding and decoding call frames by reflection.

Change: polls, refreshes and measurements are requested by what makes them necessary (deferred calls, changes of the member table, calls); the probe ends. Call frames are packed by hand, in the same format. Gates answer refusals with headers alone.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -60,6 +60,9 @@
     /** Rate at which calls are dispatched. */
     private final CallRate rate;
 
+    /** Notified after each change that leaves calls deferred. */
+    private volatile Runnable deferralListener = () -> {};
+
     private final ServiceTimes times = new ServiceTimes();
 
     /** Slots that the server announced. */
@@ -219,6 +222,16 @@
         });
     }
 
+    /**
+     * Sets the listener for deferred calls. Nothing but a call of {@link #poll()} dispatches them if no other call
+     * arrives or ends.
+     *
+     * @param listener called, without a lock, after each change that leaves calls deferred
+     */
+    public void onDeferral(Runnable listener) {
+        deferralListener = listener;
+    }
+
     /** Dispatches calls that no longer have to wait for a slow server or for the maximum rate. */
     public void poll() {
         updateAndNotify(this::dispatch);
@@ -266,10 +279,15 @@
     // Listeners are notified after the lock is released, as they may call this instance again.
     private void updateAndNotify(Consumer<List<Runnable>> step) {
         List<Runnable> notifications = new ArrayList<>(2);
+        boolean deferring;
         synchronized (this) {
             step.accept(notifications);
+            deferring = isDeferring();
         }
         notifications.forEach(Runnable::run);
+        if (deferring) {
+            deferralListener.run();
+        }
     }
 
     /**
--- a/mustardusher-core/src/main/java/io/mustardusher/membership/MemberTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/membership/MemberTable.java
@@ -18,7 +18,8 @@
  * incarnations, a member is suspected before it is declared failed, a suspected member can refute the suspicion, and
  * each message carries a bounded number of updates.
  *
- * <p>All methods are synchronized on the table and make no calls to other components while they hold its lock.
+ * <p>All methods are synchronized on the table and make no calls to other components while they hold its lock, except
+ * to the listener for changes.
  */
 public final class MemberTable {
 
@@ -54,6 +55,9 @@
     /** Number of changes to the table. */
     private long version;
 
+    /** Notified of each change, while the lock is held. */
+    private Runnable changeListener = () -> {};
+
     /**
      * Creates a table that contains only this node.
      *
@@ -68,6 +72,16 @@
         store(self);
     }
 
+    /**
+     * Sets the listener for changes. It is called while the lock of the table is held, so it must neither block nor call
+     * another component that uses the table.
+     *
+     * @param listener called after each change of the version
+     */
+    public synchronized void onChange(Runnable listener) {
+        changeListener = listener;
+    }
+
     /**
      * Returns the record of this node.
      *
@@ -364,6 +378,7 @@
         digest += checksum(value);
         version++;
         pending.add(stored);
+        changeListener.run();
     }
 
     /**
@@ -376,6 +391,7 @@
         pending.remove(tracked);
         digest -= checksum(tracked.value);
         version++;
+        changeListener.run();
     }
 
     /**
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/EventLoopDelayTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/EventLoopDelayTest.java
@@ -1,5 +1,7 @@
 package io.mustardusher.admission;
 
+import java.util.concurrent.atomic.AtomicInteger;
+
 import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.api.Test;
@@ -39,6 +41,33 @@
         assertThat(eventLoopDelay.rejects(ServiceClass.BACKGROUND)).isFalse();
     }
 
+    @Test
+    void measuresOnlyWhileThereAreCalls() {
+        AtomicInteger starts = new AtomicInteger();
+        eventLoopDelay.onStart(starts::incrementAndGet);
+        eventLoopDelay.rejects(ServiceClass.STANDARD);
+        eventLoopDelay.rejects(ServiceClass.STANDARD);
+        assertThat(starts.get()).isEqualTo(1);
+        assertThat(eventLoopDelay.sample()).isTrue();
+        clock.advanceMillis(2_000);
+        assertThat(eventLoopDelay.sample()).isFalse();
+        eventLoopDelay.rejects(ServiceClass.STANDARD);
+        assertThat(starts.get()).isEqualTo(2);
+    }
+
+    /** The time without a measurement must not be taken for a delay. */
+    @Test
+    void acceptsFirstCallAfterPauseOfMeasurement() {
+        eventLoopDelay.rejects(ServiceClass.STANDARD);
+        clock.advanceMillis(2_000);
+        eventLoopDelay.sample();
+        clock.advanceMillis(60_000);
+        assertThat(eventLoopDelay.rejects(ServiceClass.BACKGROUND)).isFalse();
+        clock.advanceMillis(EventLoopDelay.SAMPLE_INTERVAL_MILLIS);
+        eventLoopDelay.sample();
+        assertThat(eventLoopDelay.rejects(ServiceClass.BACKGROUND)).isFalse();
+    }
+
     private void sample(long elapsedMillis) {
         clock.advanceMillis(elapsedMillis);
         eventLoopDelay.sample();
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/NoisyNeighbourTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/NoisyNeighbourTest.java
@@ -58,6 +58,24 @@
         assertThat(call.admitted).isTrue();
     }
 
+    /** Nothing else wakes a node up for a deferred call, so each change that leaves one must request the next poll. */
+    @Test
+    void requestsPollsOnlyWhileCallsAreDeferred() {
+        int[] requests = new int[1];
+        admission.onDeferral(() -> requests[0]++);
+        offer(false);
+        assertThat(requests[0]).isEqualTo(0);
+        reportSlowness(SLOW_PERCENT);
+        offer(false);
+        assertThat(requests[0]).isEqualTo(1);
+        admission.poll();
+        assertThat(requests[0]).isEqualTo(2);
+        clock.advanceMillis(60);
+        reportSlowness(BASELINE_PERCENT);
+        assertThat(admission.isDeferring()).isFalse();
+        assertThat(requests[0]).isEqualTo(2);
+    }
+
     /** A call of 90 ms that starts on a server five times as slow loses 360 ms, so it waits no longer than that. */
     @Test
     void limitsDeferralToLossOfSlowStart() {
--- a/mustardusher-core/src/test/java/io/mustardusher/membership/MemberTableTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/membership/MemberTableTest.java
@@ -60,6 +60,22 @@
         assertThat(state("b")).isEqualTo(MemberState.ALIVE);
     }
 
+    @Test
+    void notifiesListenerOfEachChange() {
+        long[] changes = new long[1];
+        long before = table.version();
+        table.onChange(() -> changes[0]++);
+        table.merge(List.of(record("b", 1, 1, MemberState.ALIVE)));
+        table.merge(List.of(record("b", 1, 1, MemberState.ALIVE)));
+        table.suspect("b");
+        clock.advanceMillis(MemberTable.SUSPICION_TIMEOUT_MILLIS);
+        table.expire();
+        clock.advanceMillis(MemberTable.REMOVAL_DELAY_MILLIS);
+        table.expire();
+        assertThat(changes[0]).isEqualTo(4);
+        assertThat(table.version() - before).isEqualTo(4);
+    }
+
     @Test
     void digestsAreEqualWhenRecordsAreEqual() {
         MemberTable other = new MemberTable(record("b", 1, 1, MemberState.ALIVE), clock, new Random(2));
--- a/mustardusher-node/src/main/java/io/mustardusher/call/HeaderPacking.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/HeaderPacking.java
@@ -53,6 +53,9 @@
     private static final Set<AsciiString> DERIVED = Set.of(
             HttpHeaderNames.SCHEME, HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.DATE, HttpHeaderNames.SERVER);
 
+    /** Buffers that hold most heads; the default is sixteen times as large. */
+    private static final MessagePack.PackerConfig BUFFERS = new MessagePack.PackerConfig().withBufferSize(512);
+
     private final List<AsciiString> names;
     private final Map<AsciiString, Integer> numbers = new HashMap<>();
 
@@ -76,7 +79,7 @@
      * @return the encoded headers
      */
     public byte[] pack(Iterable<Map.Entry<AsciiString, String>> headers) {
-        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+        try (MessageBufferPacker packer = BUFFERS.newBufferPacker()) {
             for (Map.Entry<AsciiString, String> header : headers) {
                 if (DERIVED.contains(header.getKey())) {
                     continue;
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Problem.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Problem.java
@@ -62,16 +62,18 @@
     }
 
     /**
-     * Creates the response of a gate for a result code, with the load of the gate.
+     * Creates the response of a gate to the entry of a call that has no answer of the backend server. It has no text,
+     * because the entry words the problem for its caller.
      *
-     * @param code   the result code
-     * @param detail description of this occurrence
-     * @param load   value of the load header
-     * @return the response
+     * @param code the result code
+     * @param load value of the load header
+     * @return the headers of the response
      */
-    public static HttpResponse response(ResultCode code, String detail, String load) {
-        ResponseHeaders headers = headers(code).set(CallHeaders.LOAD, load).build();
-        return HttpResponse.of(headers, HttpData.ofUtf8(Schema.write(of(code, detail))));
+    public static ResponseHeadersBuilder gateResponse(ResultCode code, String load) {
+        return ResponseHeaders.builder(HttpStatus.valueOf(code.status()))
+                .set(CallHeaders.OUTCOME, code.outcome().token())
+                .set(CallHeaders.CODE, Integer.toString(code.number()))
+                .set(CallHeaders.LOAD, load);
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameCodec.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameCodec.java
@@ -64,8 +64,12 @@
         out.writeByte(frame.kind().ordinal());
         out.writeBoolean(frame.reply());
         out.writeInt(frame.requestId());
-        try (OutputStream stream = new ByteBufOutputStream(out)) {
-            MAPPER.writeValue(stream, frame.message());
+        if (frame.message() instanceof CallMessage call) {
+            CallMessageCodec.encode(call, out);
+        } else {
+            try (OutputStream stream = new ByteBufOutputStream(out)) {
+                MAPPER.writeValue(stream, frame.message());
+            }
         }
         int length = out.writerIndex() - start - LENGTH_BYTES;
         if (length > MAX_FRAME_BYTES) {
@@ -106,6 +110,9 @@
         }
         boolean reply = bytes.readBoolean();
         int requestId = bytes.readInt();
+        if (kinds[kind].requestType() == CallMessage.class) {
+            return new Frame(kinds[kind], reply, requestId, CallMessageCodec.decode(bytes));
+        }
         Class<?> type = reply ? kinds[kind].replyType() : kinds[kind].requestType();
         try (InputStream stream = new ByteBufInputStream(bytes)) {
             return new Frame(kinds[kind], reply, requestId, MAPPER.readValue(stream, type));
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
@@ -143,7 +143,7 @@
         boolean notRun = Outcome.NOT_RUN.token().equals(headers.get(CallHeaders.OUTCOME));
         if (unavailable && notRun) {
             exchange.discard();
-            return ended(CallEnd.OVERLOADED, ResultCode.SERVER_REFUSED, "shed by the backend server");
+            return ended(CallEnd.OVERLOADED, ResultCode.SERVER_REFUSED);
         }
         ResponseHeadersBuilder forwarded = headers.toBuilder();
         CallHeaders.stripAnswer(forwarded);
@@ -169,19 +169,19 @@
             return gate.crashDetector().checkAfterLoss(ticket).thenApply(crash -> resultAfterLoss(exception, crash));
         }
         CallEnd end = exception.code() == ResultCode.DEADLINE_PASSED ? CallEnd.UNANSWERED : CallEnd.ABANDONED;
-        return ended(end, exception.code(), exception.getMessage());
+        return ended(end, exception.code());
     }
 
     // Returns the result of a call whose connection was lost; the crash is empty if the server is still running.
     private Result resultAfterLoss(MustardusherException exception, OptionalLong crash) {
         if (crash.isEmpty()) {
-            return withProblem(CallEnd.ABANDONED, exception.code(), exception.getMessage());
+            return withoutAnswer(CallEnd.ABANDONED, exception.code());
         }
         return new Result(
                 CallEnd.ABANDONED,
-                () -> response.complete(HttpResponse.of(Problem.headers(ResultCode.SERVER_CRASHED)
+                () -> response.complete(HttpResponse.of(Problem.gateResponse(
+                                ResultCode.SERVER_CRASHED, gate.load().toHeader())
                         .set(CallHeaders.CRASH, Long.toString(crash.getAsLong()))
-                        .set(CallHeaders.LOAD, gate.load().toHeader())
                         .build())));
     }
 
@@ -190,18 +190,18 @@
         MustardusherException exception =
                 new MustardusherException(ResultCode.CONNECTION_LOST, "the dispatch failed: " + failure, failure);
         gate.logServerFailure(request.headers(), dispatchedNanos, exception);
-        return withProblem(CallEnd.ABANDONED, exception.code(), "the dispatch failed");
+        return withoutAnswer(CallEnd.ABANDONED, exception.code());
     }
 
-    private CompletableFuture<Result> ended(CallEnd end, ResultCode code, String detail) {
-        return CompletableFuture.completedFuture(withProblem(end, code, detail));
+    private CompletableFuture<Result> ended(CallEnd end, ResultCode code) {
+        return CompletableFuture.completedFuture(withoutAnswer(end, code));
     }
 
-    private Result withProblem(CallEnd end, ResultCode code, String detail) {
+    private Result withoutAnswer(CallEnd end, ResultCode code) {
         return new Result(
                 end,
-                () -> response.complete(
-                        Problem.response(code, detail, gate.load().toHeader())));
+                () -> response.complete(HttpResponse.of(
+                        Problem.gateResponse(code, gate.load().toHeader()).build())));
     }
 
     private void release(CallEnd end) {
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -291,6 +291,15 @@
         admission.poll();
     }
 
+    /**
+     * Sets the trigger of polls, which is called whenever calls wait for a slow server or for the maximum rate.
+     *
+     * @param trigger causes a call of {@link #poll()} shortly afterwards
+     */
+    public void pollDeferredCalls(Runnable trigger) {
+        admission.onDeferral(trigger);
+    }
+
     /**
      * Sets the listener for servers that are leaving. It has to announce the server to this gate as draining.
      *
@@ -368,7 +377,7 @@
                 load.busy(),
                 load.queued(),
                 load.limit());
-        return Problem.response(code, "refused by the gate", load.toHeader());
+        return HttpResponse.of(Problem.gateResponse(code, load.toHeader()).build());
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/node/InitialServerProbe.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/InitialServerProbe.java
@@ -58,10 +58,14 @@
         this.tracker = tracker;
     }
 
-    /** Sends one probe unless the state of the server is known. */
-    void tick() {
+    /**
+     * Sends one probe unless the state of the server is known.
+     *
+     * @return whether to probe again
+     */
+    boolean tick() {
         if (tracker.isKnown()) {
-            return;
+            return false;
         }
         InetSocketAddress address = localServer.address();
         RequestHeaders request = RequestHeaders.builder(HttpMethod.GET, healthPaths.apply(localServer.service()))
@@ -70,6 +74,7 @@
         link.exchange(AggregatedHttpRequest.of(request), TIMEOUT_NANOS, true)
                 .thenAccept(
                         answer -> toAnnouncement(localServer, dialect, answer).ifPresent(tracker::recordProbeResult));
+        return true;
     }
 
     // A server that is draining or failing does not answer 200. An answer without the start or the slots is ignored,
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
@@ -65,7 +66,7 @@
     /** Time after which an idle connection is closed, in milliseconds. */
     private static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
-    /** Interval at which the server directory is refreshed from the member table, in milliseconds. */
+    /** Time after a change of the member table until the server directory reflects it, in milliseconds. */
     private static final long DIRECTORY_REFRESH_MILLIS = 50;
 
     /** Interval between two rounds of peer discovery, in milliseconds. */
@@ -191,7 +192,9 @@
         long gossip = settings.getGossipIntervalMillis();
         repeat(this::discoverPeers, DISCOVERY_INTERVAL_MILLIS / 2, DISCOVERY_INTERVAL_MILLIS);
         repeat(gossiper::tick, gossip, gossip);
-        repeat(directory::refresh, DIRECTORY_REFRESH_MILLIS, DIRECTORY_REFRESH_MILLIS);
+        CoalescingTask refresh = new CoalescingTask(timers, DIRECTORY_REFRESH_MILLIS, directory::refresh);
+        members.onChange(refresh::request);
+        refresh.request();
         return discovery.register().thenCompose(registered -> discovery.discover());
     }
 
@@ -283,6 +286,23 @@
         timers.scheduleWithFixedDelay(safe, delayMillis, intervalMillis, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Runs a task repeatedly until it has nothing left to do.
+     *
+     * @param task           the task; returns whether it has to run again
+     * @param intervalMillis delay between two runs, in milliseconds
+     */
+    void repeatWhile(BooleanSupplier task, long intervalMillis) {
+        timers.execute(new Runnable() {
+            @Override
+            public void run() {
+                if (task.getAsBoolean()) {
+                    timers.schedule(this, intervalMillis, TimeUnit.MILLISECONDS);
+                }
+            }
+        });
+    }
+
     /**
      * Waits until no call is in flight or the grace time has ended.
      *
@@ -363,12 +383,19 @@
         return eventLoopDelay;
     }
 
-    /** Starts to measure the scheduling delay of the event loop that handles calls. */
+    /** Measures the scheduling delay of the event loop that handles calls, while there are calls. */
     void measureEventLoopDelay() {
+        eventLoopDelay.onStart(this::sampleEventLoopDelayLater);
+    }
+
+    private void sampleEventLoopDelayLater() {
         group.next()
-                .scheduleWithFixedDelay(
-                        eventLoopDelay::sample,
-                        EventLoopDelay.SAMPLE_INTERVAL_MILLIS,
+                .schedule(
+                        () -> {
+                            if (eventLoopDelay.sample()) {
+                                sampleEventLoopDelayLater();
+                            }
+                        },
                         EventLoopDelay.SAMPLE_INTERVAL_MILLIS,
                         TimeUnit.MILLISECONDS);
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -158,8 +158,8 @@
                 service -> routes.current().healthPath(service),
                 BufferedServerLink.toService(core.group(), localServer.address(), clock),
                 serverTracker);
-        core.repeat(probe::tick, 0, InitialServerProbe.INTERVAL_MILLIS);
-        core.repeat(core.gate()::poll, GATE_POLL_MILLIS, GATE_POLL_MILLIS);
+        core.repeatWhile(probe::tick, InitialServerProbe.INTERVAL_MILLIS);
+        core.gate().pollDeferredCalls(new CoalescingTask(core.timers(), GATE_POLL_MILLIS, core.gate()::poll)::request);
         core.start();
         NodeLog.LOG.started(settings.getId(), settings.getFailureDomain());
     }
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/ManualTimers.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/ManualTimers.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Timers that run on the calling thread when a test advances the time. */
-final class ManualTimers extends AbstractExecutorService implements ScheduledExecutorService {
+public final class ManualTimers extends AbstractExecutorService implements ScheduledExecutorService {
 
     private final PriorityQueue<Task<?>> tasks = new PriorityQueue<>();
     private long nowNanos;
@@ -21,7 +21,7 @@
      *
      * @param nanos time to advance, in nanoseconds
      */
-    void advance(long nanos) {
+    public void advance(long nanos) {
         long end = nowNanos + nanos;
         while (!tasks.isEmpty() && tasks.peek().dueNanos <= end) {
             Task<?> task = tasks.remove();
