--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeProcess.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeProcess.java
@@ -22,6 +22,7 @@
             "-Xmx64m",
             "-Xss512k",
             "-XX:+UseSerialGC",
+            "-XX:-UsePerfData",
             "-XX:MaxDirectMemorySize=48m",
             "-XX:ReservedCodeCacheSize=48m",
             "-XX:TieredStopAtLevel=1",
