Gossip mostly within a failure domain, and exchange fewer whole tables

Load pattern: all nodes start at once. Each node asked five random others for their whole tables and up to ten more as the tables differed, and each update was sent 21 times by every node, wherever it went.

Change: three of four probes stay in the domain; a record crosses to other domains from the domain of its member alone, six times for each of them by all its members together, and from anywhere if it concerns a failure; whole tables are asked for within the domain, and announcements go to two nodes of others. A node scans the table service once at a start instead of twice.

--- a/mustardusher-core/src/main/java/io/mustardusher/membership/MemberTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/membership/MemberTable.java
@@ -2,12 +2,16 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import io.mustardusher.generated.MemberRecord;
@@ -29,9 +33,18 @@
     /** Time after which the record of a failed or departed member is removed, in milliseconds. */
     public static final long REMOVAL_DELAY_MILLIS = 600_000L;
 
-    /** Number of transmissions of an update per doubling of the cluster size. */
+    /** Number of transmissions of an update per doubling of the number of members in this failure domain. */
     private static final int TRANSMISSIONS_PER_DOUBLING = 3;
 
+    /**
+     * Number of transmissions of an update to each other failure domain, by all members of this domain together. Within
+     * the other domain it spreads like an update of that domain.
+     */
+    private static final int TRANSMISSIONS_PER_OTHER_DOMAIN = 6;
+
+    /** Number of probes within this failure domain for each probe of another one, whose traffic is more expensive. */
+    private static final int LOCAL_PROBES_PER_REMOTE_PROBE = 3;
+
     private final Clock clock;
 
     /** Randomizes probe order and peer selection. */
@@ -43,8 +56,14 @@
     /** Records that have not yet been transmitted as often as required. */
     private final List<TrackedRecord> pending = new ArrayList<>();
 
-    /** Ids of the members still to be probed in the current round; the last one is next. */
-    private final List<String> probeQueue = new ArrayList<>();
+    /** Ids of the members of this failure domain still to be probed in the current round; the last one is next. */
+    private final List<String> localProbeQueue = new ArrayList<>();
+
+    /** Ids of the members of other failure domains still to be probed in the current round; the last one is next. */
+    private final List<String> remoteProbeQueue = new ArrayList<>();
+
+    /** Number of probes so far. */
+    private int probes;
 
     /** Id of this node. */
     private final String self;
@@ -216,24 +235,39 @@
     /**
      * Returns updates for the next message, the least transmitted first, and counts them as transmitted.
      *
-     * @param max maximum number of records to return
+     * @param max    maximum number of records to return
+     * @param range  where the message goes
+     * @param except records that the receiver has just sent itself
      * @return the records
      */
-    public synchronized List<MemberRecord> nextUpdates(int max) {
+    public synchronized List<MemberRecord> nextUpdates(int max, GossipRange range, Collection<MemberRecord> except) {
         List<MemberRecord> updates = new ArrayList<>(Math.min(max, pending.size()));
-        int limit = transmissionLimit();
-        pending.sort((a, b) -> Integer.compare(a.transmissions, b.transmissions));
+        Map<GossipRange, Integer> limits = transmissionLimits();
+        pending.sort((a, b) -> Integer.compare(a.transmissions(range), b.transmissions(range)));
         for (TrackedRecord tracked : pending) {
             if (updates.size() == max) {
                 break;
             }
-            tracked.transmissions++;
-            updates.add(tracked.value);
+            if (isDue(tracked, range, limits) && !except.contains(tracked.value)) {
+                tracked.recordTransmission(range);
+                updates.add(tracked.value);
+            }
         }
-        pending.removeIf(tracked -> tracked.transmissions >= limit);
+        pending.removeIf(tracked ->
+                !isDue(tracked, GossipRange.DOMAIN, limits) && !isDue(tracked, GossipRange.OTHER_DOMAINS, limits));
         return updates;
     }
 
+    /**
+     * Returns the range of messages to a member.
+     *
+     * @param member the member
+     * @return {@link GossipRange#DOMAIN} if it belongs to the failure domain of this node
+     */
+    public synchronized GossipRange rangeTo(MemberRecord member) {
+        return isLocal(member) ? GossipRange.DOMAIN : GossipRange.OTHER_DOMAINS;
+    }
+
     /**
      * Returns consecutive records of the table, starting at a random position.
      *
@@ -247,16 +281,29 @@
     }
 
     /**
-     * Returns the next member to probe. Each round covers all active members once, in random order.
+     * Returns the next member to probe: mostly one of this failure domain, at times one of another. Each round covers
+     * all active members of this domain, or of the others, once, in random order.
      *
      * @return the member, or empty if there is no other active member
      */
     public synchronized Optional<MemberRecord> nextProbeTarget() {
+        probes++;
+        boolean remoteFirst = probes % (LOCAL_PROBES_PER_REMOTE_PROBE + 1) == 0;
+        GossipRange first = remoteFirst ? GossipRange.OTHER_DOMAINS : GossipRange.DOMAIN;
+        return nextProbeTarget(first).or(() -> nextProbeTarget(first.opposite()));
+    }
+
+    private Optional<MemberRecord> nextProbeTarget(GossipRange range) {
+        List<String> queue = range == GossipRange.DOMAIN ? localProbeQueue : remoteProbeQueue;
         while (true) {
-            if (probeQueue.isEmpty() && !startProbeRound()) {
+            if (queue.isEmpty()) {
+                activeMembers(range, "").forEach(member -> queue.add(member.getId()));
+                Collections.shuffle(queue, random);
+            }
+            if (queue.isEmpty()) {
                 return Optional.empty();
             }
-            TrackedRecord tracked = members.get(probeQueue.remove(probeQueue.size() - 1));
+            TrackedRecord tracked = members.get(queue.remove(queue.size() - 1));
             if (tracked != null && MemberState.of(tracked.value).isActive()) {
                 return Optional.of(tracked.value);
             }
@@ -271,16 +318,35 @@
      * @return the members
      */
     public synchronized List<MemberRecord> randomMembers(int count, String except) {
-        List<MemberRecord> candidates = new ArrayList<>();
+        List<MemberRecord> candidates = activeMembers(GossipRange.DOMAIN, except);
+        candidates.addAll(activeMembers(GossipRange.OTHER_DOMAINS, except));
+        Collections.shuffle(candidates, random);
+        return candidates.subList(0, Math.min(count, candidates.size()));
+    }
+
+    /**
+     * Returns randomly selected active members other than this node, from this failure domain or from the others.
+     *
+     * @param count maximum number of members to return
+     * @param range where to select them
+     * @return the members
+     */
+    public synchronized List<MemberRecord> randomMembers(int count, GossipRange range) {
+        List<MemberRecord> candidates = activeMembers(range, "");
+        Collections.shuffle(candidates, random);
+        return candidates.subList(0, Math.min(count, candidates.size()));
+    }
+
+    private List<MemberRecord> activeMembers(GossipRange range, String except) {
+        List<MemberRecord> active = new ArrayList<>();
         for (TrackedRecord tracked : members.values()) {
             String id = tracked.value.getId();
-            boolean eligible = !id.equals(self) && !id.equals(except);
+            boolean eligible = !id.equals(self) && !id.equals(except) && rangeTo(tracked.value) == range;
             if (eligible && MemberState.of(tracked.value).isActive()) {
-                candidates.add(tracked.value);
+                active.add(tracked.value);
             }
         }
-        Collections.shuffle(candidates, random);
-        return candidates.subList(0, Math.min(count, candidates.size()));
+        return active;
     }
 
     /**
@@ -298,16 +364,6 @@
         return failed.isEmpty() ? Optional.empty() : Optional.of(failed.get(random.nextInt(failed.size())));
     }
 
-    /**
-     * Queues all other active members for probing, in random order.
-     *
-     * @return {@code false} if there is no other active member
-     */
-    private boolean startProbeRound() {
-        randomMembers(members.size(), self).forEach(member -> probeQueue.add(member.getId()));
-        return !probeQueue.isEmpty();
-    }
-
     /**
      * Refutes a received record about this node by storing an own record with a higher incarnation.
      *
@@ -369,8 +425,10 @@
      * @param value the record
      */
     private void store(MemberRecord value) {
-        TrackedRecord stored = new TrackedRecord(value, clock.nanoTime());
-        TrackedRecord previous = members.put(value.getId(), stored);
+        TrackedRecord previous = members.get(value.getId());
+        boolean concernsFailure = isFailing(value) || previous != null && isFailing(previous.value);
+        TrackedRecord stored = new TrackedRecord(value, concernsFailure, clock.nanoTime());
+        members.put(value.getId(), stored);
         if (previous != null) {
             digest -= checksum(previous.value);
             pending.remove(previous);
@@ -394,14 +452,39 @@
         changeListener.run();
     }
 
-    /**
-     * Returns how often each update is transmitted, which grows with the logarithm of the cluster size.
-     *
-     * @return number of transmissions
-     */
-    private int transmissionLimit() {
-        int doublings = Integer.SIZE - Integer.numberOfLeadingZeros(members.size());
-        return TRANSMISSIONS_PER_DOUBLING * doublings;
+    // Within the domain, the limit grows with the logarithm of the number of members. The members of a domain share the
+    // transmissions to the others.
+    private Map<GossipRange, Integer> transmissionLimits() {
+        int local = 0;
+        Set<String> otherDomains = new HashSet<>();
+        for (TrackedRecord tracked : members.values()) {
+            if (isLocal(tracked.value)) {
+                local++;
+            } else {
+                otherDomains.add(tracked.value.getRegion() + '/' + tracked.value.getDomain());
+            }
+        }
+        int doublings = Integer.SIZE - Integer.numberOfLeadingZeros(local);
+        int remote = (TRANSMISSIONS_PER_OTHER_DOMAIN * Math.max(1, otherDomains.size()) + local - 1) / local;
+        return Map.of(GossipRange.DOMAIN, TRANSMISSIONS_PER_DOUBLING * doublings, GossipRange.OTHER_DOMAINS, remote);
+    }
+
+    // A record goes to other domains from the domain of its member, and from anywhere if it reports a failure or the
+    // end of one, because the members of that domain may have failed or may not know each other.
+    private boolean isDue(TrackedRecord tracked, GossipRange range, Map<GossipRange, Integer> limits) {
+        boolean concerned = range == GossipRange.DOMAIN || isLocal(tracked.value) || tracked.concernsFailure;
+        return concerned && tracked.transmissions(range) < limits.get(range);
+    }
+
+    private static boolean isFailing(MemberRecord member) {
+        MemberState state = MemberState.of(member);
+        return state == MemberState.SUSPECT || state == MemberState.FAILED;
+    }
+
+    private boolean isLocal(MemberRecord member) {
+        MemberRecord own = self();
+        return Objects.equals(own.getDomain(), member.getDomain())
+                && Objects.equals(own.getRegion(), member.getRegion());
     }
 
     /**
@@ -446,21 +529,41 @@
 
         private final MemberRecord value;
 
+        /** Whether the record reports a failure of the member, or replaces a record that did. */
+        private final boolean concernsFailure;
+
         /** Time at which the record was stored, in nanoseconds. */
         private final long storedNanos;
 
-        /** Number of times the record was transmitted. */
-        private int transmissions;
+        /** Number of times the record was transmitted within this failure domain. */
+        private int localTransmissions;
+
+        /** Number of times the record was transmitted to other failure domains. */
+        private int remoteTransmissions;
 
         /**
          * Creates a record that was not yet transmitted.
          *
-         * @param value       the record
-         * @param storedNanos time at which it was stored, in nanoseconds
+         * @param value           the record
+         * @param concernsFailure whether it reports a failure, or replaces a record that did
+         * @param storedNanos     time at which it was stored, in nanoseconds
          */
-        TrackedRecord(MemberRecord value, long storedNanos) {
+        TrackedRecord(MemberRecord value, boolean concernsFailure, long storedNanos) {
             this.value = value;
+            this.concernsFailure = concernsFailure;
             this.storedNanos = storedNanos;
         }
+
+        int transmissions(GossipRange range) {
+            return range == GossipRange.DOMAIN ? localTransmissions : remoteTransmissions;
+        }
+
+        void recordTransmission(GossipRange range) {
+            if (range == GossipRange.DOMAIN) {
+                localTransmissions++;
+            } else {
+                remoteTransmissions++;
+            }
+        }
     }
 }
--- a/mustardusher-core/src/test/java/io/mustardusher/membership/MemberTableTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/membership/MemberTableTest.java
@@ -88,7 +88,7 @@
     @Test
     void limitsTransmissionsOfEachUpdate() {
         int messages = 0;
-        while (!table.nextUpdates(10).isEmpty()) {
+        while (!table.nextUpdates(10, GossipRange.DOMAIN, List.of()).isEmpty()) {
             messages++;
         }
         assertThat(messages).isEqualTo(3);
@@ -133,8 +133,8 @@
                 if (target != null) {
                     MemberTable peer =
                             tables.get(Integer.parseInt(target.getId().substring(1)));
-                    peer.merge(each.nextUpdates(10));
-                    each.merge(peer.nextUpdates(10));
+                    peer.merge(each.nextUpdates(10, GossipRange.DOMAIN, List.of()));
+                    each.merge(peer.nextUpdates(10, GossipRange.DOMAIN, List.of()));
                     if (each.digest() != peer.digest()) {
                         each.merge(peer.randomPage(400));
                     }
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/bench/ControlCostBenchmark.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/bench/ControlCostBenchmark.java
@@ -33,6 +33,7 @@
 import io.mustardusher.generated.SuspectRecord;
 import io.mustardusher.generated.WitnessReply;
 import io.mustardusher.generated.WitnessRequest;
+import io.mustardusher.membership.GossipRange;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
 import io.mustardusher.result.ResultCode;
@@ -183,7 +184,7 @@
             return tables;
         });
         MemberTable table = tables.get(0);
-        while (!table.nextUpdates(MAX_UPDATES).isEmpty()) {
+        while (!table.nextUpdates(MAX_UPDATES, GossipRange.DOMAIN, List.of()).isEmpty()) {
             // discards all pending updates, so that rounds are measured in the steady state
         }
         Gossip quiet = message(List.of());
@@ -215,7 +216,7 @@
             }
             table.expire();
             table.nextProbeTarget();
-            Gossip sent = message(table.nextUpdates(MAX_UPDATES));
+            Gossip sent = message(table.nextUpdates(MAX_UPDATES, GossipRange.DOMAIN, List.of()));
             FrameCodec.sizeOf(sent);
             table.merge(received.getMembers());
         }
@@ -223,7 +224,7 @@
     }
 
     /**
-     * Simulates the propagation of a change of one record, with the same rule as {@link MemberTable#nextUpdates(int)}:
+     * Simulates the propagation of a change of one record, with the same rule as {@link MemberTable#nextUpdates}:
      * a node that has received the change includes it in a bounded number of messages, requests and replies alike.
      *
      * @param size number of nodes
--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/Gossiper.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/Gossiper.java
@@ -12,6 +12,7 @@
 import io.mustardusher.generated.Gossip;
 import io.mustardusher.generated.MemberRecord;
 import io.mustardusher.log.NodeLog;
+import io.mustardusher.membership.GossipRange;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
 import io.mustardusher.time.Clock;
@@ -23,8 +24,11 @@
  */
 public final class Gossiper {
 
-    /** Maximum number of member records in one message. */
-    private static final int MAX_UPDATES = 10;
+    /** Maximum number of member records in a message within the failure domain. */
+    private static final int MAX_LOCAL_UPDATES = 25;
+
+    /** Maximum number of member records in a message to another failure domain. */
+    private static final int MAX_REMOTE_UPDATES = 10;
 
     /** Maximum number of additional records in the answer to a request for the full member table. */
     private static final int MAX_FULL_RECORDS = 400;
@@ -35,12 +39,21 @@
     /** Timeout of a request to another node, in milliseconds. */
     private static final long REQUEST_TIMEOUT_MILLIS = 500;
 
-    /** Average number of full member tables that may be requested per second. */
+    /** Average number of full member tables that may be requested within the failure domain per second. */
     private static final double FULL_REQUESTS_PER_SECOND = 0.25;
 
-    /** Number of full member tables that may be requested in a burst. */
+    /** Number of full member tables that may be requested within the failure domain in a burst. */
     private static final double FULL_REQUEST_BURST = 10;
 
+    /**
+     * Average number of full member tables that may be requested from other failure domains per second. The members of
+     * a domain pass on what they receive, so together they need only a few.
+     */
+    private static final double REMOTE_FULL_REQUESTS_PER_SECOND = 0.05;
+
+    /** Share of the members to notify of a change that belong to this failure domain. */
+    private static final double LOCAL_SHARE_OF_NOTIFIED = 0.75;
+
     /** Number of rounds between two probes of failed members. */
     private static final int ROUNDS_PER_FAILED_PROBE = 5;
 
@@ -53,9 +66,12 @@
 
     private final SuspectReplicator suspects;
 
-    /** Rate limit for requests of full member tables. */
+    /** Rate limit for requests of full member tables within the failure domain. */
     private final TokenBucket fullRequests;
 
+    /** Rate limit for requests of full member tables from other failure domains. */
+    private final TokenBucket remoteFullRequests;
+
     /** Number of rounds so far. */
     private int rounds;
 
@@ -79,6 +95,7 @@
         this.configuration = configuration;
         this.suspects = suspects;
         this.fullRequests = new TokenBucket(clock, FULL_REQUESTS_PER_SECOND, FULL_REQUEST_BURST);
+        this.remoteFullRequests = new TokenBucket(clock, REMOTE_FULL_REQUESTS_PER_SECOND, 1);
     }
 
     /** Runs one round. Every few rounds it also probes a failed member, because a network partition may have healed. */
@@ -99,8 +116,11 @@
      * @return completes when all of them have responded or failed
      */
     public CompletableFuture<Void> sendToRandomMembers(int count) {
-        List<CompletableFuture<Gossip>> replies = members.randomMembers(count, "").stream()
-                .map(member -> send(CatalogueReplica.frameAddress(member), createMessage()))
+        int local = (int) Math.ceil(count * LOCAL_SHARE_OF_NOTIFIED);
+        List<MemberRecord> receivers = new ArrayList<>(members.randomMembers(local, GossipRange.DOMAIN));
+        receivers.addAll(members.randomMembers(count - receivers.size(), GossipRange.OTHER_DOMAINS));
+        List<CompletableFuture<Gossip>> replies = receivers.stream()
+                .map(member -> send(CatalogueReplica.frameAddress(member), createMessage(members.rangeTo(member))))
                 .toList();
         return CompletableFuture.allOf(replies.toArray(new CompletableFuture<?>[0]))
                 .exceptionally(failure -> null);
@@ -113,7 +133,25 @@
      * @return completes when the node has responded or the request has failed
      */
     public CompletableFuture<Void> requestFullTable(InetSocketAddress address) {
-        return send(address, createMessage().withFull(true)).handle((answer, failure) -> {
+        return exchange(address, createMessage(GossipRange.DOMAIN).withFull(true));
+    }
+
+    /**
+     * Announces this node to a node that may not know it, and merges its answer.
+     *
+     * @param address address at which the node accepts frames
+     * @return completes when the node has responded or the request has failed
+     */
+    public CompletableFuture<Void> announceTo(InetSocketAddress address) {
+        Gossip message = createMessage(GossipRange.OTHER_DOMAINS);
+        if (!message.getMembers().contains(members.self())) {
+            message.getMembers().add(members.self());
+        }
+        return exchange(address, message);
+    }
+
+    private CompletableFuture<Void> exchange(InetSocketAddress address, Gossip message) {
+        return send(address, message).handle((answer, failure) -> {
             if (failure == null) {
                 apply(answer);
             }
@@ -132,7 +170,9 @@
         if (request.getTarget() != null) {
             return probeOnBehalf(request.getTarget());
         }
-        Gossip answer = createMessage();
+        GossipRange range =
+                members.find(request.getFrom()).map(members::rangeTo).orElse(GossipRange.OTHER_DOMAINS);
+        Gossip answer = createMessage(range, request.getMembers());
         if (request.isFull()) {
             answer.setMembers(members.randomPage(MAX_FULL_RECORDS));
         }
@@ -145,7 +185,8 @@
      * @param member the member
      */
     private void probe(MemberRecord member) {
-        Gossip message = createMessage();
+        GossipRange range = members.rangeTo(member);
+        Gossip message = createMessage(range);
         if (MemberState.of(member) != MemberState.ALIVE) {
             message.getMembers().add(member);
         }
@@ -155,7 +196,8 @@
                 return;
             }
             apply(answer);
-            if (answer.getDigest() != members.digest() && fullRequests.tryTake()) {
+            TokenBucket budget = range == GossipRange.DOMAIN ? fullRequests : remoteFullRequests;
+            if (answer.getDigest() != members.digest() && budget.tryTake()) {
                 requestFullTable(CatalogueReplica.frameAddress(member));
             }
         });
@@ -168,7 +210,7 @@
      * @param member the member
      */
     private void probeFailed(MemberRecord member) {
-        Gossip message = createMessage();
+        Gossip message = createMessage(members.rangeTo(member));
         message.getMembers().add(member);
         send(CatalogueReplica.frameAddress(member), message).thenAccept(this::apply);
     }
@@ -182,7 +224,7 @@
         List<CompletableFuture<Boolean>> probes = members.randomMembers(INDIRECT_PROBES, member.getId()).stream()
                 .map(helper -> send(
                                 CatalogueReplica.frameAddress(helper),
-                                createMessage().withTarget(member.getId()))
+                                createMessage(members.rangeTo(helper)).withTarget(member.getId()))
                         .handle((answer, failure) -> failure == null && answer.getTarget() != null))
                 .toList();
         CompletableFuture.allOf(probes.toArray(new CompletableFuture<?>[0])).thenRun(() -> {
@@ -202,15 +244,16 @@
     private CompletableFuture<Gossip> probeOnBehalf(String id) {
         Optional<MemberRecord> member = members.find(id);
         if (member.isEmpty()) {
-            return CompletableFuture.completedFuture(createMessage());
+            return CompletableFuture.completedFuture(createMessage(GossipRange.OTHER_DOMAINS));
         }
-        return send(CatalogueReplica.frameAddress(member.get()), createMessage())
+        GossipRange range = members.rangeTo(member.get());
+        return send(CatalogueReplica.frameAddress(member.get()), createMessage(range))
                 .handle((answer, failure) -> {
                     if (failure != null) {
-                        return createMessage();
+                        return createMessage(range);
                     }
                     apply(answer);
-                    return createMessage().withTarget(id);
+                    return createMessage(range).withTarget(id);
                 });
     }
 
@@ -226,13 +269,20 @@
         suspects.addAll(message.getSuspects());
     }
 
+    private Gossip createMessage(GossipRange range) {
+        return createMessage(range, List.of());
+    }
+
     /**
      * Creates a message with this node's pending updates.
      *
+     * @param range  where the message goes
+     * @param except records that the receiver has just sent itself
      * @return the message
      */
-    private Gossip createMessage() {
-        List<MemberRecord> records = new ArrayList<>(members.nextUpdates(MAX_UPDATES));
+    private Gossip createMessage(GossipRange range, List<MemberRecord> except) {
+        int max = range == GossipRange.DOMAIN ? MAX_LOCAL_UPDATES : MAX_REMOTE_UPDATES;
+        List<MemberRecord> records = new ArrayList<>(members.nextUpdates(max, range, except));
         return new Gossip()
                 .withFrom(members.self().getId())
                 .withRevision(configuration.revision())
--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -28,11 +29,14 @@
     /** Key prefix of the rows. */
     private static final String ROW_PREFIX = "nodes/";
 
-    /** Maximum number of rows read. */
-    private static final int SCAN_LIMIT = 64;
+    /** Maximum number of rows read at once: what the table service returns at most. */
+    private static final int SCAN_LIMIT = 500;
 
-    /** Maximum number of nodes contacted. */
-    private static final int MAX_CONTACTED = 5;
+    /** Maximum number of nodes of this failure domain whose full member tables are requested. */
+    private static final int MAX_LOCAL_CONTACTS = 3;
+
+    /** Maximum number of nodes of other failure domains that this node announces itself to. */
+    private static final int MAX_REMOTE_CONTACTS = 2;
 
     private final TableService table;
 
@@ -78,7 +82,7 @@
             return CompletableFuture.completedFuture(null);
         }
         MemberRecord self = members.self();
-        Address address = new Address(self.getHost(), (int) self.getFramePort(), self.getBoot());
+        Address address = new Address(self.getHost(), (int) self.getFramePort(), self.getBoot(), domainOf(self));
         Transaction write = Transaction.builder()
                 .put(ROW_PREFIX + self.getId(), Schema.write(address))
                 .build();
@@ -117,11 +121,10 @@
      * @return completes when all of them have responded or failed
      */
     public CompletableFuture<Void> discover() {
-        String start = ROW_PREFIX + (char) ('0' + random.nextInt('z' - '0'));
-        CompletableFuture<List<Row>> rows = table.scan(ROW_PREFIX, start, SCAN_LIMIT)
-                .thenCompose(found -> found.size() == SCAN_LIMIT
+        CompletableFuture<List<Row>> rows = table.scan(ROW_PREFIX, "", SCAN_LIMIT)
+                .thenCompose(found -> found.size() < SCAN_LIMIT
                         ? CompletableFuture.completedFuture(found)
-                        : table.scan(ROW_PREFIX, "", SCAN_LIMIT))
+                        : table.scan(ROW_PREFIX, randomStart(found), SCAN_LIMIT))
                 .exceptionally(failure -> {
                     NodeLog.LOG.storeFailed("peer discovery", String.valueOf(failure.getMessage()));
                     return List.of();
@@ -129,8 +132,16 @@
         return rows.thenCompose(this::contactSome);
     }
 
+    // Without it, nodes of a large deployment would contact the first ones only.
+    private String randomStart(List<Row> first) {
+        return random.nextBoolean()
+                ? first.get(first.size() - 1).key()
+                : ROW_PREFIX + members.self().getId();
+    }
+
     /**
-     * Contacts a few random nodes.
+     * Contacts a few random nodes: requests the tables of some in this failure domain, and announces this node to some
+     * in others. Without nodes in this domain, the others are asked for their tables.
      *
      * @param rows rows of the table service
      * @return completes when all of them have responded or failed
@@ -138,17 +149,35 @@
     private CompletableFuture<Void> contactSome(List<Row> rows) {
         MemberRecord self = members.self();
         InetSocketAddress own = new InetSocketAddress(self.getHost(), (int) self.getFramePort());
-        List<InetSocketAddress> addresses = new ArrayList<>(seeds);
-        rows.forEach(row ->
-                parse(row).ifPresent(address -> addresses.add(new InetSocketAddress(address.host, address.framePort))));
-        addresses.removeIf(own::equals);
-        Collections.shuffle(addresses, random);
-        List<CompletableFuture<Void>> contacts = addresses.stream()
-                .distinct()
-                .limit(MAX_CONTACTED)
-                .map(gossiper::requestFullTable)
-                .toList();
-        return CompletableFuture.allOf(contacts.toArray(new CompletableFuture<?>[0]));
+        List<InetSocketAddress> local = new ArrayList<>();
+        List<InetSocketAddress> remote = new ArrayList<>(seeds);
+        List<Row> shuffled = new ArrayList<>(rows);
+        Collections.shuffle(shuffled, random);
+        Collections.shuffle(remote, random);
+        for (Row row : shuffled) {
+            if (local.size() >= MAX_LOCAL_CONTACTS && remote.size() >= MAX_REMOTE_CONTACTS) {
+                break;
+            }
+            parse(row).ifPresent(address -> {
+                boolean sameDomain = domainOf(self).equals(address.domain);
+                (sameDomain ? local : remote).add(new InetSocketAddress(address.host, address.framePort));
+            });
+        }
+        local.removeIf(own::equals);
+        remote.removeIf(own::equals);
+        boolean alone = local.isEmpty();
+        int remoteContacts = alone ? MAX_LOCAL_CONTACTS + MAX_REMOTE_CONTACTS : MAX_REMOTE_CONTACTS;
+        Stream<CompletableFuture<Void>> contacts = Stream.concat(
+                local.stream().distinct().limit(MAX_LOCAL_CONTACTS).map(gossiper::requestFullTable),
+                remote.stream()
+                        .distinct()
+                        .limit(remoteContacts)
+                        .map(address -> alone ? gossiper.requestFullTable(address) : gossiper.announceTo(address)));
+        return CompletableFuture.allOf(contacts.toArray(CompletableFuture<?>[]::new));
+    }
+
+    private static String domainOf(MemberRecord member) {
+        return member.getRegion() + '/' + member.getDomain();
     }
 
     /**
@@ -163,7 +192,8 @@
             return Optional.of(new Address(
                     tree.path("host").asText(),
                     tree.path("framePort").asInt(),
-                    tree.path("boot").asLong()));
+                    tree.path("boot").asLong(),
+                    tree.path("domain").asText()));
         } catch (JsonProcessingException e) {
             return Optional.empty();
         }
@@ -191,6 +221,7 @@
      * @param host      IP address of the node
      * @param framePort TCP port for frames
      * @param boot      start time of its process, in milliseconds since the Unix epoch
+     * @param domain    region and failure domain of the node; empty in rows of an earlier version
      */
-    private record Address(String host, int framePort, long boot) {}
+    private record Address(String host, int framePort, long boot, String domain) {}
 }
