--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -191,8 +191,9 @@
     CompletableFuture<Void> start() {
         long gossip = settings.getGossipIntervalMillis();
         repeat(this::discoverPeers, DISCOVERY_INTERVAL_MILLIS / 2, DISCOVERY_INTERVAL_MILLIS);
-        repeat(gossiper::tick, gossip, gossip);
-        CoalescingTask refresh = new CoalescingTask(timers, DIRECTORY_REFRESH_MILLIS, directory::refresh);
+        // On the event loop, which sends the messages: another thread would have to wake it up.
+        group.next().scheduleWithFixedDelay(logFailures(gossiper::tick), gossip, gossip, TimeUnit.MILLISECONDS);
+        CoalescingTask refresh = new CoalescingTask(group.next(), DIRECTORY_REFRESH_MILLIS, directory::refresh);
         members.onChange(refresh::request);
         refresh.request();
         return discovery.register().thenCompose(registered -> discovery.discover());
@@ -276,14 +277,17 @@
      * @param intervalMillis delay between two runs, in milliseconds
      */
     void repeat(Runnable task, long delayMillis, long intervalMillis) {
-        Runnable safe = () -> {
+        timers.scheduleWithFixedDelay(logFailures(task), delayMillis, intervalMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private static Runnable logFailures(Runnable task) {
+        return () -> {
             try {
                 task.run();
             } catch (RuntimeException e) {
                 NodeLog.LOG.warn("scheduled task failed", e);
             }
         };
-        timers.scheduleWithFixedDelay(safe, delayMillis, intervalMillis, TimeUnit.MILLISECONDS);
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -159,7 +159,9 @@
                 BufferedServerLink.toService(core.group(), localServer.address(), clock),
                 serverTracker);
         core.repeatWhile(probe::tick, InitialServerProbe.INTERVAL_MILLIS);
-        core.gate().pollDeferredCalls(new CoalescingTask(core.timers(), GATE_POLL_MILLIS, core.gate()::poll)::request);
+        core.gate()
+                .pollDeferredCalls(
+                        new CoalescingTask(core.group().next(), GATE_POLL_MILLIS, core.gate()::poll)::request);
         core.start();
         NodeLog.LOG.started(settings.getId(), settings.getFailureDomain());
     }
