Give up responses without end, within one budget of memory

Servers in trouble may send bytes that are no response without end, in a head or in a body, until the caller closes. Read in the code: a body was buffered up to 8 MiB on each connection, without a bound over all of them, in a heap of 64 MiB; informational responses and the body of a response to another request were read past without a bound, until the deadline of the call.

Change: the bodies of all connections share 16 MiB, at most eight informational responses and 1 MiB of a foreign response are read past, and whatever exceeds a bound closes the connection at once.

--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -69,6 +69,8 @@
 
     private volatile Function<String, String> healthPaths = service -> "/";
 
+    private final MetricRegistry metrics;
+
     private final Timer callTimer;
 
     /** The backend server; {@code null} before its first announcement. */
@@ -106,6 +108,7 @@
         this.probeBudget = new TokenBucket(clock, 0, 0);
         this.admission = admission;
         this.eventLoopDelay = eventLoopDelay;
+        this.metrics = metrics;
         this.callTimer = metrics.timer("gate.calls");
         metrics.gauge("gate.busy", () -> () -> load().busy());
         metrics.gauge("gate.queued", () -> () -> load().queued());
@@ -177,6 +180,15 @@
         }
     }
 
+    /**
+     * Counts a response of the backend server that was given up. The log line of its call names the reason.
+     *
+     * @param label label of the reason
+     */
+    public void recordResponseFault(String label) {
+        metrics.counter("gate.responseFaults." + label).inc();
+    }
+
     private void recordHint(InstanceConditions received) {
         if (conditions.recordHint(received, clock.nanoTime())) {
             applyConditions(received.instance());
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -39,6 +39,7 @@
 import io.mustardusher.route.RouteTable;
 import io.mustardusher.server.BufferedServerLink;
 import io.mustardusher.server.ReportedServerLoad;
+import io.mustardusher.server.ResponseFault;
 import io.mustardusher.server.ServerReports;
 import io.mustardusher.store.TableService;
 import io.mustardusher.time.Clock;
@@ -270,6 +271,11 @@
         public void onConditions(String instance, ServerConditions conditions, long sentNanos) {
             gate.get().recordConditions(instance, conditions, sentNanos);
         }
+
+        @Override
+        public void onResponseFault(ResponseFault fault) {
+            gate.get().recordResponseFault(fault.label());
+        }
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -63,6 +63,7 @@
     private final ServerReports reports;
     private final Clock clock;
     private final Deque<ServerConnection> idleConnections = new ArrayDeque<>();
+    private final ResponseBuffer.Budget bufferBudget = new ResponseBuffer.Budget();
     private boolean closed;
 
     private BufferedServerLink(
@@ -179,6 +180,15 @@
         });
     }
 
+    /**
+     * Returns the memory that the responses of all connections share.
+     *
+     * @return the budget
+     */
+    ResponseBuffer.Budget bufferBudget() {
+        return bufferBudget;
+    }
+
     /**
      * Returns a connection to the idle connections, or closes it if this link is closed.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -1,6 +1,5 @@
 package io.mustardusher.server;
 
-import java.io.ByteArrayOutputStream;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -34,8 +33,11 @@
 /** A connection to a backend server, which carries one exchange at a time. */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
 
-    /** Maximum size of a buffered response body, in bytes: an eighth of a node's heap. */
-    private static final int MAX_BODY_BYTES = 8 << 20;
+    /** Maximum number of informational responses before a response. */
+    private static final int MAX_INTERIM_RESPONSES = 8;
+
+    /** Maximum size of what is read past between two responses to own requests, in bytes. */
+    private static final int MAX_DISCARDED_BYTES = 1 << 20;
 
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
     private static final int MILLIS_PER_SECOND = 1_000;
@@ -46,7 +48,12 @@
     private ServerExchange exchange;
     private ResponseHeaders headers;
     private ResponseKind kind;
-    private ByteArrayOutputStream body;
+    private ResponseBuffer body;
+    private int interimResponses;
+    private int discardedBytes;
+
+    /** Why the response was given up; {@code null} if it was not. */
+    private ResponseFault fault;
 
     /** Whether the current response is informational or mismatched, so that its content is discarded. */
     private boolean discarding;
@@ -83,6 +90,8 @@
         headers = null;
         body = null;
         closeDelimited = false;
+        interimResponses = 0;
+        discardedBytes = 0;
         RequestHeaders requestHeaders = next.assign(this, request.headers(), instance, remainingNanos);
         ByteBuf content = request.content().isEmpty()
                 ? Unpooled.EMPTY_BUFFER
@@ -112,6 +121,9 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
+            if (broken) {
+                return;
+            }
             if (message instanceof HttpResponse response) {
                 handleResponseHead(response);
             }
@@ -133,12 +145,13 @@
     public void channelInactive(ChannelHandlerContext context) {
         link.remove(this);
         if (exchange == null) {
+            releaseBody();
             return;
         }
         if (closeDelimited && !broken && headers != null) {
             finish();
         } else {
-            fail("the backend server closed the connection");
+            fail(fault == null ? "the backend server closed the connection" : fault.description());
         }
     }
 
@@ -146,13 +159,16 @@
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (informational && response.decoderResult().isSuccess()) {
             discarding = true;
+            interimResponses++;
+            if (interimResponses > MAX_INTERIM_RESPONSES) {
+                giveUp(ResponseFault.ENDLESS_INTERIM);
+            }
             return;
         }
         if (exchange == null || response.decoderResult().isFailure()) {
             // Invalid, or without a request: further responses could not be matched to their requests.
             reusable = false;
-            broken = true;
-            channel.close();
+            giveUp(ResponseFault.MALFORMED_HEAD);
             return;
         }
         ResponseHeaders received = convertHeaders(response);
@@ -164,7 +180,7 @@
         }
         headers = received;
         kind = receivedKind;
-        body = new ByteArrayOutputStream();
+        body = new ResponseBuffer(link.bufferBudget());
         closeDelimited = !HttpUtil.isContentLengthSet(response)
                 && !HttpUtil.isTransferEncodingChunked(response)
                 && response.status().code() != 204
@@ -175,22 +191,25 @@
 
     private void handleContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
+        if (content.decoderResult().isFailure()) {
+            giveUp(ResponseFault.MALFORMED_BODY);
+            return;
+        }
         if (discarding) {
             discarding = !last;
+            discardedBytes += content.content().readableBytes();
+            if (discardedBytes > MAX_DISCARDED_BYTES) {
+                giveUp(ResponseFault.ENDLESS_MISMATCH);
+            }
             return;
         }
         if (exchange == null || headers == null) {
             return;
         }
-        if (content.decoderResult().isFailure()
-                || body.size() + content.content().readableBytes() > MAX_BODY_BYTES) {
-            broken = true;
-            channel.close();
+        if (!body.add(content.content())) {
+            giveUp(ResponseFault.BODY_TOO_LONG);
             return;
         }
-        byte[] bytes = new byte[content.content().readableBytes()];
-        content.content().readBytes(bytes);
-        body.writeBytes(bytes);
         if (last && !closeDelimited) {
             finish();
         }
@@ -200,7 +219,7 @@
         ServerExchange ended = exchange;
         exchange = null;
         lastUsedNanos = clock.nanoTime();
-        HttpData completeBody = HttpData.wrap(body.toByteArray());
+        HttpData completeBody = body.complete();
         body = null;
         if (reusable && channel.isActive()) {
             link.release(this);
@@ -213,9 +232,30 @@
     private void fail(String detail) {
         ServerExchange ended = exchange;
         exchange = null;
+        releaseBody();
         ended.fail(ResultCode.CONNECTION_LOST, detail);
     }
 
+    // Closes the connection at once; what follows on it could not be matched to a request.
+    private void giveUp(ResponseFault found) {
+        if (broken) {
+            return;
+        }
+        broken = true;
+        fault = found;
+        if (exchange != null) {
+            exchange.reportFault(found);
+        }
+        channel.close();
+    }
+
+    private void releaseBody() {
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+
     private static ResponseHeaders convertHeaders(HttpResponse response) {
         ResponseHeadersBuilder converted =
                 ResponseHeaders.builder(response.status().code());
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -70,6 +70,11 @@
         return request;
     }
 
+    // Reports why the response is given up.
+    void reportFault(ResponseFault fault) {
+        reports.onResponseFault(fault);
+    }
+
     // Classifies the response by its headers and reports what the server states in it.
     ServerDialect.ResponseKind classify(ResponseHeaders headers) {
         ServerDialect.ResponseKind kind =
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerReports.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerReports.java
@@ -21,6 +21,13 @@
      */
     void onConditions(String instance, ServerConditions conditions, long sentNanos);
 
+    /**
+     * Handles a response that was given up because it is malformed or has no end.
+     *
+     * @param fault why it was given up
+     */
+    void onResponseFault(ResponseFault fault);
+
     /** Ignores all reports. */
     enum Discarding implements ServerReports {
         /** The only instance. */
@@ -35,5 +42,10 @@
         public void onConditions(String instance, ServerConditions conditions, long sentNanos) {
             // not needed
         }
+
+        @Override
+        public void onResponseFault(ResponseFault fault) {
+            // not needed
+        }
     }
 }
--- a/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
@@ -6,7 +6,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -14,13 +13,10 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
-import com.linecorp.armeria.common.RequestHeadersBuilder;
-import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.util.EventLoopGroups;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.generated.Announcement;
-import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
@@ -215,34 +211,4 @@
         }
         return head.toString();
     }
-
-    /** Dialect of servers that echo the header {@code id} of the request. */
-    private enum EchoDialect implements ServerDialect {
-        INSTANCE;
-
-        @Override
-        public RequestHeaders requestHeaders(RequestHeadersBuilder call, String instance, long remainingNanos) {
-            return call.build();
-        }
-
-        @Override
-        public ResponseKind classify(RequestHeaders request, ResponseHeaders response) {
-            return request.get("id").equals(response.get("id")) ? ResponseKind.RAN : ResponseKind.MISMATCHED;
-        }
-
-        @Override
-        public ServerConditions conditions(ResponseHeaders response) {
-            return ServerConditions.NONE;
-        }
-
-        @Override
-        public Optional<String> instance(ResponseHeaders response) {
-            return Optional.empty();
-        }
-
-        @Override
-        public Optional<ReportedServerLoad> load(ResponseHeaders response) {
-            return Optional.empty();
-        }
-    }
 }
--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
@@ -0,0 +1,38 @@
+package io.mustardusher.server;
+
+import java.util.Optional;
+
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.instance.ServerConditions;
+
+/** Dialect of servers that echo the header {@code id} of the request. */
+enum EchoDialect implements ServerDialect {
+    INSTANCE;
+
+    @Override
+    public RequestHeaders requestHeaders(RequestHeadersBuilder call, String instance, long remainingNanos) {
+        return call.build();
+    }
+
+    @Override
+    public ResponseKind classify(RequestHeaders request, ResponseHeaders response) {
+        return request.get("id").equals(response.get("id")) ? ResponseKind.RAN : ResponseKind.MISMATCHED;
+    }
+
+    @Override
+    public ServerConditions conditions(ResponseHeaders response) {
+        return ServerConditions.NONE;
+    }
+
+    @Override
+    public Optional<String> instance(ResponseHeaders response) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<ReportedServerLoad> load(ResponseHeaders response) {
+        return Optional.empty();
+    }
+}
