Compare servers of the own failure domain first in large pools

Load pattern: a service has more servers than are compared for one call. The choice by cost looked at twelve neighbours in the order of a hash table, from a random start: of 38 servers in five domains two or three of the own one, at times none, and entries with overlapping windows chose alike. Calls left the domain for want of a candidate in it.

Pools are now sorted by distance. Beyond twelve servers, eight random ones of the own domain and four of the others are compared; up to twelve, all are, as before. Test: callsStayInFailureDomainWhileItsServersAreIdle with 14, 38 and 130 servers; at 130 it failed before.

--- a/mustardusher-core/src/main/java/io/mustardusher/routing/RoutingPolicy.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/RoutingPolicy.java
@@ -74,9 +74,15 @@
      */
     private static final double PREFERENCE_RATIO = 1.25;
 
-    /** Maximum number of servers that are compared by cost. */
+    /** Number of servers up to which all are compared by cost. */
     private static final int MAX_COST_CANDIDATES = 12;
 
+    /** Number of servers of the own failure domain that are compared by cost in a larger pool. */
+    private static final int NEAR_COST_CANDIDATES = 8;
+
+    /** Number of servers of other failure domains that are compared by cost in a larger pool. */
+    private static final int FAR_COST_CANDIDATES = 4;
+
     /** Name in catalogue documents. */
     private final String token;
 
@@ -159,7 +165,9 @@
             ServerPool pool, ExcludedServers excluded, RandomGenerator random, long now, double crossDomainCost);
 
     /**
-     * Chooses the server of the least cost among a bounded number of servers, starting at a random index.
+     * Chooses the server of the least cost. In a large pool, random servers of the own failure domain and of the others
+     * are compared: few of a sample of all would belong to the own one, and entries that compare neighbours in the same
+     * order would choose alike.
      *
      * @param pool            servers of the service, at least one
      * @param excluded        servers that are not chosen
@@ -170,12 +178,21 @@
      */
     private static int pickByCost(
             ServerPool pool, ExcludedServers excluded, RandomGenerator random, long now, double crossDomainCost) {
+        int near = pool.nearCount();
+        int far = pool.size() - near;
+        boolean compareAll = pool.size() <= MAX_COST_CANDIDATES;
+        int nearCandidates = compareAll ? near : Math.min(near, NEAR_COST_CANDIDATES);
+        int farCandidates = compareAll ? far : Math.min(far, FAR_COST_CANDIDATES);
         long minRoundTripNanos = pool.minRoundTripNanos();
         int best = -1;
         double bestCost = Double.MAX_VALUE;
-        int start = random.nextInt(pool.size());
-        for (int i = 0; i < Math.min(pool.size(), MAX_COST_CANDIDATES); i++) {
-            int index = pool.findHealthy((start + i) % pool.size(), excluded, now);
+        int nearStart = random.nextInt(near);
+        int farStart = far == 0 ? 0 : random.nextInt(far);
+        for (int i = 0; i < nearCandidates + farCandidates; i++) {
+            int start = i < nearCandidates
+                    ? candidate(nearStart, i, near, nearCandidates, random)
+                    : near + candidate(farStart, i - nearCandidates, far, farCandidates, random);
+            int index = pool.findHealthy(start, excluded, now);
             if (index < 0) {
                 return -1;
             }
@@ -188,6 +205,11 @@
         return best;
     }
 
+    // Returns each index in turn if all are compared, and random ones otherwise.
+    private static int candidate(int start, int number, int size, int candidates, RandomGenerator random) {
+        return candidates == size ? (start + number) % size : random.nextInt(size);
+    }
+
     /**
      * Chooses the next server in turn, or one of a few random servers if its estimated response time is much shorter.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
@@ -1,6 +1,8 @@
 package io.mustardusher.routing;
 
+import java.util.Arrays;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
@@ -17,8 +19,12 @@
     /** Fraction of the servers that may be skipped because they are ejected or on trial. */
     private static final double MAX_EJECTED_FRACTION = 0.5;
 
+    /** The servers, the nearest ones first. */
     private final ServerLoad[] servers;
 
+    /** Number of servers that are as near as the nearest one. */
+    private final int nearCount;
+
     /** Starts at a random value, so that entries do not choose the same servers in step after a change. */
     private final AtomicInteger roundRobinCounter;
 
@@ -29,6 +35,7 @@
      */
     private ServerPool(ServerLoad[] servers) {
         this.servers = servers;
+        this.nearCount = countNearest(servers);
         this.roundRobinCounter = new AtomicInteger(ThreadLocalRandom.current().nextInt());
     }
 
@@ -39,7 +46,9 @@
      * @return the pool
      */
     public static ServerPool of(Collection<ServerLoad> servers) {
-        return new ServerPool(servers.toArray(new ServerLoad[0]));
+        ServerLoad[] sorted = servers.toArray(new ServerLoad[0]);
+        Arrays.sort(sorted, Comparator.comparingLong(ServerLoad::roundTripNanos));
+        return new ServerPool(sorted);
     }
 
     /**
@@ -181,11 +190,24 @@
      * @return time in nanoseconds
      */
     long minRoundTripNanos() {
-        long min = Long.MAX_VALUE;
-        for (ServerLoad server : servers) {
-            min = Math.min(min, server.roundTripNanos());
+        return servers.length == 0 ? Long.MAX_VALUE : servers[0].roundTripNanos();
+    }
+
+    /**
+     * Returns the number of servers with the shortest round-trip time. They have the lowest indexes.
+     *
+     * @return the number
+     */
+    int nearCount() {
+        return nearCount;
+    }
+
+    private static int countNearest(ServerLoad... sorted) {
+        int count = 0;
+        while (count < sorted.length && sorted[count].roundTripNanos() == sorted[0].roundTripNanos()) {
+            count++;
         }
-        return min;
+        return count;
     }
 
     /**
--- a/mustardusher-core/src/test/java/io/mustardusher/routing/RoutingPolicyTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/routing/RoutingPolicyTest.java
@@ -1,6 +1,7 @@
 package io.mustardusher.routing;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 
@@ -9,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -45,6 +47,46 @@
         assertThat(policy.choose(pool, excluded, random, NOW)).isNull();
     }
 
+    /**
+     * Load pattern: a service has servers in several failure domains, more than are compared for one call. Calls that
+     * leave the domain although servers of the own one are idle cost traffic for nothing.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {14, 38, 130})
+    void callsStayInFailureDomainWhileItsServersAreIdle(int size) {
+        List<ServerLoad> near = new ArrayList<>();
+        ServerPool pool = poolInFiveDomains(size, near);
+        for (int i = 0; i < CALLS; i++) {
+            assertThat(near).contains(RoutingPolicy.LEAST_COST.choose(pool, new ExcludedServers(), random, NOW, 0.2));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {14, 38, 130})
+    void callsLeaveFailureDomainWhenItsServersAreFull(int size) {
+        List<ServerLoad> near = new ArrayList<>();
+        ServerPool pool = poolInFiveDomains(size, near);
+        near.forEach(server -> server.update(new LoadReport(10, 20, 10, 8_000, false), NOW));
+        for (int i = 0; i < CALLS; i++) {
+            assertThat(near)
+                    .doesNotContain(RoutingPolicy.LEAST_COST.choose(pool, new ExcludedServers(), random, NOW, 0.2));
+        }
+    }
+
+    private ServerPool poolInFiveDomains(int size, List<ServerLoad> near) {
+        for (int i = 0; i < size; i++) {
+            boolean isNear = i % 5 == 3;
+            ServerLoad server = new ServerLoad(NodeId.of("node-" + i), 10, isNear ? 100 : 500, 0);
+            server.update(new LoadReport(0, 0, 10, 8_000, false), NOW);
+            servers.add(server);
+            if (isNear) {
+                near.add(server);
+            }
+        }
+        Collections.shuffle(servers, random);
+        return ServerPool.of(servers);
+    }
+
     @Test
     void slowServerIsAvoided() {
         ServerPool pool = pool(5);
