--- a/mustardusher-core/src/main/java/io/mustardusher/membership/MemberTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/membership/MemberTable.java
@@ -92,8 +92,8 @@
     }
 
     /**
-     * Sets the listener for changes. It is called while the lock of the table is held, so it must neither block nor call
-     * another component that uses the table.
+     * Sets the listener for changes. It is called while the lock of the table is held, so it must neither block nor
+     * call another component that uses the table.
      *
      * @param listener called after each change of the version
      */
