Close a draining connection behind its newest request, and check limits twice

Responses are sent in order, so the newest request may close the connection; what comes behind it is not handled.

HttpListenerTest.answersBeforeBodyIsCompleteAndCloses failed once, too: the test sent the rest of the body before it had read the response, and a body that is complete first rightly leaves the connection open. It reads first now.

A limit of time has to be exceeded at two checks in a row. After a pause of the node the first check runs before the bytes that arrived in time are read.

--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -79,6 +79,9 @@
     /** Whether a part of a header block has arrived, but not its end. */
     private boolean headIncomplete;
 
+    /** Whether a limit was exceeded at the last check and nothing has arrived since. */
+    private boolean overdue;
+
     private long headStartNanos;
     private long lastActiveNanos;
 
@@ -100,6 +103,7 @@
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) {
                 lastActiveNanos = clock.nanoTime();
+                overdue = false;
                 if (receiving == null && !headIncomplete) {
                     headIncomplete = true;
                     headStartNanos = lastActiveNanos;
@@ -114,7 +118,10 @@
         channel.close();
     }
 
-    /** Closes the connection if a header block takes too long or if it has been idle for too long. */
+    /**
+     * Closes the connection if a header block takes too long or if it has been idle for too long, at two checks in a row:
+     * after a pause of this node, what has arrived in time is read between them.
+     */
     void checkTimeouts() {
         long now = clock.nanoTime();
         if (receiving != null) {
@@ -126,12 +133,18 @@
             return;
         }
         RequestLimits current = limits.get();
-        if (headIncomplete && exceeds(now - headStartNanos, current.headerTimeoutMillis())) {
-            reject(HttpResponseStatus.REQUEST_TIMEOUT);
+        boolean wasOverdue = overdue;
+        if (headIncomplete) {
+            overdue = channel.config().isAutoRead() && exceeds(now - headStartNanos, current.headerTimeoutMillis());
+        } else {
+            overdue = pending.isEmpty() && exceeds(now - lastActiveNanos, current.idleTimeoutMillis());
+        }
+        if (!overdue || !wasOverdue) {
             return;
         }
-        boolean idle = pending.isEmpty() && !headIncomplete;
-        if (idle && exceeds(now - lastActiveNanos, current.idleTimeoutMillis())) {
+        if (headIncomplete) {
+            reject(HttpResponseStatus.REQUEST_TIMEOUT);
+        } else {
             channel.close();
         }
     }
@@ -316,10 +329,9 @@
 
         @Override
         public void closeAfterResponse() {
-            if (pending.peekFirst() == this) {
-                closeAfter = true;
-                closing = true;
-            }
+            // Responses to earlier requests are sent before, and later requests are not handled.
+            closeAfter = true;
+            closing = true;
         }
 
         @Override
--- a/mustardusher-node/src/main/java/io/mustardusher/http/RequestExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/RequestExchange.java
@@ -29,7 +29,10 @@
      */
     boolean isUnanswerable();
 
-    /** Closes the connection after the response, unless responses to earlier requests are outstanding. */
+    /**
+     * Closes the connection after the response. A connection that cannot hold back the requests behind this one stays
+     * open if responses to earlier requests are outstanding.
+     */
     void closeAfterResponse();
 
     /** Signals that the response is complete, so that only its transmission remains. */
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/PipelinedCallsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/PipelinedCallsTest.java
@@ -1,10 +1,8 @@
 package io.mustardusher.entry;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
@@ -35,6 +33,7 @@
 import io.mustardusher.frame.CallMessage;
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.frame.Peers;
+import io.mustardusher.http.CallerSocket;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.routing.RoutingPolicy;
@@ -57,15 +56,14 @@
     private final HeldGate gate = new HeldGate();
     private Entry entry;
     private Server server;
-    private Socket caller;
+    private CallerSocket caller;
 
     @BeforeEach
     void start() throws IOException {
         Router router = RouterFixture.create(clock, timers, packing, gate, List.of(true));
         entry = new Entry(
                 router, null, new PlainProtocol(), call -> {}, new EventLoopDelay(clock), clock, new MetricRegistry());
-        caller = new Socket(InetAddress.getLoopbackAddress(), open(entry));
-        caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+        caller = new CallerSocket(open(entry));
     }
 
     @AfterEach
@@ -100,7 +98,7 @@
         third.answer();
         second.answer();
         first.answer();
-        String answers = readUntil("body of /c");
+        String answers = caller.readUntil("body of /c");
         assertThat(answers.indexOf("body of /a")).isLessThan(answers.indexOf("body of /b"));
         assertThat(answers.indexOf("body of /b")).isLessThan(answers.indexOf("body of /c"));
     }
@@ -130,7 +128,7 @@
         }
         assertThat(gate.calls.poll(200, TimeUnit.MILLISECONDS)).isNull();
         calls[0].answer();
-        readUntil("body of /0");
+        caller.readUntil("body of /0");
         gate.next();
     }
 
@@ -142,7 +140,7 @@
         HeldCall first = gate.next();
         send("/b", "/c");
         first.answer();
-        String answers = readAll();
+        String answers = caller.readAll();
         assertThat(answers).contains("body of /a");
         assertThat(answers.toLowerCase(Locale.ROOT)).contains("connection: close");
         assertThat(answers).doesNotContain("body of /b");
@@ -159,14 +157,11 @@
         send("/c");
         first.answer();
         second.answer();
-        HeldCall third = gate.calls.poll(1, TimeUnit.SECONDS);
-        if (third != null) {
-            third.answer();
-        }
-        String answers = readAll();
+        gate.next().answer();
+        String answers = caller.readAll();
         assertThat(answers).contains("body of /a");
         assertThat(answers).contains("body of /b");
-        assertThat(answers.contains("body of /c")).isEqualTo(third != null);
+        assertThat(answers).contains("body of /c");
     }
 
     private void send(String... paths) throws IOException {
@@ -174,24 +169,7 @@
         for (String path : paths) {
             requests.append("GET ").append(path).append(" HTTP/1.1\r\nHost: s\r\n\r\n");
         }
-        caller.getOutputStream().write(requests.toString().getBytes(StandardCharsets.US_ASCII));
-    }
-
-    private String readUntil(String end) throws IOException {
-        StringBuilder text = new StringBuilder();
-        InputStream in = caller.getInputStream();
-        while (text.indexOf(end) < 0) {
-            int next = in.read();
-            if (next < 0) {
-                throw new AssertionError("the connection ended after: " + text);
-            }
-            text.append((char) next);
-        }
-        return text.toString();
-    }
-
-    private String readAll() throws IOException {
-        return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        caller.send(requests.toString());
     }
 
     private static final class PlainProtocol implements CallerProtocol {
--- a/mustardusher-node/src/test/java/io/mustardusher/http/HttpListenerTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/HttpListenerTest.java
@@ -1,12 +1,10 @@
 package io.mustardusher.http;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.net.SocketException;
-import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -38,13 +36,12 @@
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final HttpListener listener = new HttpListener(group, clock);
     private final BlockingQueue<Received> received = new LinkedBlockingQueue<>();
-    private Socket sender;
+    private CallerSocket sender;
 
     @BeforeEach
     void connect() throws IOException {
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        sender = new Socket(InetAddress.getLoopbackAddress(), listener.bind(any, this::receive, () -> LIMITS));
-        sender.setSoTimeout(WAIT_MILLIS);
+        sender = new CallerSocket(listener.bind(any, this::receive, () -> LIMITS));
     }
 
     @AfterEach
@@ -56,19 +53,19 @@
 
     @Test
     void answersRequestsOnOneConnection() throws Exception {
-        send("GET /a HTTP/1.1\r\nHost: s\r\n\r\n");
+        sender.send("GET /a HTTP/1.1\r\nHost: s\r\n\r\n");
         next().answer("first");
-        assertThat(readUntil("first")).startsWith("HTTP/1.1 200 OK\r\n");
-        send("GET /b HTTP/1.1\r\nHost: s\r\n\r\n");
+        assertThat(sender.readUntil("first")).startsWith("HTTP/1.1 200 OK\r\n");
+        sender.send("GET /b HTTP/1.1\r\nHost: s\r\n\r\n");
         next().answer("second");
-        assertThat(readUntil("second")).contains("content-length: 6\r\n");
+        assertThat(sender.readUntil("second")).contains("content-length: 6\r\n");
     }
 
     @Test
     void collectsBodyInChunks() throws Exception {
-        send("POST /a HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+        sender.send("POST /a HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
         assertThat(received.poll(50, TimeUnit.MILLISECONDS)).isNull();
-        send("4\r\ndefg\r\n0\r\n\r\n");
+        sender.send("4\r\ndefg\r\n0\r\n\r\n");
         Received request = next();
         assertThat(request.aggregated().contentUtf8()).isEqualTo("abcdefg");
         assertThat(request.request.headers().contentLength()).isEqualTo(7);
@@ -78,11 +75,11 @@
     @Test
     void streamsLongBodyBeforeItIsComplete() throws Exception {
         byte[] half = new byte[100_000];
-        send("POST /a HTTP/1.1\r\nHost: s\r\nContent-Length: 200000\r\n\r\n");
-        sender.getOutputStream().write(half);
+        sender.send("POST /a HTTP/1.1\r\nHost: s\r\nContent-Length: 200000\r\n\r\n");
+        sender.send(half);
         Received request = next();
         CompletableFuture<AggregatedHttpRequest> body = request.request.aggregate();
-        sender.getOutputStream().write(half);
+        sender.send(half);
         assertThat(body.get(WAIT_MILLIS, TimeUnit.MILLISECONDS).content().length())
                 .isEqualTo(200_000);
     }
@@ -90,46 +87,48 @@
     /** A body that stalls must not hide its request from the deadline of the call. */
     @Test
     void handsOverRequestWhoseBodyStalls() throws Exception {
-        send("POST /a HTTP/1.1\r\nHost: s\r\nContent-Length: 10\r\n\r\nabc");
+        sender.send("POST /a HTTP/1.1\r\nHost: s\r\nContent-Length: 10\r\n\r\nabc");
         assertThat(nextWhileTimePasses().request.path()).isEqualTo("/a");
     }
 
     @Test
     void answersBeforeBodyIsCompleteAndCloses() throws Exception {
-        send("POST /a HTTP/1.1\r\nHost: s\r\nContent-Length: 10\r\n\r\nabc");
+        sender.send("POST /a HTTP/1.1\r\nHost: s\r\nContent-Length: 10\r\n\r\nabc");
         nextWhileTimePasses().answer("early");
-        send("defghij");
-        assertThat(readAll()).endsWith("early");
+        // Read first: a body that completes before the response leaves the connection open.
+        assertThat(sender.readUntil("early").toLowerCase(Locale.ROOT)).contains("connection: close");
+        sender.send("defghij");
+        assertThat(sender.readAll()).isEmpty();
     }
 
     @Test
     void asksForBodyThatIsExpected() throws Exception {
-        send("POST /a HTTP/1.1\r\nHost: s\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
-        readUntil("HTTP/1.1 100 Continue\r\n\r\n");
-        send("ok");
+        sender.send("POST /a HTTP/1.1\r\nHost: s\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+        sender.readUntil("HTTP/1.1 100 Continue\r\n\r\n");
+        sender.send("ok");
         assertThat(next().aggregated().contentUtf8()).isEqualTo("ok");
     }
 
     @Test
     void sendsNoContentInResponseToHead() throws Exception {
-        send("HEAD /a HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n");
+        sender.send("HEAD /a HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n");
         next().answer("content");
-        String response = readAll();
+        String response = sender.readAll();
         assertThat(response).contains("content-length: 7\r\n");
         assertThat(response).endsWith("\r\n\r\n");
     }
 
     @Test
     void handlesNothingBehindRequestThatClosesConnection() throws Exception {
-        send("GET /a HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\nGET /b HTTP/1.1\r\nHost: s\r\n\r\n");
+        sender.send("GET /a HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\nGET /b HTTP/1.1\r\nHost: s\r\n\r\n");
         next().answer("last");
-        assertThat(readAll()).endsWith("last");
+        assertThat(sender.readAll()).endsWith("last");
         assertThat(received).isEmpty();
     }
 
     @Test
     void endsExchangesOfSenderThatDisconnects() throws Exception {
-        send("GET /a HTTP/1.1\r\nHost: s\r\n\r\nGET /b HTTP/1.1\r\nHost: s\r\n\r\n");
+        sender.send("GET /a HTTP/1.1\r\nHost: s\r\n\r\nGET /b HTTP/1.1\r\nHost: s\r\n\r\n");
         Received first = next();
         Received second = next();
         sender.close();
@@ -139,7 +138,7 @@
 
     @Test
     void rejectsHeaderBlockWithoutEnd() throws Exception {
-        send("GET /a HTTP/1.1\r\n");
+        sender.send("GET /a HTTP/1.1\r\n");
         String line = "X-Filler: " + "x".repeat(1_000) + "\r\n";
         assertThat(sendUntilClosed(line)).contains("HTTP/1.1 431 ");
         assertThat(received).isEmpty();
@@ -147,14 +146,14 @@
 
     @Test
     void rejectsRequestLineWithoutEnd() throws Exception {
-        send("GET /");
+        sender.send("GET /");
         assertThat(sendUntilClosed("x".repeat(1_000))).contains("HTTP/1.1 400 ");
         assertThat(received).isEmpty();
     }
 
     @Test
     void closesConnectionOnChunkSizeWithoutEnd() throws Exception {
-        send("POST /a HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n5;");
+        sender.send("POST /a HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n5;");
         sendUntilClosed("x".repeat(1_000));
         assertThat(received).isEmpty();
     }
@@ -162,28 +161,28 @@
     /** The status promises that the request has not run. */
     @Test
     void rejectsHeaderBlockThatTakesTooLong() throws Exception {
-        send("GET /a HTTP/1.1\r\nHost: s");
-        while (sender.getInputStream().available() == 0) {
+        sender.send("GET /a HTTP/1.1\r\nHost: s");
+        while (!sender.hasAnswer()) {
             clock.advanceMillis(LIMITS.headerTimeoutMillis() / 2);
             TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
         }
-        assertThat(readAll()).startsWith("HTTP/1.1 408 ");
+        assertThat(sender.readAll()).startsWith("HTTP/1.1 408 ");
         assertThat(received).isEmpty();
     }
 
     @Test
     void closesIdleConnectionOnlyAfterItsLimit() throws Exception {
-        send("GET /a HTTP/1.1\r\nHost: s\r\n\r\n");
+        sender.send("GET /a HTTP/1.1\r\nHost: s\r\n\r\n");
         next().answer("done");
-        readUntil("done");
+        sender.readUntil("done");
         clock.advanceMillis(LIMITS.idleTimeoutMillis() - 1);
-        send("GET /b HTTP/1.1\r\nHost: s\r\n\r\n");
+        sender.send("GET /b HTTP/1.1\r\nHost: s\r\n\r\n");
         Received late = next();
         clock.advanceMillis(LIMITS.idleTimeoutMillis() + 1);
         late.answer("not idle");
-        readUntil("not idle");
+        sender.readUntil("not idle");
         clock.advanceMillis(LIMITS.idleTimeoutMillis() + 1);
-        assertThat(readAll()).isEmpty();
+        assertThat(sender.readAll()).isEmpty();
     }
 
     private HttpResponse receive(HttpRequest request, RequestExchange exchange) {
@@ -208,42 +207,20 @@
         return next;
     }
 
-    private void send(String text) throws IOException {
-        sender.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-        sender.getOutputStream().flush();
-    }
-
     // Returns what was answered, as far as it arrived before the connection was reset.
     private String sendUntilClosed(String text) throws IOException {
         StringBuilder answer = new StringBuilder();
         try {
-            for (int i = 0; i < 10_000 && sender.getInputStream().available() == 0; i++) {
-                send(text);
+            for (int i = 0; i < 10_000 && !sender.hasAnswer(); i++) {
+                sender.send(text);
             }
-            answer.append(readAll());
+            answer.append(sender.readAll());
         } catch (SocketException e) {
             return answer.toString();
         }
         return answer.toString();
     }
 
-    private String readUntil(String end) throws IOException {
-        StringBuilder text = new StringBuilder();
-        InputStream in = sender.getInputStream();
-        while (text.indexOf(end) < 0) {
-            int next = in.read();
-            if (next < 0) {
-                throw new AssertionError("the connection ended after: " + text);
-            }
-            text.append((char) next);
-        }
-        return text.toString();
-    }
-
-    private String readAll() throws IOException {
-        return new String(sender.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
-    }
-
     private record Received(HttpRequest request, RequestExchange exchange, CompletableFuture<HttpResponse> response) {
 
         AggregatedHttpRequest aggregated() throws Exception {
