--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -119,8 +119,8 @@
     }
 
     /**
-     * Closes the connection if a header block takes too long or if it has been idle for too long, at two checks in a row:
-     * after a pause of this node, what has arrived in time is read between them.
+     * Closes the connection if a header block takes too long or if it has been idle for too long, at two checks in a
+     * row: after a pause of this node, what has arrived in time is read between them.
      */
     void checkTimeouts() {
         long now = clock.nanoTime();
