Count and log the requests that are rejected before they are routed

The listener counts and logs what it rejects (listener.rejected.*, MUSH1007). Answers of backend servers with a client error are counted apart (client_error in entry.answers).

Rejections that are due to load are counted but not logged: a line for each would add to the load. No answer changes.

--- a/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
@@ -134,6 +134,11 @@
     /** The settings are invalid. */
     SETTINGS_INVALID(4008, 400, Outcome.NOT_RUN, "The settings are invalid.", "Correct what the detail names.");
 
+    private static final int NUMBERS_PER_CATEGORY = 1_000;
+
+    /** Category of the codes for faults of the request. */
+    private static final int REQUEST_CATEGORY = 1;
+
     private static final Map<String, ResultCode> BY_NUMBER = Arrays.stream(values())
             .collect(Collectors.toUnmodifiableMap(code -> Integer.toString(code.number), code -> code));
 
@@ -199,6 +204,15 @@
         return outcome;
     }
 
+    /**
+     * Returns whether the result blames the request itself, so that its sender has no reason to send it again.
+     *
+     * @return {@code true} if the fault is in the request
+     */
+    public boolean blamesRequest() {
+        return number / NUMBERS_PER_CATEGORY == REQUEST_CATEGORY && this != DEADLINE_EXPIRED;
+    }
+
     /**
      * Returns a short description of the result.
      *
--- a/mustardusher-core/src/test/java/io/mustardusher/result/ResultCodeTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/result/ResultCodeTest.java
@@ -25,4 +25,13 @@
     void labelIsTheNameInLowerCase() {
         assertThat(ResultCode.NO_SERVER.label()).isEqualTo("no_server");
     }
+
+    @Test
+    void blamesRequestOnlyForItsOwnFaults() {
+        assertThat(ResultCode.SERVICE_UNKNOWN.blamesRequest()).isTrue();
+        assertThat(ResultCode.HEADERS_TOO_LARGE.blamesRequest()).isTrue();
+        assertThat(ResultCode.DEADLINE_EXPIRED.blamesRequest()).isFalse();
+        assertThat(ResultCode.OVERLOADED.blamesRequest()).isFalse();
+        assertThat(ResultCode.SETTINGS_INVALID.blamesRequest()).isFalse();
+    }
 }
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/profile/LoopbackEnvironment.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/profile/LoopbackEnvironment.java
@@ -131,6 +131,11 @@
                     new CallOptions(headers.path(), route.maxAttempts(), route.targetLatencyNanos()));
         }
 
+        @Override
+        public String callName(RequestHeaders request) {
+            return CallOptions.NONE.id();
+        }
+
         @Override
         public RequestLimits limits() {
             return routes.get().limits();
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallerProtocol.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallerProtocol.java
@@ -22,6 +22,14 @@
      */
     Call read(RequestHeaders headers, long now);
 
+    /**
+     * Returns the name of a call in the log.
+     *
+     * @param request headers of the request, which need not be valid
+     * @return the name; a dash if the caller gave none
+     */
+    String callName(RequestHeaders request);
+
     /**
      * Returns the limits on the size and the duration of requests.
      *
@@ -54,6 +62,11 @@
             return Call.read(headers, current, now);
         }
 
+        @Override
+        public String callName(RequestHeaders request) {
+            return CallOptions.NONE.id();
+        }
+
         @Override
         public RequestLimits limits() {
             return RequestLimits.NONE;
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -12,6 +12,7 @@
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import io.mustardusher.admission.EventLoopDelay;
@@ -22,6 +23,7 @@
 import io.mustardusher.catalogue.CatalogueEntry;
 import io.mustardusher.http.RequestExchange;
 import io.mustardusher.http.RequestHandler;
+import io.mustardusher.log.NodeLog;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
@@ -58,6 +60,8 @@
 
     private final InFlightCalls inFlight = new InFlightCalls();
 
+    private final MetricRegistry metrics;
+
     /** Time from the arrival of a call to the end of its response. */
     private final Timer served;
 
@@ -92,6 +96,7 @@
         this.callListener = callListener;
         this.eventLoopDelay = eventLoopDelay;
         this.clock = clock;
+        this.metrics = metrics;
         this.served = metrics.timer("entry.served");
         metrics.gauge("entry.inside", () -> this::inFlight);
     }
@@ -146,7 +151,7 @@
             }
             response = accept(exchange, request);
         } catch (MustardusherException e) {
-            response = Problem.response(callerRejection(request, e));
+            response = reject(request, e);
         }
         response = protocol.write(request.headers(), response);
         response.whenComplete().whenComplete((ignored, failure) -> {
@@ -170,9 +175,9 @@
             Call call = protocol.read(request.headers(), clock.nanoTime());
             return HttpResponse.of(request.aggregate()
                     .thenCompose(aggregated -> homes.handleAsHome(call, toBody(aggregated)))
-                    .exceptionally(Problem::response));
+                    .exceptionally(failure -> rejectAfterBody(request, failure)));
         } catch (MustardusherException e) {
-            return Problem.response(callerRejection(request, e));
+            return reject(request, e);
         }
     }
 
@@ -212,7 +217,35 @@
         }
         return HttpResponse.of(bufferBody(exchange, call, request)
                 .thenApply(body -> router.route(call, body, idempotent, cancelled))
-                .exceptionally(Problem::response));
+                .exceptionally(failure -> rejectAfterBody(request, failure)));
+    }
+
+    private HttpResponse reject(HttpRequest request, MustardusherException rejection) {
+        countRejection(request, rejection);
+        return Problem.response(callerRejection(request, rejection));
+    }
+
+    private HttpResponse rejectAfterBody(HttpRequest request, Throwable failure) {
+        if (failure.getCause() instanceof MustardusherException rejection) {
+            countRejection(request, rejection);
+        }
+        return Problem.response(failure);
+    }
+
+    private void countRejection(HttpRequest request, MustardusherException rejection) {
+        ResultCode code = rejection.code();
+        metrics.counter("entry.rejected." + code.label()).inc();
+        // A line for each rejection that is due to load would add to the load.
+        if (code.blamesRequest()) {
+            RequestHeaders headers = request.headers();
+            NodeLog.DECISIONS.callRejected(
+                    protocol.callName(headers),
+                    code.number(),
+                    headers.method().name(),
+                    headers.authority(),
+                    headers.path(),
+                    rejection.getMessage());
+        }
     }
 
     /**
@@ -247,7 +280,7 @@
         }
         return HttpResponse.of(bufferBody(exchange, call, request)
                 .thenCompose(body -> homes.route(call, body))
-                .exceptionally(Problem::response));
+                .exceptionally(failure -> rejectAfterBody(request, failure)));
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -10,6 +10,7 @@
 
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
@@ -49,6 +50,7 @@
     private static final Set<ResultCode> SERVER_REFUSALS = EnumSet.of(ResultCode.SERVER_REFUSED);
 
     private static final String OK = "ok";
+    private static final String CLIENT_ERROR = "client_error";
     private static final String SERVER_ERROR = "server_error";
 
     private final Router router;
@@ -282,7 +284,7 @@
         boolean serverError = headers.status().isServerError();
         server.ejection().recordCall(!serverError, now);
         if (headers.getLong(HttpHeaderNames.CONTENT_LENGTH, Long.MAX_VALUE) > MAX_BUFFERED_ANSWER_BYTES) {
-            complete(new Reply(exchange.stream(callerHeaders(headers)), Outcome.RAN), serverError);
+            complete(new Reply(exchange.stream(callerHeaders(headers)), Outcome.RAN), resultOf(headers.status()));
             return;
         }
         DecisionLog.INSTANCE.answered(
@@ -308,12 +310,19 @@
                 send();
                 return;
             }
-            complete(reply, serverError);
+            complete(reply, resultOf(headers.status()));
         });
     }
 
-    private void complete(Reply reply, boolean serverError) {
-        router.countAnswer(call.owner(), serverError ? SERVER_ERROR : OK);
+    private static String resultOf(HttpStatus status) {
+        if (status.isServerError()) {
+            return SERVER_ERROR;
+        }
+        return status.isClientError() ? CLIENT_ERROR : OK;
+    }
+
+    private void complete(Reply reply, String result) {
+        router.countAnswer(call.owner(), result);
         if (failedReply != null && failedReply != reply) {
             failedReply.response().abort();
         }
@@ -383,7 +392,7 @@
      */
     private void fail(ResultCode code, String detail) {
         if (failedReply != null) {
-            complete(failedReply, true);
+            complete(failedReply, SERVER_ERROR);
             return;
         }
         boolean certain = !mayHaveRun || code.outcome() != Outcome.NOT_RUN;
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -62,6 +63,7 @@
     private final Channel channel;
     private final RequestHandler handler;
     private final Supplier<RequestLimits> limits;
+    private final BiConsumer<HttpResponseStatus, String> rejectionListener;
     private final Clock clock;
 
     /** Requests without a response, in the order of their arrival. */
@@ -85,10 +87,16 @@
     private long headStartNanos;
     private long lastActiveNanos;
 
-    HttpConnection(Channel channel, RequestHandler handler, Supplier<RequestLimits> limits, Clock clock) {
+    HttpConnection(
+            Channel channel,
+            RequestHandler handler,
+            Supplier<RequestLimits> limits,
+            BiConsumer<HttpResponseStatus, String> rejectionListener,
+            Clock clock) {
         this.channel = channel;
         this.handler = handler;
         this.limits = limits;
+        this.rejectionListener = rejectionListener;
         this.clock = clock;
         this.lastActiveNanos = clock.nanoTime();
     }
@@ -143,7 +151,7 @@
             return;
         }
         if (headIncomplete) {
-            reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            reject(HttpResponseStatus.REQUEST_TIMEOUT, "the head is incomplete");
         } else {
             channel.close();
         }
@@ -193,14 +201,15 @@
             return;
         }
         if (head.decoderResult().isFailure()) {
-            reject(statusOf(head.decoderResult().cause()));
+            Throwable cause = head.decoderResult().cause();
+            reject(statusOf(cause), cause.toString());
             return;
         }
         RequestHeaders headers;
         try {
             headers = HttpMessages.toRequestHeaders(head);
         } catch (IllegalArgumentException e) {
-            reject(HttpResponseStatus.BAD_REQUEST);
+            reject(HttpResponseStatus.BAD_REQUEST, e.toString());
             return;
         }
         receiving = new PendingRequest(
@@ -235,7 +244,8 @@
     }
 
     // Answers what is not a request after the outstanding responses, and closes the connection.
-    private void reject(HttpResponseStatus status) {
+    private void reject(HttpResponseStatus status, String cause) {
+        rejectionListener.accept(status, cause);
         headIncomplete = false;
         closing = true;
         PendingRequest malformed = new PendingRequest(null, false, false);
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
+import com.codahale.metrics.MetricRegistry;
+import io.mustardusher.log.NodeLog;
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.time.Clock;
 import io.netty.bootstrap.ServerBootstrap;
@@ -17,6 +19,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.Future;
 
@@ -44,6 +47,7 @@
     private final EventLoopGroup group;
     private final EventLoop loop;
     private final Clock clock;
+    private final MetricRegistry metrics;
     private final List<Channel> listeningChannels = new ArrayList<>();
 
     /** Open connections. Confined to the event loop. */
@@ -54,11 +58,13 @@
     /**
      * Creates a listener without addresses.
      *
-     * @param group event loops, of which one is used
-     * @param clock source of time
+     * @param group   event loops, of which one is used
+     * @param clock   source of time
+     * @param metrics registry of metrics
      */
-    public HttpListener(EventLoopGroup group, Clock clock) {
+    public HttpListener(EventLoopGroup group, Clock clock, MetricRegistry metrics) {
         this.group = group;
+        this.metrics = metrics;
         this.loop = group.next();
         this.clock = clock;
     }
@@ -113,7 +119,7 @@
     }
 
     private void initialize(Channel accepted, RequestHandler handler, Supplier<RequestLimits> limits) {
-        HttpConnection connection = new HttpConnection(accepted, handler, limits, clock);
+        HttpConnection connection = new HttpConnection(accepted, handler, limits, this::recordRejection, clock);
         connections.add(connection);
         accepted.closeFuture().addListener(closed -> connections.remove(connection));
         HttpDecoderConfig config = new HttpDecoderConfig()
@@ -122,6 +128,11 @@
         accepted.pipeline().addLast(connection.activityHandler(), new HttpServerCodec(config), connection);
     }
 
+    private void recordRejection(HttpResponseStatus status, String cause) {
+        metrics.counter("listener.rejected." + status.code()).inc();
+        NodeLog.LOG.requestRejected(status.code(), cause);
+    }
+
     private void checkTimeouts() {
         List.copyOf(connections).forEach(HttpConnection::checkTimeouts);
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -70,6 +70,16 @@
     @Message(id = 1005, value = "table service request failed (%s): %s")
     void storeFailed(String operation, String cause);
 
+    /**
+     * A listener rejected a request whose head it could not read.
+     *
+     * @param status HTTP status of the response
+     * @param cause  the fault
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 1007, value = "request rejected with status %d: %s")
+    void requestRejected(int status, String cause);
+
     /**
      * The state of a member changed.
      *
@@ -197,6 +207,20 @@
     @Message(id = 2002, value = "call %s: no answer from %s, code %d after attempt %d: %s")
     void callFailed(String call, String service, int code, int attempt, String detail);
 
+    /**
+     * An entry rejected a call because of a fault of its request.
+     *
+     * @param call   identifier of the call
+     * @param code   number of the result code
+     * @param method method of the request
+     * @param host   authority of the request
+     * @param path   path of the request
+     * @param detail description of the fault
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 2007, value = "call %s: rejected with code %d, %s %s%s: %s")
+    void callRejected(String call, int code, String method, String host, String path, String detail);
+
     /**
      * The gate refused a call.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -128,7 +128,7 @@
                 core.metrics());
         protocol = environment.callerProtocol(routes::current);
         entry = new Entry(router, null, protocol, call -> {}, core.eventLoopDelay(), clock, core.metrics());
-        listener = new HttpListener(core.group(), clock);
+        listener = new HttpListener(core.group(), clock, core.metrics());
         core.metrics().gauge("routes.version", () -> routes::revision);
     }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/PipelinedCallsOnListenerTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/PipelinedCallsOnListenerTest.java
@@ -3,6 +3,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 
+import com.codahale.metrics.MetricRegistry;
 import io.mustardusher.http.HttpListener;
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.time.Clock;
@@ -13,7 +14,7 @@
 class PipelinedCallsOnListenerTest extends PipelinedCallsTest {
 
     private final EventLoopGroup group = new NioEventLoopGroup(1);
-    private final HttpListener listener = new HttpListener(group, Clock.ForSystem.INSTANCE);
+    private final HttpListener listener = new HttpListener(group, Clock.ForSystem.INSTANCE, new MetricRegistry());
 
     @Override
     int open(Entry opened) {
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/PipelinedCallsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/PipelinedCallsTest.java
@@ -202,6 +202,11 @@
                     new CallOptions(headers.path(), 2, Long.MAX_VALUE));
         }
 
+        @Override
+        public String callName(RequestHeaders request) {
+            return CallOptions.NONE.id();
+        }
+
         @Override
         public RequestLimits limits() {
             return RequestLimits.NONE;
--- a/mustardusher-node/src/test/java/io/mustardusher/http/HttpListenerTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/HttpListenerTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpRequest;
@@ -34,8 +35,9 @@
     private static final RequestLimits LIMITS = new RequestLimits(16 << 10, 1 << 20, 3_000, 15_000);
 
     private final Clock.Manual clock = new Clock.Manual();
+    private final MetricRegistry metrics = new MetricRegistry();
     private final EventLoopGroup group = new NioEventLoopGroup(1);
-    private final HttpListener listener = new HttpListener(group, clock);
+    private final HttpListener listener = new HttpListener(group, clock, metrics);
     private final BlockingQueue<Received> received = new LinkedBlockingQueue<>();
     private CallerSocket sender;
 
@@ -62,6 +64,13 @@
         assertThat(sender.readUntil("second")).contains("content-length: 6\r\n");
     }
 
+    @Test
+    void countsRequestWhoseHeadCannotBeRead() throws Exception {
+        sender.send("GET /a b HTTP/1.1 c\r\nHost: s\r\n\r\n");
+        assertThat(sender.readUntil("\r\n\r\n")).startsWith("HTTP/1.1 400 ");
+        assertThat(metrics.counter("listener.rejected.400").getCount()).isEqualTo(1);
+    }
+
     @Test
     void collectsBodyInChunks() throws Exception {
         sender.send("POST /a HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
--- a/mustardusher-node/src/test/java/io/mustardusher/node/RoutedNodeTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/node/RoutedNodeTest.java
@@ -15,6 +15,7 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
 import io.mustardusher.call.Call;
+import io.mustardusher.call.CallOptions;
 import io.mustardusher.call.CallerProtocol;
 import io.mustardusher.generated.DistanceSettings;
 import io.mustardusher.generated.NodeSettings;
@@ -134,6 +135,11 @@
             throw new MustardusherException(ResultCode.NODE_STARTING, "there are no routes");
         }
 
+        @Override
+        public String callName(RequestHeaders request) {
+            return CallOptions.NONE.id();
+        }
+
         @Override
         public RequestLimits limits() {
             return RequestLimits.NONE;
