--- a/mustardusher-node/src/test/java/io/mustardusher/entry/RejectedCallsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/RejectedCallsTest.java
@@ -1,14 +1,18 @@
 package io.mustardusher.entry;
 
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 
 import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpRequestWriter;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import io.mustardusher.admission.EventLoopDelay;
@@ -18,23 +22,32 @@
 import io.mustardusher.catalogue.Catalogue;
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.frame.Peers;
+import io.mustardusher.generated.CatalogueDelta;
+import io.mustardusher.generated.EntryDocument;
+import io.mustardusher.generated.RevisedEntry;
 import io.mustardusher.http.RequestExchange;
+import io.mustardusher.result.Outcome;
 import io.mustardusher.time.Clock;
+import io.netty.util.concurrent.DefaultEventExecutor;
 import io.netty.util.concurrent.EventExecutor;
-import io.netty.util.concurrent.ImmediateEventExecutor;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
 
 class RejectedCallsTest {
 
+    private static final String SERVICE = "s";
+
+    private final EventExecutor loop = new DefaultEventExecutor();
     private final Clock.Manual clock = new Clock.Manual();
     private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
     private final MetricRegistry metrics = new MetricRegistry();
 
     @AfterEach
     void stop() {
+        loop.shutdownGracefully();
         timers.shutdownNow();
     }
 
@@ -53,6 +66,34 @@
         assertThat(rejected("service_unknown")).isEqualTo(0);
     }
 
+    // A caller was told that its request is malformed because its body did not reach the node whole.
+    @Test
+    @Tag("known-red")
+    void doesNotBlameCallerForBodyThatDoesNotArriveWhole() {
+        RequestHeaders headers = RequestHeaders.builder(HttpMethod.POST, "/")
+                .set(CallHeaders.SERVICE, SERVICE)
+                .contentLength(10)
+                .build();
+        HttpRequestWriter request = HttpRequest.streaming(headers);
+        CompletableFuture<AggregatedHttpResponse> response =
+                entryWith(catalogue()).handle(request, new OpenExchange()).aggregate();
+        request.write(HttpData.ofUtf8("12345"));
+        request.close(new ClosedChannelException());
+        assertThat(response.join().status()).isEqualTo(HttpStatus.SERVICE_UNAVAILABLE);
+        assertThat(response.join().headers().get(CallHeaders.OUTCOME)).isEqualTo(Outcome.NOT_RUN.token());
+    }
+
+    private static Catalogue catalogue() {
+        EntryDocument entry = new EntryDocument()
+                .withService(SERVICE)
+                .withOwner(SERVICE)
+                .withServiceClass(EntryDocument.ServiceClass.STANDARD);
+        RevisedEntry revised =
+                new RevisedEntry().withService(SERVICE).withRevision(1).withEntry(entry);
+        return Catalogue.EMPTY.merge(
+                new CatalogueDelta().withSince(0).withRevision(1).withEntries(List.of(revised)));
+    }
+
     private long rejected(String label) {
         return metrics.counter("entry.rejected." + label).getCount();
     }
@@ -64,9 +105,9 @@
         return new Entry(router, null, protocol, call -> {}, new EventLoopDelay(clock), clock, metrics);
     }
 
-    private static HttpStatus call(Entry entry) {
+    private HttpStatus call(Entry entry) {
         RequestHeaders headers = RequestHeaders.builder(HttpMethod.GET, "/")
-                .set(CallHeaders.SERVICE, "absent")
+                .set(CallHeaders.SERVICE, SERVICE)
                 .build();
         return entry.handle(HttpRequest.of(headers), new OpenExchange())
                 .aggregate()
@@ -74,7 +115,7 @@
                 .status();
     }
 
-    private static final class OpenExchange implements RequestExchange {
+    private final class OpenExchange implements RequestExchange {
 
         private final CompletableFuture<Void> pending = new CompletableFuture<>();
 
@@ -100,7 +141,7 @@
 
         @Override
         public EventExecutor executor() {
-            return ImmediateEventExecutor.INSTANCE;
+            return loop;
         }
     }
 
