--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -100,7 +100,10 @@
                     response.complete(AggregatedHttpResponse.of(unmodified ? headers : withRanOutcome(headers), body)));
             case NOT_RUN -> end(() -> response.complete(AggregatedHttpResponse.of(
                     Problem.headers(ResultCode.SERVER_REFUSED).build())));
-            default -> fail(ResultCode.CONNECTION_LOST, "the answer is spoiled");
+            default -> fail(
+                    ResultCode.CONNECTION_LOST,
+                    "the answer is spoiled or unsigned, status "
+                            + headers.status().code());
         }
     }
 
