--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -101,12 +101,13 @@
         this.lastActiveNanos = clock.nanoTime();
     }
 
-    /**
-     * Returns the handler that notes when bytes arrive, to be placed before the codec.
-     *
-     * @return the handler
-     */
-    ChannelHandler activityHandler() {
+    /** Adds the codec and the handlers of this connection to its channel. */
+    void addHandlers() {
+        channel.pipeline().addLast(activityHandler(), HttpListener.createCodec(), this);
+    }
+
+    // Notes when bytes arrive.
+    private ChannelHandler activityHandler() {
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) {
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
@@ -122,10 +122,18 @@
         HttpConnection connection = new HttpConnection(accepted, handler, limits, this::recordRejection, clock);
         connections.add(connection);
         accepted.closeFuture().addListener(closed -> connections.remove(connection));
-        HttpDecoderConfig config = new HttpDecoderConfig()
+        connection.addHandlers();
+    }
+
+    /**
+     * Creates the codec of a connection.
+     *
+     * @return the codec
+     */
+    static HttpServerCodec createCodec() {
+        return new HttpServerCodec(new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                .setMaxHeaderSize(MAX_HEADER_BYTES);
-        accepted.pipeline().addLast(connection.activityHandler(), new HttpServerCodec(config), connection);
+                .setMaxHeaderSize(MAX_HEADER_BYTES));
     }
 
     private void recordRejection(HttpResponseStatus status, String cause) {
--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/CallerFixture.java
@@ -0,0 +1,144 @@
+package io.mustardusher.entry;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+
+import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.admission.EventLoopDelay;
+import io.mustardusher.call.Call;
+import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.CallOptions;
+import io.mustardusher.call.CallerProtocol;
+import io.mustardusher.call.HeaderPacking;
+import io.mustardusher.catalogue.CatalogueEntry;
+import io.mustardusher.catalogue.Idempotence;
+import io.mustardusher.catalogue.ServiceClass;
+import io.mustardusher.frame.CallMessage;
+import io.mustardusher.frame.FrameKind;
+import io.mustardusher.frame.Peers;
+import io.mustardusher.http.CallerChannel;
+import io.mustardusher.result.Outcome;
+import io.mustardusher.route.RequestLimits;
+import io.mustardusher.routing.RoutingPolicy;
+import io.mustardusher.time.Clock;
+
+/** A caller on a connection of a listener, whose calls an entry sends to the simulated gate of another node. */
+final class CallerFixture implements CallerProtocol {
+
+    /** Time limit of each call. */
+    static final long TIMEOUT_MILLIS = 3_000;
+
+    /** Calls that arrived at the gate, in that order. */
+    final List<HeldCall> calls = new ArrayList<>();
+
+    final Entry entry;
+
+    final CallerChannel caller;
+
+    private final Clock.Manual clock = new Clock.Manual();
+    private final HeaderPacking packing = new HeaderPacking(List.of());
+    private final RequestLimits limits;
+
+    CallerFixture(ScheduledExecutorService timers, RequestLimits limits) {
+        this.limits = limits;
+        Router router = RouterFixture.create(clock, timers, packing, new HeldGate(), List.of(true));
+        entry = new Entry(router, null, this, call -> {}, new EventLoopDelay(clock), clock, new MetricRegistry());
+        caller = new CallerChannel(entry, () -> limits, clock);
+    }
+
+    @Override
+    public Call read(RequestHeaders headers, long now) {
+        CatalogueEntry catalogueEntry = new CatalogueEntry(
+                RouterFixture.SERVICE,
+                "route",
+                ServiceClass.STANDARD,
+                RoutingPolicy.LEAST_COST,
+                Idempotence.ALWAYS,
+                TIMEOUT_MILLIS,
+                0,
+                0,
+                0,
+                0,
+                0,
+                0,
+                false);
+        return new Call(
+                catalogueEntry,
+                headers,
+                "route",
+                ServiceClass.STANDARD,
+                now + TIMEOUT_MILLIS * Clock.NANOS_PER_MILLI,
+                Optional.empty(),
+                0,
+                false,
+                new CallOptions(headers.path(), 2, Long.MAX_VALUE));
+    }
+
+    @Override
+    public RequestLimits limits() {
+        return limits;
+    }
+
+    @Override
+    public HttpResponse write(RequestHeaders request, HttpResponse answer) {
+        return answer;
+    }
+
+    /** A call at the gate. */
+    final class HeldCall {
+
+        final String path;
+        final byte[] body;
+        private final long number;
+        private final CompletableFuture<CallMessage> answer = new CompletableFuture<>();
+
+        private HeldCall(CallMessage message) {
+            number = message.call();
+            path = packing.unpackRequest(message.head()).path();
+            body = message.body();
+        }
+
+        boolean isAnswered() {
+            return answer.isDone();
+        }
+
+        void answer() {
+            byte[] content = expectedAnswer(path, body).getBytes(StandardCharsets.US_ASCII);
+            ResponseHeaders headers = ResponseHeaders.builder(200)
+                    .set(CallHeaders.OUTCOME, Outcome.RAN.token())
+                    .contentLength(content.length)
+                    .build();
+            answer.complete(new CallMessage(number, packing.pack(headers), content));
+        }
+    }
+
+    /** Returns the content of the answer to a call. */
+    static String expectedAnswer(String path, byte[] body) {
+        return path + " " + body.length + " " + Arrays.hashCode(body);
+    }
+
+    private final class HeldGate implements Peers {
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public <A> CompletableFuture<A> request(
+                InetSocketAddress address, FrameKind kind, Object request, long timeoutMillis) {
+            CallMessage message = (CallMessage) request;
+            if (kind == FrameKind.CANCEL) {
+                return (CompletableFuture<A>) CompletableFuture.completedFuture(message);
+            }
+            HeldCall call = new HeldCall(message);
+            calls.add(call);
+            return (CompletableFuture<A>) call.answer;
+        }
+    }
+}
--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/CallerChannel.java
@@ -0,0 +1,137 @@
+package io.mustardusher.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.mustardusher.route.RequestLimits;
+import io.mustardusher.time.Clock;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.DuplexChannel;
+
+/** A connection of a listener without a network: the test is the caller, and advances the time of both. */
+public final class CallerChannel {
+
+    private final Clock.Manual clock;
+    private final HalfClosableChannel channel = new HalfClosableChannel();
+    private final HttpConnection connection;
+    private final StringBuilder answers = new StringBuilder();
+
+    /**
+     * Opens a connection.
+     *
+     * @param handler handles the requests
+     * @param limits  supplies the limits in force
+     * @param clock   clock of the connection
+     */
+    public CallerChannel(RequestHandler handler, Supplier<RequestLimits> limits, Clock.Manual clock) {
+        this.clock = clock;
+        channel.freezeTime();
+        connection = new HttpConnection(channel, handler, limits, clock);
+        connection.addHandlers();
+    }
+
+    /** Returns whether the listener reads what is sent; it must not be sent otherwise. */
+    public boolean isReading() {
+        return channel.isOpen() && channel.config().isAutoRead();
+    }
+
+    public boolean isOpen() {
+        return channel.isOpen();
+    }
+
+    /** Returns whether the listener has ended its side of the connection, but still reads. */
+    public boolean isOutputShutdown() {
+        return channel.outputShutdown;
+    }
+
+    public void send(String text) {
+        send(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    public void send(byte[] bytes) {
+        if (channel.isOpen()) {
+            channel.writeInbound(Unpooled.copiedBuffer(bytes));
+        }
+    }
+
+    public void disconnect() {
+        channel.close();
+    }
+
+    /** Lets time pass, and has the listener check its limits as it does regularly. */
+    public void pass(long millis) {
+        clock.advanceMillis(millis);
+        channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        channel.runPendingTasks();
+        if (channel.isOpen()) {
+            connection.checkTimeouts();
+        }
+        channel.runPendingTasks();
+    }
+
+    /** Returns all that the listener has sent so far. */
+    public String answers() {
+        channel.runPendingTasks();
+        for (ByteBuf next = channel.readOutbound(); next != null; next = channel.readOutbound()) {
+            answers.append(next.toString(StandardCharsets.ISO_8859_1));
+            next.release();
+        }
+        return answers.toString();
+    }
+
+    private static final class HalfClosableChannel extends EmbeddedChannel implements DuplexChannel {
+
+        private boolean outputShutdown;
+
+        @Override
+        public boolean isInputShutdown() {
+            return !isOpen();
+        }
+
+        @Override
+        public boolean isOutputShutdown() {
+            return outputShutdown || !isOpen();
+        }
+
+        @Override
+        public boolean isShutdown() {
+            return !isOpen();
+        }
+
+        @Override
+        public ChannelFuture shutdownOutput() {
+            return shutdownOutput(newPromise());
+        }
+
+        @Override
+        public ChannelFuture shutdownOutput(ChannelPromise promise) {
+            outputShutdown = true;
+            return promise.setSuccess();
+        }
+
+        @Override
+        public ChannelFuture shutdownInput() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public ChannelFuture shutdownInput(ChannelPromise promise) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public ChannelFuture shutdown() {
+            return close();
+        }
+
+        @Override
+        public ChannelFuture shutdown(ChannelPromise promise) {
+            return close(promise);
+        }
+    }
+}
--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionTest.java
@@ -0,0 +1,178 @@
+package io.mustardusher.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.http.AnswerReader.Answer;
+import io.mustardusher.route.RequestLimits;
+import io.mustardusher.time.Clock;
+import io.netty.util.concurrent.ImmediateEventExecutor;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class HttpConnectionTest {
+
+    private static final RequestLimits LIMITS = new RequestLimits(16 << 10, 1 << 20, 3_000, 15_000);
+    private static final int LONG_BODY = 100_000;
+    private static final long COLLECTION_MILLIS = 1_001;
+    private static final long LINGER_MILLIS = 1_001;
+
+    private final Clock.Manual clock = new Clock.Manual();
+    private final List<Received> received = new ArrayList<>();
+    private final CallerChannel caller = new CallerChannel(this::receive, () -> LIMITS, clock);
+
+    /** Guards against a request that is handled although the connection closes before its response. */
+    @Test
+    @Tag("known-red")
+    void handlesNothingBehindRequestThatIsAnsweredBeforeItsBody() {
+        caller.send(get("/first") + "POST /early HTTP/1.1\r\nHost: s\r\nContent-Length: 4\r\n\r\nab");
+        caller.pass(COLLECTION_MILLIS);
+        received.get(1).answer("early");
+        caller.send("cd" + get("/behind"));
+        assertThat(received).hasSize(2);
+        received.get(0).answer("first");
+        assertThat(bodies()).containsExactly("first", "early").inOrder();
+        assertThat(answers().get(1).closes()).isTrue();
+        assertThat(caller.isOpen()).isFalse();
+    }
+
+    /** Guards against a connection on which nothing is read any more, since nobody reads an earlier body. */
+    @Test
+    @Tag("known-red")
+    void readsOnAfterResponseToRequestWhoseWholeBodyWasNotRead() {
+        caller.send("POST /unread HTTP/1.1\r\nHost: s\r\nContent-Length: " + LONG_BODY + "\r\n\r\n"
+                + "x".repeat(LONG_BODY));
+        received.get(0).answer("unread");
+        assertThat(caller.isReading()).isTrue();
+        caller.send(get("/next"));
+        received.get(1).answer("next");
+        assertThat(bodies()).containsExactly("unread", "next").inOrder();
+    }
+
+    /** Guards against a caller that waits for 100 (Continue) in vain, until its request ends with 408. */
+    @Test
+    @Tag("known-red")
+    void asksForExpectedBodyOnceEarlierRequestIsAnswered() {
+        caller.send(get("/first") + "POST /second HTTP/1.1\r\nHost: s\r\nExpect: 100-continue\r\n");
+        caller.send("Content-Length: 2\r\n\r\n");
+        assertThat(caller.answers()).isEmpty();
+        received.get(0).answer("first");
+        assertThat(caller.answers()).endsWith("first" + "HTTP/1.1 100 Continue\r\n\r\n");
+        caller.send("ok");
+        received.get(1).answer("second");
+        assertThat(bodies()).containsExactly("first", "", "second").inOrder();
+    }
+
+    /** Guards against a response without the content that its length announces, so that the next one stands for it. */
+    @Test
+    @Tag("known-red")
+    void sendsContentBeforeResponseToHeadAfterExpectedBody() {
+        caller.send("POST /post HTTP/1.1\r\nHost: s\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+        caller.send("ok" + "HEAD /head HTTP/1.1\r\nHost: s\r\n\r\n");
+        received.get(0).answer("post");
+        received.get(1).answer("head");
+        List<Answer> answers = AnswerReader.read(caller.answers(), number -> number == 1);
+        assertThat(answers.stream().map(Answer::body))
+                .containsExactly("", "post", "")
+                .inOrder();
+    }
+
+    /** Guards against the loss of a response that is outstanding while a later request was answered early. */
+    @Test
+    @Tag("known-red")
+    void lingersOnlyAfterLastResponse() {
+        caller.send(get("/first") + "POST /early HTTP/1.1\r\nHost: s\r\nContent-Length: 4\r\n\r\nab");
+        caller.pass(COLLECTION_MILLIS);
+        received.get(1).answer("early");
+        caller.pass(LINGER_MILLIS);
+        caller.pass(LINGER_MILLIS);
+        received.get(0).answer("first");
+        assertThat(bodies()).containsExactly("first", "early").inOrder();
+        caller.pass(LINGER_MILLIS - 1);
+        assertThat(caller.isOpen()).isTrue();
+        caller.pass(LINGER_MILLIS);
+        assertThat(caller.isOpen()).isFalse();
+    }
+
+    /** Guards against a body that ends as if it were whole, although the rest of it was discarded. */
+    @Test
+    @Tag("known-red")
+    void doesNotCompleteBodyWhoseRestIsDiscarded() {
+        caller.send("POST /early HTTP/1.1\r\nHost: s\r\nContent-Length: 4\r\n\r\nab");
+        caller.pass(COLLECTION_MILLIS);
+        CompletableFuture<AggregatedHttpRequest> body =
+                received.get(0).request.aggregate(ImmediateEventExecutor.INSTANCE);
+        received.get(0).answer("early");
+        caller.send("cd");
+        assertThat(body.isCompletedExceptionally()).isTrue();
+    }
+
+    /** Guards against a reset that overtakes the response to a caller that is still sending. */
+    @Test
+    @Tag("known-red")
+    void readsOnForSomeTimeAfterRejection() {
+        caller.send("GET /" + "x".repeat(70_000));
+        assertThat(caller.answers()).startsWith("HTTP/1.1 400 ");
+        assertThat(caller.isOutputShutdown()).isTrue();
+        for (int sent = 0; sent < 10; sent++) {
+            assertThat(caller.isReading()).isTrue();
+            caller.send("x".repeat(1_000));
+            caller.pass(LINGER_MILLIS / 10 - 1);
+        }
+        assertThat(caller.isOpen()).isTrue();
+        caller.pass(LINGER_MILLIS);
+        assertThat(caller.isOpen()).isFalse();
+        assertThat(answers()).hasSize(1);
+        assertThat(received).isEmpty();
+    }
+
+    /** Guards against a second response, for a head that takes too long, after a rejection. */
+    @Test
+    void rejectsOnlyOnce() {
+        caller.send(get("/first") + "INVENT /unknown HTTP/1.1\r\nHost: s\r\n\r\nGET /be");
+        for (int check = 0; check < 5; check++) {
+            caller.send("h");
+            caller.pass(LIMITS.headerTimeoutMillis());
+        }
+        received.get(0).answer("first");
+        caller.send("ind HTTP/1.1\r\nHost: s\r\n\r\n");
+        assertThat(answers().stream().map(Answer::status))
+                .containsExactly(200, 400)
+                .inOrder();
+        assertThat(received).hasSize(1);
+    }
+
+    private List<Answer> answers() {
+        return AnswerReader.read(caller.answers(), number -> false);
+    }
+
+    private List<String> bodies() {
+        return answers().stream().map(Answer::body).toList();
+    }
+
+    private static String get(String path) {
+        return "GET " + path + " HTTP/1.1\r\nHost: s\r\n\r\n";
+    }
+
+    private HttpResponse receive(HttpRequest request, RequestExchange exchange) {
+        Received next = new Received(request, new CompletableFuture<>());
+        received.add(next);
+        return HttpResponse.of(next.response);
+    }
+
+    private record Received(HttpRequest request, CompletableFuture<HttpResponse> response) {
+
+        void answer(String body) {
+            response.complete(HttpResponse.of(ResponseHeaders.of(HttpStatus.OK), HttpData.ofUtf8(body)));
+        }
+    }
+}
