Send the content of a response after 100 (Continue) before that to a HEAD

Callers saw: a response without the content that its length announces, so that the bytes of the next response stand for it. Netty's codec keeps the methods of the requests to omit the content of responses to HEAD. It takes 100 (Continue) for the response to its request; the response to that request is then matched with the next request, which may be a HEAD that was pipelined.

100 (Continue) is written behind the codec.

--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.channels.ClosedChannelException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
@@ -25,15 +26,14 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
@@ -60,6 +60,9 @@
      */
     private static final long MAX_LINGER_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
 
+    private static final ByteBuf CONTINUE = Unpooled.unreleasableBuffer(
+            Unpooled.copiedBuffer("HTTP/1.1 100 Continue\r\n\r\n", StandardCharsets.US_ASCII));
+
     private final Channel channel;
     private final RequestHandler handler;
     private final Supplier<RequestLimits> limits;
@@ -228,8 +231,8 @@
             return;
         }
         receiving.expectsContinue = false;
-        channel.writeAndFlush(new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        // The codec would take it for the response to the request, and the next response for that to a later HEAD.
+        channel.pipeline().context(HttpServerCodec.class).writeAndFlush(CONTINUE.duplicate());
     }
 
     private void receiveContent(HttpContent content) {
--- a/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionTest.java
@@ -71,7 +71,6 @@
 
     /** Guards against a response without the content that its length announces, so that the next one stands for it. */
     @Test
-    @Tag("known-red")
     void sendsContentBeforeResponseToHeadAfterExpectedBody() {
         caller.send("POST /post HTTP/1.1\r\nHost: s\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
         caller.send("ok" + "HEAD /head HTTP/1.1\r\nHost: s\r\n\r\n");
