Abort a body whose rest is discarded

What arrives of a body after the response to its request is discarded. The stream of the body was then closed at its end, so that a reader took the part before for the whole body. No case is known in which such a body reached a server, as a call whose response is there is not dispatched any more; the reader must not depend on that.

The stream is aborted when the response is there. HttpConnectionTest.doesNotCompleteBodyWhoseRestIsDiscarded failed in each run and passes.

--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -437,6 +437,7 @@
             if (receiving == this) {
                 // The rest of the body is discarded, and nothing is known of its length.
                 closeAfterResponse();
+                abortBody();
             }
             // A body that has not been read by now may never be.
             unblock();
--- a/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionTest.java
@@ -100,7 +100,6 @@
 
     /** Guards against a body that ends as if it were whole, although the rest of it was discarded. */
     @Test
-    @Tag("known-red")
     void doesNotCompleteBodyWhoseRestIsDiscarded() {
         caller.send("POST /early HTTP/1.1\r\nHost: s\r\nContent-Length: 4\r\n\r\nab");
         caller.pass(COLLECTION_MILLIS);
