Count only the header lines that a caller sent

Callers saw: 431 to a head within the operator's limit. CallLimits counted the pseudo headers, which stand for the request line and have longer names than anything that was sent, and a space behind each colon, which is optional. A head that was shorter than the limit by less than these was rejected.

The request line has its own limit at the listener.

--- a/mustardusher-node/src/main/java/io/mustardusher/entry/CallLimits.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/CallLimits.java
@@ -9,8 +9,8 @@
 /** Rejects requests that exceed the operator's limits, before any part of them is forwarded. */
 final class CallLimits {
 
-    /** Size of the colon, space and line end of a header line, in bytes. */
-    private static final int HEADER_LINE_OVERHEAD_BYTES = 4;
+    /** Size of the colon and line end of a header line, in bytes. The space between name and value is optional. */
+    private static final int HEADER_LINE_OVERHEAD_BYTES = 3;
 
     private CallLimits() {}
 
@@ -48,8 +48,12 @@
 
     private static long headerBytes(RequestHeaders headers) {
         long[] bytes = new long[1];
-        headers.forEach((AsciiString name, String value) ->
-                bytes[0] += name.length() + value.length() + HEADER_LINE_OVERHEAD_BYTES);
+        headers.forEach((AsciiString name, String value) -> {
+            // Pseudo headers stand for the request line, which is not part of the header block.
+            if (name.charAt(0) != ':') {
+                bytes[0] += name.length() + value.length() + HEADER_LINE_OVERHEAD_BYTES;
+            }
+        });
         return bytes[0];
     }
 }
