--- a/mustardusher-node/src/test/java/io/mustardusher/entry/EntryOnListenerTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/EntryOnListenerTest.java
@@ -16,7 +16,6 @@
 import io.mustardusher.route.RequestLimits;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.concurrent.EventExecutor;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -56,7 +55,6 @@
 
     /** Guards against blaming the caller for a body that did not arrive whole. */
     @Test
-    @Tag("known-red")
     void doesNotCallRequestMalformedWhoseBodyEndsEarly() {
         CallerFixture fixture = new CallerFixture(timers, RequestLimits.DEFAULT);
         HttpRequestWriter request = HttpRequest.streaming(
