--- a/mustardusher-node/src/test/java/io/mustardusher/entry/CallerFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/CallerFixture.java
@@ -83,6 +83,11 @@
                 new CallOptions(headers.path(), 2, Long.MAX_VALUE));
     }
 
+    @Override
+    public String callName(RequestHeaders request) {
+        return CallOptions.NONE.id();
+    }
+
     @Override
     public RequestLimits limits() {
         return limits;
--- a/mustardusher-node/src/test/java/io/mustardusher/http/CallerChannel.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/CallerChannel.java
@@ -31,7 +31,7 @@
     public CallerChannel(RequestHandler handler, Supplier<RequestLimits> limits, Clock.Manual clock) {
         this.clock = clock;
         channel.freezeTime();
-        connection = new HttpConnection(channel, handler, limits, clock);
+        connection = new HttpConnection(channel, handler, limits, (status, cause) -> {}, clock);
         connection.addHandlers();
     }
 
