--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/RouteReplicaTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/RouteReplicaTest.java
@@ -2,30 +2,32 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 
+import io.mustardusher.entry.ManualTimers;
+import io.mustardusher.frame.FrameKind;
 import io.mustardusher.generated.CataloguePull;
 import io.mustardusher.generated.RouteDocument;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.route.RouteTable;
-import org.junit.jupiter.api.AfterEach;
+import io.mustardusher.time.Clock;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
 
 class RouteReplicaTest {
 
-    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+    private static final int SELF = 1;
+    private static final int PEER = 2;
+
+    private final FakeNetwork network = new FakeNetwork();
+    private final ManualTimers timers = new ManualTimers();
     private final List<Long> inForce = new ArrayList<>();
     private final RouteReplica routes = new RouteReplica(
-            RouteReplicaTest::decode, new FakeNetwork().peersOf(1), timers, table -> inForce.add(table.version()));
-
-    @AfterEach
-    void close() {
-        timers.shutdownNow();
-    }
+            RouteReplicaTest::decode, network.peersOf(SELF), timers, table -> inForce.add(table.version()));
 
     @Test
     void appliesOnlyHigherVersions() {
@@ -50,6 +52,79 @@
         assertThat(request(4).getText()).isNull();
     }
 
+    /** A version that was damaged on its way, or could not be decoded, barred its own number for good. */
+    @Test
+    @Tag("known-red")
+    void appliesReadableTextOfVersionThatWasUnreadable() {
+        offer(4);
+        routes.offer(new RouteDocument().withVersion(5).withText("broken"), "test");
+        offer(5);
+        assertThat(inForce).containsExactly(4L, 5L).inOrder();
+    }
+
+    /** The table service delivered a version damaged, and the peers that had it whole were not asked. */
+    @Test
+    @Tag("known-red")
+    void pullsVersionFromPeerThatWasUnreadable() {
+        offer(4);
+        routes.offer(new RouteDocument().withVersion(5).withText("broken"), "test");
+        AtomicInteger pulls = servePeer("text");
+        gossip(5);
+        assertThat(inForce).containsExactly(4L, 5L).inOrder();
+        assertThat(pulls.get()).isEqualTo(1);
+    }
+
+    /** A text that only this node cannot decode is not transferred again with each gossip message. */
+    @Test
+    void pullsUnreadableTextOnce() {
+        offer(4);
+        AtomicInteger pulls = servePeer("broken");
+        gossip(5);
+        gossip(5);
+        routes.offer(new RouteDocument().withVersion(5).withText("broken"), "test");
+        gossip(5);
+        assertThat(pulls.get()).isEqualTo(1);
+        assertThat(routes.revision()).isEqualTo(4);
+    }
+
+    /** A failure of any kind in the decoder ended the watch of the table service. */
+    @Test
+    @Tag("known-red")
+    void keepsPreviousVersionWhenDecoderFails() {
+        offer(4);
+        routes.offer(new RouteDocument().withVersion(5).withText("failing"), "test");
+        offer(6);
+        assertThat(inForce).containsExactly(4L, 6L).inOrder();
+    }
+
+    /** A failure of the listener ended the watch of the table service. */
+    @Test
+    @Tag("known-red")
+    void versionIsInForceWhenListenerFails() {
+        RouteReplica failing = new RouteReplica(RouteReplicaTest::decode, network.peersOf(SELF), timers, table -> {
+            throw new IllegalStateException("listener");
+        });
+        failing.offer(new RouteDocument().withVersion(5).withText("text"), "test");
+        assertThat(failing.revision()).isEqualTo(5);
+        assertThat(failing.answer(new CataloguePull().withSince(4L)).join().getText())
+                .isEqualTo("text");
+    }
+
+    private AtomicInteger servePeer(String text) {
+        AtomicInteger pulls = new AtomicInteger();
+        network.on(PEER, FrameKind.ROUTES, (CataloguePull request) -> {
+            pulls.incrementAndGet();
+            return CompletableFuture.completedFuture(
+                    new RouteDocument().withVersion(5).withText(text));
+        });
+        return pulls;
+    }
+
+    private void gossip(long revision) {
+        routes.onPeerRevision(FakeNode.record(PEER, 1), revision);
+        timers.advance(1_000 * Clock.NANOS_PER_MILLI);
+    }
+
     private RouteDocument request(long since) {
         return routes.answer(new CataloguePull().withSince(since)).join();
     }
@@ -62,6 +137,9 @@
         if ("broken".equals(document.getText())) {
             throw new MustardusherException(ResultCode.ENTRY_INVALID, "broken");
         }
+        if ("failing".equals(document.getText())) {
+            throw new IllegalStateException("decoder");
+        }
         return RouteTable.builder(document.getVersion()).build();
     }
 }
