Reject requests of unreadable routes as not run instead of as unknown

What callers saw: 404 for a request whose rule a node could not read, or whose listener it could not read, and with a shorter prefix beside it, a call to the service of that prefix. 404 is final; callers do not come back after it.

Cause: ManifestDecoder logged what it could not read and left it out, and a table that lacks a route answers as if the operator had none there.

RouteTable.find returns a RouteMatch now: the route, ABSENT, or UNREADABLE. An unreadable rule keeps its host and prefix; where the prefix cannot be read, every path of the host without a route of its own is undecided, and where the host cannot be read, every request without a route. UNREADABLE is rejected with the new code 2013, status 503, not run. ABSENT stays 404.

--- a/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
@@ -78,6 +78,9 @@
     /** The call would miss its target latency at this gate; another server may answer sooner. */
     SLOWER_THAN_TARGET(2012, 503, Outcome.NOT_RUN, "Another server may answer sooner.", "Come back after Retry-After."),
 
+    /** The configuration has, or may have, a route for the call that the node could not read. */
+    ROUTE_UNREADABLE(2013, 503, Outcome.NOT_RUN, "The node cannot read the route.", "Come back after Retry-After."),
+
     /** The connection was lost after dispatch. */
     CONNECTION_LOST(3001, 502, Outcome.UNKNOWN, "The connection was lost after dispatch.", "Resend with the same key."),
 
--- a/mustardusher-core/src/main/java/io/mustardusher/route/Route.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/route/Route.java
@@ -20,4 +20,15 @@
         int priority,
         long timeoutNanos,
         long targetLatencyNanos,
-        int maxAttempts) {}
+        int maxAttempts) {
+
+    /**
+     * Returns whether a text is a prefix of paths.
+     *
+     * @param text the text
+     * @return {@code true} if it starts and ends with a slash
+     */
+    public static boolean isPrefix(String text) {
+        return text.startsWith("/") && text.endsWith("/");
+    }
+}
--- a/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
@@ -2,32 +2,33 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Set;
 
 /** Immutable table of the routes of one version of the configuration. A new version replaces the whole table. */
 public final class RouteTable {
 
     /** Table without routes, with a version below those of all configurations. */
-    public static final RouteTable EMPTY = new RouteTable(0, Map.of(), RequestLimits.DEFAULT, Map.of());
+    public static final RouteTable EMPTY = builder(0).build();
 
     private static final String DEFAULT_HEALTH_PATH = "/health";
 
     private final long version;
-    private final Map<String, Map<String, Route>> hosts;
+    private final Map<String, Host> hosts;
+    private final RouteMatch otherHosts;
+    private final int unreadable;
     private final RequestLimits limits;
     private final Map<String, String> healthPaths;
 
-    private RouteTable(
-            long version,
-            Map<String, Map<String, Route>> hosts,
-            RequestLimits limits,
-            Map<String, String> healthPaths) {
-        this.healthPaths = healthPaths;
-        this.version = version;
-        this.hosts = hosts;
-        this.limits = limits;
+    private RouteTable(Builder builder) {
+        version = builder.version;
+        hosts = builder.buildHosts();
+        otherHosts = builder.otherHosts;
+        unreadable = builder.unreadable;
+        limits = builder.limits;
+        healthPaths = Map.copyOf(builder.healthPaths);
     }
 
     /**
@@ -63,25 +64,26 @@
      *
      * @param authority host, with or without a port
      * @param path      path, with or without a query
-     * @return the route, or empty if none matches
+     * @return the route; {@link RouteMatch.Unmatched#UNREADABLE} if that route, or a part of the configuration that may
+     *     contain it, could not be read
      */
-    public Optional<Route> find(String authority, String path) {
-        Map<String, Route> prefixes = hosts.get(host(authority));
-        if (prefixes == null) {
-            return Optional.empty();
+    public RouteMatch find(String authority, String path) {
+        Host host = hosts.get(host(authority));
+        if (host == null) {
+            return otherHosts;
         }
         int query = path.indexOf('?');
         int end = (query < 0 ? path.length() : query) - 1;
         for (int slash = path.lastIndexOf('/', end); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
-            Route route = prefixes.get(path.substring(0, slash + 1));
-            if (route != null) {
-                return Optional.of(route);
+            RouteMatch match = host.prefixes.get(path.substring(0, slash + 1));
+            if (match != null) {
+                return match;
             }
             if (slash == 0) {
                 break;
             }
         }
-        return Optional.empty();
+        return host.otherPaths;
     }
 
     /**
@@ -101,10 +103,21 @@
      */
     public Collection<Route> routes() {
         return hosts.values().stream()
-                .flatMap(prefixes -> prefixes.values().stream())
+                .flatMap(host -> host.prefixes.values().stream())
+                .filter(RouteMatch.Found.class::isInstance)
+                .map(RouteMatch::orElseThrow)
                 .toList();
     }
 
+    /**
+     * Returns the number of parts of the configuration that could not be read.
+     *
+     * @return number of unreadable rules and listeners
+     */
+    public int unreadable() {
+        return unreadable;
+    }
+
     private static String host(String authority) {
         if (authority == null) {
             return "";
@@ -113,12 +126,23 @@
         return (colon < 0 ? authority : authority.substring(0, colon)).toLowerCase(Locale.ROOT);
     }
 
+    /**
+     * The routes of a host.
+     *
+     * @param prefixes   result for each prefix
+     * @param otherPaths result for paths without any of the prefixes
+     */
+    private record Host(Map<String, RouteMatch> prefixes, RouteMatch otherPaths) {}
+
     /** Builder of a {@link RouteTable}. */
     public static final class Builder {
 
         private final long version;
-        private final Map<String, Map<String, Route>> hosts = new HashMap<>();
+        private final Map<String, Map<String, RouteMatch>> hosts = new HashMap<>();
+        private final Set<String> incompleteHosts = new HashSet<>();
         private final Map<String, String> healthPaths = new HashMap<>();
+        private RouteMatch otherHosts = RouteMatch.Unmatched.ABSENT;
+        private int unreadable;
         private RequestLimits limits = RequestLimits.DEFAULT;
 
         private Builder(long version) {
@@ -133,7 +157,51 @@
          * @return this builder
          */
         public Builder add(String host, Route route) {
-            hosts.computeIfAbsent(host(host), name -> new HashMap<>()).put(route.prefix(), route);
+            prefixes(host).put(route.prefix(), new RouteMatch.Found(route));
+            return this;
+        }
+
+        /**
+         * Adds a route that could not be read. It does not replace a readable route with the same prefix. If the prefix
+         * is malformed, the route may be that of any path of the host.
+         *
+         * @param host   host of the requests
+         * @param prefix prefix of the paths, as far as it could be read; may be empty
+         * @return this builder
+         */
+        public Builder addUnreadable(String host, String prefix) {
+            unreadable++;
+            Map<String, RouteMatch> prefixes = prefixes(host);
+            if (!Route.isPrefix(prefix)) {
+                incompleteHosts.add(host(host));
+            }
+            if (!prefix.isEmpty()) {
+                prefixes.putIfAbsent(enclose(prefix), RouteMatch.Unmatched.UNREADABLE);
+            }
+            return this;
+        }
+
+        /**
+         * Adds a part of the configuration that may contain a route for any path of a host.
+         *
+         * @param host host of the requests
+         * @return this builder
+         */
+        public Builder addUnreadable(String host) {
+            unreadable++;
+            prefixes(host);
+            incompleteHosts.add(host(host));
+            return this;
+        }
+
+        /**
+         * Adds a part of the configuration that may contain a route for any request.
+         *
+         * @return this builder
+         */
+        public Builder addUnreadable() {
+            unreadable++;
+            otherHosts = RouteMatch.Unmatched.UNREADABLE;
             return this;
         }
 
@@ -166,9 +234,25 @@
          * @return the table
          */
         public RouteTable build() {
-            Map<String, Map<String, Route>> copy = new HashMap<>();
-            hosts.forEach((host, prefixes) -> copy.put(host, Map.copyOf(prefixes)));
-            return new RouteTable(version, Map.copyOf(copy), limits, Map.copyOf(healthPaths));
+            return new RouteTable(this);
+        }
+
+        private static String enclose(String prefix) {
+            return (prefix.startsWith("/") ? "" : "/") + prefix + (prefix.endsWith("/") ? "" : "/");
+        }
+
+        private Map<String, RouteMatch> prefixes(String host) {
+            return hosts.computeIfAbsent(host(host), name -> new HashMap<>());
+        }
+
+        private Map<String, Host> buildHosts() {
+            Map<String, Host> copy = new HashMap<>();
+            hosts.forEach((host, prefixes) -> copy.put(
+                    host,
+                    new Host(
+                            Map.copyOf(prefixes),
+                            incompleteHosts.contains(host) ? RouteMatch.Unmatched.UNREADABLE : otherHosts)));
+            return Map.copyOf(copy);
         }
     }
 }
--- a/mustardusher-core/src/test/java/io/mustardusher/route/RouteTableTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/route/RouteTableTest.java
@@ -39,9 +39,75 @@
 
     @Test
     void requestWithoutMatchingHostAndPrefixHasNoRoute() {
-        assertThat(table.find("b.example", "/c/")).isEmpty();
-        assertThat(table.find("c.example", "/b/")).isEmpty();
-        assertThat(table.find(null, "/b/")).isEmpty();
+        assertThat(table.find("b.example", "/c/")).isEqualTo(RouteMatch.Unmatched.ABSENT);
+        assertThat(table.find("c.example", "/b/")).isEqualTo(RouteMatch.Unmatched.ABSENT);
+        assertThat(table.find(null, "/b/")).isEqualTo(RouteMatch.Unmatched.ABSENT);
+    }
+
+    @Test
+    void unreadableRouteKeepsItsPlace() {
+        RouteTable table = RouteTable.builder(7)
+                .add("a.example", route("all", "/"))
+                .addUnreadable("a.example", "/x/")
+                .add("a.example", route("deep", "/x/y/"))
+                .addUnreadable("b.example", "/x/")
+                .build();
+        assertThat(table.find("a.example", "/x/z")).isEqualTo(RouteMatch.Unmatched.UNREADABLE);
+        assertThat(table.find("a.example", "/x/y/z").orElseThrow().name()).isEqualTo("deep");
+        assertThat(table.find("a.example", "/z").orElseThrow().name()).isEqualTo("all");
+        assertThat(table.find("b.example", "/z")).isEqualTo(RouteMatch.Unmatched.ABSENT);
+        assertThat(table.routes()).hasSize(2);
+        assertThat(table.unreadable()).isEqualTo(2);
+    }
+
+    @Test
+    void readableRouteIsKeptBesideUnreadableOneOfSamePrefix() {
+        RouteTable before = RouteTable.builder(7)
+                .add("a.example", route("x", "/x/"))
+                .addUnreadable("a.example", "/x/")
+                .build();
+        RouteTable after = RouteTable.builder(7)
+                .addUnreadable("a.example", "/x/")
+                .add("a.example", route("x", "/x/"))
+                .build();
+        assertThat(before.find("a.example", "/x/").orElseThrow().name()).isEqualTo("x");
+        assertThat(after.find("a.example", "/x/").orElseThrow().name()).isEqualTo("x");
+    }
+
+    /** A route under a prefix without its last slash must not be taken for one of a shorter prefix. */
+    @Test
+    void unreadableRouteWithMalformedPrefixKeepsItsPlace() {
+        RouteTable table = RouteTable.builder(7)
+                .add("a.example", route("all", "/"))
+                .addUnreadable("a.example", "x")
+                .addUnreadable("b.example", "")
+                .build();
+        assertThat(table.find("a.example", "/x/z")).isEqualTo(RouteMatch.Unmatched.UNREADABLE);
+        assertThat(table.find("a.example", "/z").orElseThrow().name()).isEqualTo("all");
+        assertThat(table.find("b.example", "/z")).isEqualTo(RouteMatch.Unmatched.UNREADABLE);
+    }
+
+    @Test
+    void requestWithoutRouteIsUndecidedWhereItsHostIsIncomplete() {
+        RouteTable table = RouteTable.builder(7)
+                .add("a.example", route("x", "/x/"))
+                .addUnreadable("A.example")
+                .add("b.example", route("x", "/x/"))
+                .build();
+        assertThat(table.find("a.example", "/z")).isEqualTo(RouteMatch.Unmatched.UNREADABLE);
+        assertThat(table.find("b.example", "/z")).isEqualTo(RouteMatch.Unmatched.ABSENT);
+        assertThat(table.find("c.example", "/z")).isEqualTo(RouteMatch.Unmatched.ABSENT);
+    }
+
+    @Test
+    void requestWithoutRouteIsUndecidedWhereTableIsIncomplete() {
+        RouteTable table = RouteTable.builder(7)
+                .add("a.example", route("x", "/x/"))
+                .addUnreadable()
+                .build();
+        assertThat(table.find("a.example", "/x/").orElseThrow().name()).isEqualTo("x");
+        assertThat(table.find("a.example", "/z")).isEqualTo(RouteMatch.Unmatched.UNREADABLE);
+        assertThat(table.find("c.example", "/z")).isEqualTo(RouteMatch.Unmatched.UNREADABLE);
     }
 
     private String found(String host, String path) {
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -159,7 +159,7 @@
 
     /**
      * A version of the routes, or a single route in it, could not be parsed. If it is the version, the previous one
-     * stays in force; if it is a route, the others of the version apply.
+     * stays in force; if it is a route, the others of the version apply, and its requests are rejected.
      *
      * @param version the version
      * @param cause   the fault
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -130,6 +130,7 @@
         entry = new Entry(router, null, protocol, call -> {}, core.eventLoopDelay(), clock, core.metrics());
         listener = new HttpListener(core.group(), clock, core.metrics());
         core.metrics().gauge("routes.version", () -> routes::revision);
+        core.metrics().gauge("routes.unreadable", () -> () -> routes.current().unreadable());
     }
 
     /**
