Split requests by fractional and by large weights

What callers saw: 404, and 503 since the rule keeps its place, for a route whose weights are below 1 or add up to 2^31 or more; weights such as 1.5 and 0.5 sent nothing to the second service. A node with large weights was busy for as many steps as their sum before the version came into force.

Cause: weights were read as whole numbers and added up as such, and the starting point of a rotation is sought step by step.

Weights are decimal numbers now. Where they are whole and add up to at most a million, a rotation is as long as before; otherwise they are scaled to a rotation of a million, and none that is above 0 becomes 0.

--- a/mustardusher-core/src/main/java/io/mustardusher/route/Destination.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/route/Destination.java
@@ -1,5 +1,6 @@
 package io.mustardusher.route;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.random.RandomGenerator;
 
@@ -31,16 +32,20 @@
     /** Distributes requests over several services in proportion to their weights, by smooth weighted round robin. */
     final class Split implements Destination {
 
+        /** Maximum length of a rotation, which bounds the time to find its starting point. */
+        private static final int MAX_ROTATION = 1_000_000;
+
         private final List<ServiceName> services;
-        private final int[] weights;
+        private final long[] weights;
         private final long[] currentWeights;
         private final long total;
 
         private Split(List<WeightedService> weightedServices, RandomGenerator random) {
             services = weightedServices.stream().map(WeightedService::service).toList();
-            weights =
-                    weightedServices.stream().mapToInt(WeightedService::weight).toArray();
-            total = weightedServices.stream().mapToLong(WeightedService::weight).sum();
+            weights = toWholeNumbers(weightedServices.stream()
+                    .mapToDouble(WeightedService::weight)
+                    .toArray());
+            total = Arrays.stream(weights).sum();
             currentWeights = new long[weights.length];
             // Nodes start at different points of the rotation. Otherwise, a short burst of requests would go to the
             // service with the highest weight alone.
@@ -66,6 +71,18 @@
             return services.get(nextIndex());
         }
 
+        private static long[] toWholeNumbers(double[] weights) {
+            double total = Arrays.stream(weights).sum();
+            boolean exact =
+                    total <= MAX_ROTATION && Arrays.stream(weights).allMatch(weight -> weight == Math.rint(weight));
+            if (exact) {
+                return Arrays.stream(weights).mapToLong(weight -> (long) weight).toArray();
+            }
+            return Arrays.stream(weights)
+                    .mapToLong(weight -> weight > 0 ? Math.max(1, Math.round(weight / total * MAX_ROTATION)) : 0)
+                    .toArray();
+        }
+
         private synchronized int nextIndex() {
             int best = -1;
             for (int i = 0; i < weights.length; i++) {
@@ -82,8 +99,8 @@
          * A service and its weight.
          *
          * @param service the service
-         * @param weight  its weight, at least 0
+         * @param weight  its weight, at least 0 and finite
          */
-        public record WeightedService(ServiceName service, int weight) {}
+        public record WeightedService(ServiceName service, double weight) {}
     }
 }
--- a/mustardusher-core/src/test/java/io/mustardusher/route/DestinationTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/route/DestinationTest.java
@@ -44,7 +44,38 @@
         }
     }
 
-    private static Destination split(int heavy, int light, long seed) {
+    @Test
+    void splitByFractionsIsExactOverWholeRotations() {
+        Destination split = split(0.75, 0.25, 5);
+        long light = 0;
+        for (int i = 0; i < 40; i++) {
+            light += split.next().equals(LIGHT) ? 1 : 0;
+        }
+        assertThat(light).isEqualTo(10);
+    }
+
+    /** The starting point of a rotation was sought over as many steps as the sum of the weights. */
+    @Test
+    void splitByLargeWeightsKeepsTheirRatio() {
+        Destination split = split(3e18, 1e18, 5);
+        long light = 0;
+        for (int i = 0; i < 40; i++) {
+            light += split.next().equals(LIGHT) ? 1 : 0;
+        }
+        assertThat(light).isEqualTo(10);
+    }
+
+    @Test
+    void serviceWithLeastWeightIsNotForgotten() {
+        Destination split = split(1, 1e-12, 5);
+        boolean light = false;
+        for (int i = 0; i < 1_100_000 && !light; i++) {
+            light = split.next().equals(LIGHT);
+        }
+        assertThat(light).isTrue();
+    }
+
+    private static Destination split(double heavy, double light, long seed) {
         return Destination.Split.of(
                 List.of(
                         new Destination.Split.WeightedService(HEAVY, heavy),
