Match hosts with a dot at their end, and addresses in brackets

What callers saw: 404 for a request whose host, or whose listener's host, is written with the dot of the root domain; and the routes of one IPv6 address for requests to another.

Cause: a host was cut at its first colon, and compared as it was written otherwise.

Evidence: hostMatchesWithAndWithoutDotAtItsEnd and addressInBracketsMatchesWithAndWithoutPort of UnreadableManifestTest failed before ('no such route'; nothing was thrown) and pass now. Case and port were matched before (RouteTableTest).

--- a/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
@@ -122,8 +122,15 @@
         if (authority == null) {
             return "";
         }
-        int colon = authority.indexOf(':');
-        return (colon < 0 ? authority : authority.substring(0, colon)).toLowerCase(Locale.ROOT);
+        int end = authority.startsWith("[") ? authority.indexOf(']') + 1 : authority.indexOf(':');
+        if (end <= 0) {
+            end = authority.length();
+        }
+        // The dot of the root domain does not make a name another one.
+        if (authority.startsWith(".", end - 1)) {
+            end--;
+        }
+        return authority.substring(0, end).toLowerCase(Locale.ROOT);
     }
 
     /**
