--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
@@ -158,7 +158,8 @@
      * Counts an answer. Both attempts of a hedged call are counted.
      *
      * @param route  name of the route
-     * @param result how the attempt ended: {@code ok}, {@code client_error}, {@code server_error} or the label of a result code
+     * @param result how the attempt ended: {@code ok}, {@code client_error}, {@code server_error} or the label of a
+     *     result code
      */
     void countAnswer(String route, String result) {
         answers.computeIfAbsent(new AnswerKey(route, result), this::createCounter)
