Do not deny the run of a key whose request did not arrive whole

What callers see: not-run for a call with an idempotency key whose body was lost or late, although an earlier call with the same key may have run.

Cause: rejections before the body is read are reworded for calls with a key, those after it were not.

Evidence: RejectedCallsTest.doesNotDenyRunOfKeyWhoseBodyDoesNotArriveWhole failed before (not-run, expected unknown).

--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -37,9 +37,9 @@
     /** Largest body of a call with an idempotency key, in bytes. */
     private static final long MAX_KEYED_BODY_BYTES = 1L << 20;
 
-    /** Rejections that are due to the time or the state of this node, and not to a fault of the request. */
-    private static final Set<ResultCode> TRANSIENT_REJECTIONS =
-            EnumSet.of(ResultCode.NODE_STARTING, ResultCode.NODE_STOPPING, ResultCode.DEADLINE_EXPIRED);
+    /** Rejections that are not due to a fault of the request. */
+    private static final Set<ResultCode> TRANSIENT_REJECTIONS = EnumSet.of(
+            ResultCode.NODE_STARTING, ResultCode.NODE_STOPPING, ResultCode.DEADLINE_EXPIRED, ResultCode.CANCELLED);
 
     /** Routes calls to gates. */
     private final Router router;
@@ -175,7 +175,7 @@
             Call call = protocol.read(request.headers(), clock.nanoTime());
             return HttpResponse.of(request.aggregate()
                     .thenCompose(aggregated -> homes.handleAsHome(call, toBody(aggregated)))
-                    .exceptionally(failure -> rejectAfterBody(request, failure)));
+                    .exceptionally(Problem::response));
         } catch (MustardusherException e) {
             return reject(request, e);
         }
@@ -226,10 +226,9 @@
     }
 
     private HttpResponse rejectAfterBody(HttpRequest request, Throwable failure) {
-        if (failure.getCause() instanceof MustardusherException rejection) {
-            countRejection(request, rejection);
-        }
-        return Problem.response(failure);
+        return failure.getCause() instanceof MustardusherException rejection
+                ? reject(request, rejection)
+                : Problem.response(failure);
     }
 
     private void countRejection(HttpRequest request, MustardusherException rejection) {
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/RejectedCallsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/RejectedCallsTest.java
@@ -81,6 +81,21 @@
         assertThat(response.join().headers().get(CallHeaders.OUTCOME)).isEqualTo(Outcome.NOT_RUN.token());
     }
 
+    // A caller was told that its operation did not run, although an earlier call with the same key may have.
+    @Test
+    void doesNotDenyRunOfKeyWhoseBodyDoesNotArriveWhole() {
+        RequestHeaders headers = RequestHeaders.builder(HttpMethod.POST, "/")
+                .set(CallHeaders.SERVICE, SERVICE)
+                .set(CallHeaders.IDEMPOTENCY_KEY, "018f3b5e-7c1a-7000-8000-000000000001")
+                .contentLength(10)
+                .build();
+        HttpRequestWriter request = HttpRequest.streaming(headers);
+        CompletableFuture<AggregatedHttpResponse> response =
+                entryWith(catalogue()).handle(request, new OpenExchange()).aggregate();
+        request.close(new ClosedChannelException());
+        assertThat(response.join().headers().get(CallHeaders.OUTCOME)).isEqualTo(Outcome.UNKNOWN.token());
+    }
+
     private static Catalogue catalogue() {
         EntryDocument entry = new EntryDocument()
                 .withService(SERVICE)
