Bound the rotation of a split at 10,000 steps

RouteSequencePropertyTest took 86 s with a bound of a million, nearly all of it for the starting points of rotations: each route with fractional or large weights cost up to a million steps whenever a version came into force. Shares are now exact to 0.01%; whole weights that add up to at most 10,000 are kept as they are. The same tests pass.

--- a/mustardusher-core/src/main/java/io/mustardusher/route/Destination.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/route/Destination.java
@@ -33,7 +33,7 @@
     final class Split implements Destination {
 
         /** Maximum length of a rotation, which bounds the time to find its starting point. */
-        private static final int MAX_ROTATION = 1_000_000;
+        private static final int MAX_ROTATION = 10_000;
 
         private final List<ServiceName> services;
         private final long[] weights;
