Answer calls whose long body stalls at their deadline, as not run

What callers see: no answer at all to a call with more than 64 KiB of body that stalls on its way, and 504 if the rest arrives after the deadline, although nothing was sent. The server that was chosen for it counted as failing.

Cause: only bodies that the entry buffers were bounded by the deadline. A longer one was collected for its gate without a bound, and a frame that was never sent was reported like one without an answer.

Evidence: EntryOnListenerTest.answersLongBodyThatStallsUntilItsDeadlineAsNotRun failed before (no answer, 408 expected), and EntryOnListenerPropertyTest, which had accepted 504 for long bodies, at its second property with 408 alone.

Both kinds of bodies are now aborted at the deadline with the same code, every hop reports why the body was lost, and a call that was not sent is no sign of a sick server.

--- a/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
@@ -247,6 +247,19 @@
         return cause instanceof ResponseTimeoutException ? ResultCode.DEADLINE_PASSED : ResultCode.CONNECTION_LOST;
     }
 
+    /**
+     * Returns why a call was not sent whose body did not arrive whole. A body with invalid framing ends its connection,
+     * so that one was lost on its way and its caller is not to blame.
+     *
+     * @param failure failure of the body
+     * @return the reason, with a code that means "not run"
+     */
+    static MustardusherException bodyLost(Throwable failure) {
+        return unwrap(failure) instanceof MustardusherException coded
+                ? coded
+                : new MustardusherException(ResultCode.CANCELLED, "the body did not arrive whole");
+    }
+
     /**
      * Describes a failure for callers. Messages of exceptions from libraries can contain addresses, so only the class
      * of these exceptions is named.
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -19,6 +19,7 @@
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.CallerProtocol;
+import io.mustardusher.call.Exchange;
 import io.mustardusher.call.Problem;
 import io.mustardusher.catalogue.CatalogueEntry;
 import io.mustardusher.http.RequestExchange;
@@ -213,6 +214,7 @@
             return router.route(call, CallBody.Buffered.EMPTY, idempotent, cancelled);
         }
         if (length > MAX_BUFFERED_BODY_BYTES) {
+            abortAtDeadline(exchange, call, request);
             return router.route(call, new CallBody.Streamed(request), idempotent, cancelled);
         }
         return HttpResponse.of(bufferBody(exchange, call, request)
@@ -291,21 +293,23 @@
      * @return the body
      */
     private CompletableFuture<CallBody.Buffered> bufferBody(RequestExchange exchange, Call call, HttpRequest request) {
-        MustardusherException late = new MustardusherException(ResultCode.DEADLINE_EXPIRED, "the body came too late");
-        ScheduledFuture<?> timeout = exchange.executor()
-                .schedule(() -> request.abort(late), call.deadlineNanos() - clock.nanoTime(), TimeUnit.NANOSECONDS);
+        abortAtDeadline(exchange, call, request);
         return request.aggregate(exchange.executor()).handle((aggregated, failure) -> {
-            timeout.cancel(false);
             if (failure != null) {
-                boolean expired = failure.getCause() == late || failure == late;
-                // A body with invalid framing ends its connection, so this one was lost on its way.
-                throw expired ? late : new MustardusherException(ResultCode.CANCELLED, "the body did not arrive whole");
+                throw Exchange.bodyLost(failure);
             }
             CallLimits.check(aggregated.content().length(), protocol.limits());
             return toBody(aggregated);
         });
     }
 
+    private void abortAtDeadline(RequestExchange exchange, Call call, HttpRequest request) {
+        MustardusherException late = new MustardusherException(ResultCode.DEADLINE_EXPIRED, "the body came too late");
+        ScheduledFuture<?> timeout = exchange.executor()
+                .schedule(() -> request.abort(late), call.deadlineNanos() - clock.nanoTime(), TimeUnit.NANOSECONDS);
+        request.whenComplete().whenComplete((ignored, failure) -> timeout.cancel(false));
+    }
+
     /**
      * Returns the body of an aggregated request.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
@@ -116,8 +116,7 @@
             CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
             request.aggregate(loop).whenComplete((aggregated, failure) -> {
                 if (failure != null) {
-                    answer.completeExceptionally(
-                            new MustardusherException(ResultCode.CANCELLED, "the body did not arrive whole"));
+                    answer.completeExceptionally(Exchange.bodyLost(failure));
                     return;
                 }
                 byte[] body = aggregated.content().array();
@@ -142,7 +141,10 @@
                 CompletableFuture<AggregatedHttpResponse> answer) {
             long remainingMillis = (end - clock.nanoTime()) / Clock.NANOS_PER_MILLI;
             if (remainingMillis <= 0) {
-                answer.completeExceptionally(new MustardusherException(ResultCode.DEADLINE_PASSED, "no answer"));
+                answer.completeExceptionally(
+                        kind == FrameKind.CALL
+                                ? new MustardusherException(ResultCode.DEADLINE_EXPIRED, "no time left to send it")
+                                : new MustardusherException(ResultCode.DEADLINE_PASSED, "no answer"));
                 return;
             }
             CompletableFuture<CallMessage> reply = peers.request(address, kind, message, remainingMillis);
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -341,7 +341,7 @@
         long now = router.clock().nanoTime();
         if (coded.code() == ResultCode.SERVER_UNREACHABLE) {
             server.ejection().recordUnreachable(now);
-        } else if (!cancelled.toCompletableFuture().isDone()) {
+        } else if (!cancelled.toCompletableFuture().isDone() && coded.code().outcome() != Outcome.NOT_RUN) {
             server.ejection().recordCall(false, now);
         }
         retryOrFail(coded.code(), coded.getMessage(), now);
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -15,6 +15,7 @@
 import io.mustardusher.call.Exchange;
 import io.mustardusher.frame.DeadPeerDetection;
 import io.mustardusher.http.Transport;
+import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
 import io.netty.bootstrap.Bootstrap;
@@ -154,7 +155,8 @@
         // Aggregated on the event loop of the link, because exchanges are confined to it.
         call.aggregate(loop).whenComplete((request, failure) -> {
             if (failure != null) {
-                exchange.fail(ResultCode.CANCELLED, "the body did not arrive whole");
+                MustardusherException lost = Exchange.bodyLost(failure);
+                exchange.fail(lost.code(), lost.getMessage());
             } else {
                 dispatch(exchange, request, deadlineNanos, idempotent);
             }
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/EntryOnListenerPropertyTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/EntryOnListenerPropertyTest.java
@@ -40,7 +40,7 @@
         private static final int MAX_REQUESTS = 4;
         private static final int MAX_PAUSES = 3;
         private static final int MAX_FRAMED_CHUNKS = 60_000;
-        private static final int MAX_BUFFERED_BODY = 64 << 10;
+        private static final int LATE = 408;
 
         private final Random random;
         private final int longestPause;
@@ -121,7 +121,7 @@
             }
             assertThat(finalAnswers()).hasSize(number);
             Answer answer = lastAnswer();
-            if (mayDrain && answer.status() == statusIfLate(request)) {
+            if (mayDrain && answer.status() == LATE) {
                 assertThat(fixture.calls.stream().map(call -> call.path)).doesNotContain(request.path());
                 return;
             }
@@ -134,10 +134,6 @@
                     .hasSize(1);
         }
 
-        private static int statusIfLate(ProperRequest request) {
-            return request.body().length > MAX_BUFFERED_BODY ? 504 : 408;
-        }
-
         private List<Answer> answers() {
             return AnswerReader.read(
                     fixture.caller.answers(),
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/EntryOnListenerTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/EntryOnListenerTest.java
@@ -78,6 +78,19 @@
         assertThat(fixture.calls).isEmpty();
     }
 
+    /** Guards against a call that is never answered because its long body stalls on the way. */
+    @Test
+    void answersLongBodyThatStallsUntilItsDeadlineAsNotRun() {
+        CallerFixture fixture = new CallerFixture(timers, RequestLimits.DEFAULT);
+        fixture.caller.send("POST /stalled HTTP/1.1\r\nHost: s\r\nContent-Length: " + STREAMED_BODY + "\r\n\r\n");
+        fixture.caller.send(new byte[STREAMED_BODY / 2]);
+        fixture.caller.pass(CallerFixture.TIMEOUT_MILLIS - 1);
+        assertThat(statuses(fixture)).isEmpty();
+        fixture.caller.pass(1);
+        assertThat(statuses(fixture)).containsExactly(408);
+        assertThat(fixture.calls).isEmpty();
+    }
+
     private static void cutShort(CallerChannel caller) {
         caller.send("POST /cut HTTP/1.1\r\nHost: s\r\nContent-Length: " + STREAMED_BODY + "\r\n\r\n");
         caller.send(new byte[STREAMED_BODY / 2]);
