--- a/mustardusher-node/src/test/java/io/mustardusher/entry/CallerFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/CallerFixture.java
@@ -5,34 +5,25 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 
 import com.codahale.metrics.MetricRegistry;
-import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.admission.EventLoopDelay;
-import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
-import io.mustardusher.call.CallOptions;
 import io.mustardusher.call.CallerProtocol;
 import io.mustardusher.call.HeaderPacking;
-import io.mustardusher.catalogue.CatalogueEntry;
-import io.mustardusher.catalogue.Idempotence;
-import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.frame.CallMessage;
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.frame.Peers;
 import io.mustardusher.http.CallerChannel;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.route.RequestLimits;
-import io.mustardusher.routing.RoutingPolicy;
 import io.mustardusher.time.Clock;
 
 /** A caller on a connection of a listener, whose calls an entry sends to the simulated gate of another node. */
-final class CallerFixture implements CallerProtocol {
+final class CallerFixture {
 
     /** Time limit of each call. */
     static final long TIMEOUT_MILLIS = 3_000;
@@ -46,58 +37,14 @@
 
     private final Clock.Manual clock = new Clock.Manual();
     private final HeaderPacking packing = new HeaderPacking(List.of());
-    private final RequestLimits limits;
 
     CallerFixture(ScheduledExecutorService timers, RequestLimits limits) {
-        this.limits = limits;
+        CallerProtocol protocol = new PlainProtocol(TIMEOUT_MILLIS, limits);
         Router router = RouterFixture.create(clock, timers, packing, new HeldGate(), List.of(true));
-        entry = new Entry(router, null, this, call -> {}, new EventLoopDelay(clock), clock, new MetricRegistry());
+        entry = new Entry(router, null, protocol, call -> {}, new EventLoopDelay(clock), clock, new MetricRegistry());
         caller = new CallerChannel(entry, () -> limits, clock);
     }
 
-    @Override
-    public Call read(RequestHeaders headers, long now) {
-        CatalogueEntry catalogueEntry = new CatalogueEntry(
-                RouterFixture.SERVICE,
-                "route",
-                ServiceClass.STANDARD,
-                RoutingPolicy.LEAST_COST,
-                Idempotence.ALWAYS,
-                TIMEOUT_MILLIS,
-                0,
-                0,
-                0,
-                0,
-                0,
-                0,
-                false);
-        return new Call(
-                catalogueEntry,
-                headers,
-                "route",
-                ServiceClass.STANDARD,
-                now + TIMEOUT_MILLIS * Clock.NANOS_PER_MILLI,
-                Optional.empty(),
-                0,
-                false,
-                new CallOptions(headers.path(), 2, Long.MAX_VALUE));
-    }
-
-    @Override
-    public String callName(RequestHeaders request) {
-        return CallOptions.NONE.id();
-    }
-
-    @Override
-    public RequestLimits limits() {
-        return limits;
-    }
-
-    @Override
-    public HttpResponse write(RequestHeaders request, HttpResponse answer) {
-        return answer;
-    }
-
     /** A call at the gate. */
     final class HeldCall {
 
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/PipelinedCallsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/PipelinedCallsTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -17,26 +16,17 @@
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
-import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.server.Server;
 import io.mustardusher.admission.EventLoopDelay;
-import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
-import io.mustardusher.call.CallOptions;
-import io.mustardusher.call.CallerProtocol;
 import io.mustardusher.call.HeaderPacking;
-import io.mustardusher.catalogue.CatalogueEntry;
-import io.mustardusher.catalogue.Idempotence;
-import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.frame.CallMessage;
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.frame.Peers;
 import io.mustardusher.http.CallerSocket;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.route.RequestLimits;
-import io.mustardusher.routing.RoutingPolicy;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -47,7 +37,7 @@
 /** Load pattern: callers send further requests on a connection before the first one has been answered. */
 class PipelinedCallsTest {
 
-    private static final long MINUTE_NANOS = 60_000 * Clock.NANOS_PER_MILLI;
+    private static final long MINUTE_MILLIS = 60_000;
     private static final long WAIT_SECONDS = 20;
 
     private final Clock.Manual clock = new Clock.Manual();
@@ -62,7 +52,13 @@
     void start() throws IOException {
         Router router = RouterFixture.create(clock, timers, packing, gate, List.of(true));
         entry = new Entry(
-                router, null, new PlainProtocol(), call -> {}, new EventLoopDelay(clock), clock, new MetricRegistry());
+                router,
+                null,
+                new PlainProtocol(MINUTE_MILLIS, RequestLimits.NONE),
+                call -> {},
+                new EventLoopDelay(clock),
+                clock,
+                new MetricRegistry());
         caller = new CallerSocket(open(entry));
     }
 
@@ -172,52 +168,6 @@
         caller.send(requests.toString());
     }
 
-    private static final class PlainProtocol implements CallerProtocol {
-
-        @Override
-        public Call read(RequestHeaders headers, long now) {
-            CatalogueEntry catalogueEntry = new CatalogueEntry(
-                    RouterFixture.SERVICE,
-                    "route",
-                    ServiceClass.STANDARD,
-                    RoutingPolicy.LEAST_COST,
-                    Idempotence.ALWAYS,
-                    60_000,
-                    0,
-                    0,
-                    0,
-                    0,
-                    0,
-                    0,
-                    false);
-            return new Call(
-                    catalogueEntry,
-                    headers,
-                    "route",
-                    ServiceClass.STANDARD,
-                    now + MINUTE_NANOS,
-                    Optional.empty(),
-                    0,
-                    false,
-                    new CallOptions(headers.path(), 2, Long.MAX_VALUE));
-        }
-
-        @Override
-        public String callName(RequestHeaders request) {
-            return CallOptions.NONE.id();
-        }
-
-        @Override
-        public RequestLimits limits() {
-            return RequestLimits.NONE;
-        }
-
-        @Override
-        public HttpResponse write(RequestHeaders request, HttpResponse answer) {
-            return answer;
-        }
-    }
-
     private final class HeldCall {
 
         private final long number;
