Share the exchange of two tests, and name their header without the platform's word

RejectedCallsTest and EntryOnListenerTest each had an exchange whose connection stays open; both use OpenExchange now. The seeded requests at the listener carried a header with the name of the platform's attempt identifier, which only the adapter knows. It has another name of the same length, so that the seeds lead to the same requests; the property that reads it back reads the new name. Assertions, seeds and counts are as before, and no code outside tests changes.

--- a/mustardusher-node/src/test/java/io/mustardusher/entry/EntryOnListenerTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/EntryOnListenerTest.java
@@ -12,10 +12,8 @@
 import io.mustardusher.http.AnswerReader;
 import io.mustardusher.http.AnswerReader.Answer;
 import io.mustardusher.http.CallerChannel;
-import io.mustardusher.http.RequestExchange;
 import io.mustardusher.route.RequestLimits;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.util.concurrent.EventExecutor;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -37,7 +35,7 @@
     /** Guards against the rejection of a head that the operator allows. */
     @Test
     void acceptsHeadOfExactlyTheLimit() {
-        String lines = "Host:s\r\nX-A:b\r\nX-Attempt-Id:7\r\nX-Empty:\r\nX-Long:" + "v".repeat(500) + "\r\n";
+        String lines = "Host:s\r\nX-A:b\r\nX-Request-No:7\r\nX-Empty:\r\nX-Long:" + "v".repeat(500) + "\r\n";
         CallerFixture fixture = new CallerFixture(timers, new RequestLimits(lines.length(), 1, 0, 0));
         fixture.caller.send("GET /" + "p".repeat(200) + " HTTP/1.1\r\n" + lines + "\r\n");
         fixture.calls.forEach(HeldCall::answer);
@@ -59,8 +57,9 @@
         CallerFixture fixture = new CallerFixture(timers, RequestLimits.DEFAULT);
         HttpRequestWriter request = HttpRequest.streaming(
                 RequestHeaders.builder(HttpMethod.POST, "/").contentLength(10).build());
-        CompletableFuture<AggregatedHttpResponse> response =
-                fixture.entry.handle(request, new UnconnectedExchange()).aggregate();
+        CompletableFuture<AggregatedHttpResponse> response = fixture.entry
+                .handle(request, new OpenExchange(new EmbeddedChannel().eventLoop()))
+                .aggregate();
         request.close(new IllegalStateException("lost"));
         assertThat(response.join().status().code()).isEqualTo(503);
         assertThat(fixture.calls).isEmpty();
@@ -102,34 +101,4 @@
                 .map(Answer::status)
                 .toList();
     }
-
-    private static final class UnconnectedExchange implements RequestExchange {
-
-        private final EventExecutor loop = new EmbeddedChannel().eventLoop();
-
-        @Override
-        public CompletableFuture<Void> cancelled() {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Void> ended() {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public boolean isUnanswerable() {
-            return false;
-        }
-
-        @Override
-        public void closeAfterResponse() {
-            throw new AssertionError("nothing drains");
-        }
-
-        @Override
-        public EventExecutor executor() {
-            return loop;
-        }
-    }
 }
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/RejectedCallsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/RejectedCallsTest.java
@@ -26,7 +26,6 @@
 import io.mustardusher.generated.CatalogueDelta;
 import io.mustardusher.generated.EntryDocument;
 import io.mustardusher.generated.RevisedEntry;
-import io.mustardusher.http.RequestExchange;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.DefaultEventExecutor;
@@ -76,7 +75,7 @@
                 .build();
         HttpRequestWriter request = HttpRequest.streaming(headers);
         CompletableFuture<AggregatedHttpResponse> response =
-                entryWith(catalogue()).handle(request, new OpenExchange()).aggregate();
+                entryWith(catalogue()).handle(request, new OpenExchange(loop)).aggregate();
         request.write(HttpData.ofUtf8("12345"));
         request.close(new ClosedChannelException());
         assertThat(response.join().status()).isEqualTo(HttpStatus.SERVICE_UNAVAILABLE);
@@ -93,7 +92,7 @@
                 .build();
         HttpRequestWriter request = HttpRequest.streaming(headers);
         CompletableFuture<AggregatedHttpResponse> response =
-                entryWith(catalogue()).handle(request, new OpenExchange()).aggregate();
+                entryWith(catalogue()).handle(request, new OpenExchange(loop)).aggregate();
         request.close(new ClosedChannelException());
         assertThat(response.join().headers().get(CallHeaders.OUTCOME)).isEqualTo(Outcome.UNKNOWN.token());
     }
@@ -109,7 +108,7 @@
                 .set(CallHeaders.IDEMPOTENCY_KEY, "018f3b5e-7c1a-7000-8000-000000000001")
                 .build();
         AggregatedHttpResponse response = entryWith(catalogue())
-                .handle(HttpRequest.of(headers), new OpenExchange())
+                .handle(HttpRequest.of(headers), new OpenExchange(loop))
                 .aggregate()
                 .join();
         assertThat(response.headers().get(CallHeaders.OUTCOME)).isEqualTo(Outcome.UNKNOWN.token());
@@ -142,42 +141,12 @@
         RequestHeaders headers = RequestHeaders.builder(HttpMethod.GET, "/")
                 .set(CallHeaders.SERVICE, SERVICE)
                 .build();
-        return entry.handle(HttpRequest.of(headers), new OpenExchange())
+        return entry.handle(HttpRequest.of(headers), new OpenExchange(loop))
                 .aggregate()
                 .join()
                 .status();
     }
 
-    private final class OpenExchange implements RequestExchange {
-
-        private final CompletableFuture<Void> pending = new CompletableFuture<>();
-
-        @Override
-        public CompletableFuture<Void> cancelled() {
-            return pending;
-        }
-
-        @Override
-        public CompletableFuture<Void> ended() {
-            return pending;
-        }
-
-        @Override
-        public boolean isUnanswerable() {
-            return false;
-        }
-
-        @Override
-        public void closeAfterResponse() {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public EventExecutor executor() {
-            return loop;
-        }
-    }
-
     private enum NoGates implements Peers {
         INSTANCE;
 
--- a/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionPropertyTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionPropertyTest.java
@@ -299,7 +299,7 @@
             HttpResponse start() {
                 assertThat(request.path()).isEqualTo(sent.path());
                 assertThat(request.method().name()).isEqualTo(sent.method());
-                assertThat(request.headers().get("x-attempt-id")).isEqualTo("id" + number);
+                assertThat(request.headers().get("x-request-no")).isEqualTo("id" + number);
                 assertThat(exchange.isUnanswerable()).isFalse();
                 if (number >= drainAfter) {
                     exchange.closeAfterResponse();
--- a/mustardusher-node/src/test/java/io/mustardusher/http/ProperRequest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/ProperRequest.java
@@ -53,7 +53,7 @@
         }
         head.append(path).append(" HTTP/1.1\r\n");
         field(head, random, "Host", host);
-        field(head, random, "X-Attempt-Id", "id" + number);
+        field(head, random, "X-Request-No", "id" + number);
         field(head, random, "X-Timeout-Ms", "3000");
         if (random.nextInt(4) == 0) {
             field(head, random, "X-Filler", "x\t\u00e9~!\"" + "y".repeat(random.nextInt(LONGEST_FILLER)));
