Authenticate requests by the keys of client accounts

Deployments with client accounts need requests to be admitted by key, ranked by account and passed on to servers under the name of their account.

A manifest with a list of tenants now requires `Authorization: Bearer KEY` of every request whose rule is not public. Trailers were dropped before and are now tested to be. The account's priority replaces the route's when the class is derived; the route's priority goes to the gate in a header of its own, only where there are accounts.

Without tenants in the manifest both headers are forwarded as before.

--- a/mustardusher-core/src/main/java/io/mustardusher/route/Route.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/route/Route.java
@@ -11,6 +11,7 @@
  * @param timeoutNanos       maximum time until the caller is answered, in nanoseconds
  * @param targetLatencyNanos time within which an answer has its full value, in nanoseconds
  * @param maxAttempts        maximum number of backend servers that a request may be sent to
+ * @param isPublic           whether a request needs no key of a client account
  */
 public record Route(
         String name,
@@ -20,7 +21,8 @@
         int priority,
         long timeoutNanos,
         long targetLatencyNanos,
-        int maxAttempts) {
+        int maxAttempts,
+        boolean isPublic) {
 
     /**
      * Returns whether a text is a prefix of paths.
--- a/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.mustardusher.account.AccountTable;
+
 /** Immutable table of the routes of one version of the configuration. A new version replaces the whole table. */
 public final class RouteTable {
 
@@ -21,6 +23,7 @@
     private final int unreadable;
     private final RequestLimits limits;
     private final Map<String, String> healthPaths;
+    private final AccountTable accounts;
 
     private RouteTable(Builder builder) {
         version = builder.version;
@@ -29,6 +32,7 @@
         unreadable = builder.unreadable;
         limits = builder.limits;
         healthPaths = Map.copyOf(builder.healthPaths);
+        accounts = builder.accounts;
     }
 
     /**
@@ -59,6 +63,15 @@
         return limits;
     }
 
+    /**
+     * Returns the client accounts of the same version.
+     *
+     * @return the accounts
+     */
+    public AccountTable accounts() {
+        return accounts;
+    }
+
     /**
      * Finds the route with the longest matching prefix.
      *
@@ -151,6 +164,7 @@
         private RouteMatch otherHosts = RouteMatch.Unmatched.ABSENT;
         private int unreadable;
         private RequestLimits limits = RequestLimits.DEFAULT;
+        private AccountTable accounts = AccountTable.DISABLED;
 
         private Builder(long version) {
             this.version = version;
@@ -223,6 +237,17 @@
             return this;
         }
 
+        /**
+         * Sets the client accounts.
+         *
+         * @param value the accounts
+         * @return this builder
+         */
+        public Builder accounts(AccountTable value) {
+            accounts = value;
+            return this;
+        }
+
         /**
          * Sets the path of the health check of a service's backend servers.
          *
--- a/mustardusher-core/src/test/java/io/mustardusher/route/RouteTableTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/route/RouteTableTest.java
@@ -115,6 +115,6 @@
     }
 
     private static Route route(String name, String prefix) {
-        return new Route(name, prefix, new Destination.Single(ServiceName.of("s")), true, 1, 1, 1, 2);
+        return new Route(name, prefix, new Destination.Single(ServiceName.of("s")), true, 1, 1, 1, 2, false);
     }
 }
--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/profile/LoopbackEnvironment.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/profile/LoopbackEnvironment.java
@@ -68,7 +68,8 @@
                 PRIORITY,
                 TIMEOUT_MILLIS * Clock.NANOS_PER_MILLI,
                 TIMEOUT_MILLIS / 2 * Clock.NANOS_PER_MILLI,
-                MAX_ATTEMPTS);
+                MAX_ATTEMPTS,
+                false);
         return RouteTable.builder(document.getVersion())
                 .add(SERVICE, route)
                 .healthPath(SERVICE, "/")
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Call.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Call.java
@@ -120,6 +120,9 @@
         next.set(CallHeaders.TIMEOUT, Timeout.format(remainingNanos));
         next.set(CallHeaders.IDEMPOTENT, isIdempotent() ? "1" : "0");
         next.set(CallHeaders.FINGERPRINT, Long.toHexString(fingerprint));
+        if (options.routePriority() > 0) {
+            next.setInt(CallHeaders.ROUTE_PRIORITY, options.routePriority());
+        }
         String authorization = headers.get(HttpHeaderNames.AUTHORIZATION);
         if (authorization != null) {
             next.set(ServerRequest.CALLER_AUTHORIZATION, authorization);
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -68,6 +68,9 @@
     /** Class of the call; only between nodes. */
     public static final AsciiString CLASS = AsciiString.cached("mustardusher-class");
 
+    /** Priority of the call's route, which orders calls of one class; 0 if absent; only between nodes. */
+    public static final AsciiString ROUTE_PRIORITY = AsciiString.cached("mustardusher-route-priority");
+
     /** Value of {@link #ROLE} for the home of an idempotency key. */
     public static final String ROLE_HOME = "home";
 
@@ -84,7 +87,17 @@
 
     /** Request headers that only nodes may set. */
     private static final List<AsciiString> NODE_REQUEST_HEADERS = List.of(
-            FINGERPRINT, CRASH, ROLE, CLASS, IDEMPOTENT, TARGET, MOVABLE, CONDITIONS, HttpHeaderNames.AUTHORIZATION);
+            FINGERPRINT,
+            CRASH,
+            ROLE,
+            CLASS,
+            IDEMPOTENT,
+            TARGET,
+            MOVABLE,
+            CONDITIONS,
+            ROUTE_PRIORITY,
+            HttpHeaderNames.AUTHORIZATION,
+            AsciiString.of(ServerRequest.CALLER_AUTHORIZATION));
 
     /** Request headers of the native protocol, which other protocols do not pass on to a backend server. */
     private static final List<AsciiString> NATIVE_PROTOCOL_HEADERS = List.of(SERVICE, OWNER, DEPTH, ATTEMPT, TIMEOUT);
@@ -94,11 +107,8 @@
 
     private static final Set<AsciiString> STRIPPED_FROM_CALLER_REQUESTS = union(HOP_BY_HOP, NODE_REQUEST_HEADERS);
 
-    private static final Set<AsciiString> STRIPPED_FROM_SERVER_REQUESTS = union(
-            HOP_BY_HOP,
-            NODE_REQUEST_HEADERS,
-            NATIVE_PROTOCOL_HEADERS,
-            List.of(AsciiString.of(ServerRequest.CALLER_AUTHORIZATION)));
+    private static final Set<AsciiString> STRIPPED_FROM_SERVER_REQUESTS =
+            union(HOP_BY_HOP, NODE_REQUEST_HEADERS, NATIVE_PROTOCOL_HEADERS);
 
     private static final Set<AsciiString> STRIPPED_FROM_SERVER_ANSWERS =
             union(HOP_BY_HOP, NODE_RESPONSE_HEADERS, List.of(HttpHeaderNames.CONTENT_LENGTH));
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallOptions.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallOptions.java
@@ -11,9 +11,12 @@
  * @param maxReachedAttempts maximum number of attempts that may reach a backend server
  * @param targetLatencyNanos target latency, in nanoseconds: an answer after it is late but still of use
  * @param account            client account of the call, if it has one
+ * @param routePriority      priority of the route, which orders calls of one class; 0 is the highest, and the only one
+ *                           where there are no accounts
  */
-public record CallOptions(String id, int maxReachedAttempts, long targetLatencyNanos, Optional<Account> account) {
+public record CallOptions(
+        String id, int maxReachedAttempts, long targetLatencyNanos, Optional<Account> account, int routePriority) {
 
     /** Options of a call that sets none: no limit on attempts and no target latency. */
-    public static final CallOptions NONE = new CallOptions("-", Integer.MAX_VALUE, Long.MAX_VALUE, Optional.empty());
+    public static final CallOptions NONE = new CallOptions("-", Integer.MAX_VALUE, Long.MAX_VALUE, Optional.empty(), 0);
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/call/ServerRequest.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/ServerRequest.java
@@ -25,7 +25,6 @@
     public static RequestHeaders headers(RequestHeaders headers, long remainingNanos) {
         RequestHeadersBuilder next = CallHeaders.copyFromCaller(headers);
         String authorization = headers.get(CALLER_AUTHORIZATION);
-        next.remove(CALLER_AUTHORIZATION);
         if (authorization != null) {
             next.set(HttpHeaderNames.AUTHORIZATION, authorization);
         }
--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/RouteReplica.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/RouteReplica.java
@@ -96,9 +96,13 @@
             NodeLog.LOG.routesInvalid(offered.getVersion(), e.toString());
             return;
         }
+        int revokedKeys = table.accounts().revokedSince(current.accounts());
         document = offered;
         current = table;
         NodeLog.LOG.routesInForce(table.version(), table.routes().size(), from);
+        if (revokedKeys > 0) {
+            NodeLog.LOG.keysRevoked(table.version(), revokedKeys);
+        }
         try {
             listener.accept(table);
         } catch (RuntimeException e) {
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
@@ -64,6 +65,9 @@
     private static final ByteBuf CONTINUE = Unpooled.unreleasableBuffer(
             Unpooled.copiedBuffer("HTTP/1.1 100 Continue\r\n\r\n", StandardCharsets.US_ASCII));
 
+    /** Part of a message from which on it quotes the request. */
+    private static final Pattern QUOTED_REQUEST = Pattern.compile("[:'\"(].*", Pattern.DOTALL);
+
     private final Channel channel;
     private final RequestHandler handler;
     private final Supplier<RequestLimits> limits;
@@ -217,14 +221,14 @@
         }
         if (head.decoderResult().isFailure()) {
             Throwable cause = head.decoderResult().cause();
-            reject(statusOf(cause), cause.toString());
+            reject(statusOf(cause), describe(cause));
             return;
         }
         RequestHeaders headers;
         try {
             headers = HttpMessages.toRequestHeaders(head);
         } catch (IllegalArgumentException e) {
-            reject(HttpResponseStatus.BAD_REQUEST, e.toString());
+            reject(HttpResponseStatus.BAD_REQUEST, describe(e));
             return;
         }
         receiving = new PendingRequest(
@@ -330,6 +334,13 @@
         return limitMillis > 0 && nanos > limitMillis * Clock.NANOS_PER_MILLI;
     }
 
+    // Without the part of the message that quotes the request, which may contain a key of a client account.
+    private static String describe(Throwable failure) {
+        String message = String.valueOf(failure.getMessage());
+        return failure.getClass().getSimpleName() + " "
+                + QUOTED_REQUEST.matcher(message).replaceFirst("");
+    }
+
     private static HttpResponseStatus statusOf(Throwable failure) {
         return failure instanceof TooLongHttpHeaderException
                 ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -168,6 +168,16 @@
     @Message(id = 1205, value = "routes version %d has errors: %s")
     void routesInvalid(long version, String cause);
 
+    /**
+     * A version of the routes that came into force has removed keys of client accounts.
+     *
+     * @param version the version
+     * @param keys    number of keys removed
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 1206, value = "routes version %d revokes %d keys of client accounts")
+    void keysRevoked(long version, int keys);
+
     /**
      * The keepers of a service changed.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -131,6 +131,14 @@
         listener = new HttpListener(core.group(), clock, core.metrics());
         core.metrics().gauge("routes.version", () -> routes::revision);
         core.metrics().gauge("routes.unreadable", () -> () -> routes.current().unreadable());
+        core.metrics()
+                .gauge(
+                        "accounts.known",
+                        () -> () -> routes.current().accounts().accounts().size());
+        core.metrics()
+                .gauge(
+                        "accounts.unreadable",
+                        () -> () -> routes.current().accounts().unreadable());
     }
 
     /**
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/PlainProtocol.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/PlainProtocol.java
@@ -47,7 +47,7 @@
                 Optional.empty(),
                 0,
                 false,
-                new CallOptions(headers.path(), 2, Long.MAX_VALUE, Optional.empty()));
+                new CallOptions(headers.path(), 2, Long.MAX_VALUE, Optional.empty(), 0));
     }
 
     @Override
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/RouterFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/RouterFixture.java
@@ -108,7 +108,7 @@
                 Optional.empty(),
                 0,
                 false,
-                new CallOptions("call", 2, SECOND_NANOS / 2, Optional.empty()));
+                new CallOptions("call", 2, SECOND_NANOS / 2, Optional.empty(), 0));
     }
 
     private static MemberRecord member(int number, boolean serving) {
--- a/mustardusher-node/src/test/java/io/mustardusher/http/CallerChannel.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/CallerChannel.java
@@ -1,6 +1,8 @@
 package io.mustardusher.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -20,6 +22,7 @@
     private final HalfClosableChannel channel = new HalfClosableChannel();
     private final HttpConnection connection;
     private final StringBuilder answers = new StringBuilder();
+    private final List<String> rejections = new ArrayList<>();
 
     /**
      * Opens a connection.
@@ -31,7 +34,7 @@
     public CallerChannel(RequestHandler handler, Supplier<RequestLimits> limits, Clock.Manual clock) {
         this.clock = clock;
         channel.freezeTime();
-        connection = new HttpConnection(channel, handler, limits, (status, cause) -> {}, clock);
+        connection = new HttpConnection(channel, handler, limits, (status, cause) -> rejections.add(cause), clock);
         connection.addHandlers();
     }
 
@@ -40,6 +43,11 @@
         return channel.isOpen() && channel.config().isAutoRead();
     }
 
+    /** Returns the causes of the rejections that the listener reported. */
+    public List<String> rejections() {
+        return rejections;
+    }
+
     public boolean isOpen() {
         return channel.isOpen();
     }
--- a/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionTest.java
@@ -158,6 +158,31 @@
         assertThat(received).hasSize(1);
     }
 
+    /** Guards against a caller that states an account, or passes on a key, in trailers. */
+    @Test
+    void dropsTrailers() {
+        caller.send("POST /trailers HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
+                + "X-Tenant: forged\r\nAuthorization: Bearer k-secret\r\n\r\n");
+        AggregatedHttpRequest request = received.get(0).request.aggregate().join();
+        assertThat(request.contentUtf8()).isEqualTo("ab");
+        assertThat(request.trailers()).isEmpty();
+        assertThat(request.headers().toString()).doesNotContain("k-secret");
+    }
+
+    /** Guards against keys in the log, which parsers quote from malformed heads. */
+    @Test
+    void doesNotQuoteRejectedHeads() {
+        for (String line : new String[] {
+            "Authorization Bearer k-secret: x", "Authorization: Bearer k-secret\u0001", "Authorization\u0000k-secret"
+        }) {
+            CallerChannel other = new CallerChannel(this::receive, () -> LIMITS, clock);
+            other.send("GET / HTTP/1.1\r\nHost: s\r\n" + line + "\r\n\r\n");
+            assertThat(other.answers()).startsWith("HTTP/1.1 400 ");
+            assertThat(other.rejections()).hasSize(1);
+            assertThat(other.rejections().toString()).doesNotContain("k-secret");
+        }
+    }
+
     private List<Answer> answers() {
         return AnswerReader.read(caller.answers(), number -> false);
     }
