--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -183,7 +183,7 @@
             ticket.phase = Ticket.Phase.ENDED;
             busy--;
             exclusiveRunning &= !ticket.exclusive;
-            queue.onCompletion(ticket.owner);
+            queue.onCompletion(ticket);
             recordEnd(ticket, end);
             dispatch(notifications);
         });
@@ -304,7 +304,7 @@
         if (now - ticket.deadlineNanos >= 0) {
             return ResultCode.DEADLINE_EXPIRED;
         }
-        int ahead = queue.countAhead(ticket.serviceClass) + exclusiveQueue.size();
+        int ahead = queue.countAhead(ticket) + exclusiveQueue.size();
         int free = effectiveLimit() - busy;
         double rounds = Math.max(0, ahead + 1 - free) / (double) effectiveLimit();
         double rateDelayNanos = rate.delayNanos(ahead);
@@ -411,7 +411,7 @@
         rate.recordDispatch();
         ticket.dispatchedNearlyFull = usableSlots.isNearlyFull(busy);
         exclusiveRunning |= ticket.exclusive;
-        queue.onDispatch(ticket.owner);
+        queue.onDispatch(ticket);
         notifications.add(ticket.listener::onAdmitted);
     }
 
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/FairQueue.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/FairQueue.java
@@ -37,10 +37,10 @@
     }
 
     @Override
-    public int countAhead(ServiceClass serviceClass) {
+    public int countAhead(Ticket newcomer) {
         int count = 0;
         for (Map.Entry<ServiceClass, Map<String, Deque<Ticket>>> entry : queued.entrySet()) {
-            if (entry.getKey().compareTo(serviceClass) <= 0) {
+            if (entry.getKey().compareTo(newcomer.serviceClass) <= 0) {
                 count +=
                         entry.getValue().values().stream().mapToInt(Deque::size).sum();
             }
@@ -106,13 +106,13 @@
     }
 
     @Override
-    public void onDispatch(String owner) {
-        running.merge(owner, 1, Integer::sum);
+    public void onDispatch(Ticket ticket) {
+        running.merge(ticket.owner, 1, Integer::sum);
     }
 
     @Override
-    public void onCompletion(String owner) {
-        running.computeIfPresent(owner, (key, count) -> count == 1 ? null : count - 1);
+    public void onCompletion(Ticket ticket) {
+        running.computeIfPresent(ticket.owner, (key, count) -> count == 1 ? null : count - 1);
     }
 
     /**
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Ticket.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Ticket.java
@@ -23,6 +23,9 @@
     /** Time by which an answer is desired, in addition to the deadline. */
     final LatencyTarget latencyTarget;
 
+    /** Order of the call within its class. */
+    final Precedence precedence;
+
     /** Whether the server was known to be slow when the call was dispatched. */
     boolean dispatchedSlow;
 
@@ -73,7 +76,30 @@
             boolean exclusive,
             AdmissionListener listener,
             LatencyTarget latencyTarget) {
+        this(owner, serviceClass, deadlineNanos, exclusive, listener, latencyTarget, Precedence.NONE);
+    }
+
+    /**
+     * Creates a ticket with a latency target and a precedence within its class.
+     *
+     * @param owner         owner on whose behalf the call is made
+     * @param serviceClass  class of the call
+     * @param deadlineNanos time by which it must be answered, in nanoseconds
+     * @param exclusive     whether the call must not run concurrently with other calls
+     * @param listener      receives the admission decision
+     * @param latencyTarget time by which an answer is desired, in addition to the deadline
+     * @param precedence    order of the call within its class
+     */
+    public Ticket(
+            String owner,
+            ServiceClass serviceClass,
+            long deadlineNanos,
+            boolean exclusive,
+            AdmissionListener listener,
+            LatencyTarget latencyTarget,
+            Precedence precedence) {
         this.latencyTarget = latencyTarget;
+        this.precedence = precedence;
         this.owner = owner;
         this.serviceClass = serviceClass;
         this.deadlineNanos = deadlineNanos;
@@ -97,6 +123,19 @@
         }
     }
 
+    /**
+     * Order of a call among those of its class.
+     *
+     * @param routePriority priority of the call's route; 0 is the highest
+     * @param nested        whether a running request made the call, which already holds a slot of another server
+     * @param account       name of the client account on whose behalf the call is made; empty if there is none
+     */
+    public record Precedence(int routePriority, boolean nested, String account) {
+
+        /** A call of the highest route priority that is neither nested nor made on behalf of an account. */
+        public static final Precedence NONE = new Precedence(0, false, "");
+    }
+
     /** Phase of a call. */
     enum Phase {
         /** In the queue. */
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/WaitingQueue.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/WaitingQueue.java
@@ -1,14 +1,12 @@
 package io.mustardusher.admission;
 
-import io.mustardusher.catalogue.ServiceClass;
-
 /** Calls queued at a gate, and the order in which they are dispatched. Not thread-safe. */
 interface WaitingQueue {
 
     int size();
 
-    // Counts the queued calls that would be dispatched before a new call of the given class.
-    int countAhead(ServiceClass serviceClass);
+    // Counts the queued calls that are expected to be dispatched before a new call.
+    int countAhead(Ticket newcomer);
 
     void add(Ticket ticket);
 
@@ -20,7 +18,7 @@
     // Returns the call to evict from a full queue in favour of a new one, or null if the new one is to be rejected.
     Ticket findEvictionCandidate(Ticket newcomer);
 
-    void onDispatch(String owner);
+    void onDispatch(Ticket ticket);
 
-    void onCompletion(String owner);
+    void onCompletion(Ticket ticket);
 }
