Recognise nested calls and refuse roots whose nested calls have no chance

Cause: a nested call was an ordinary call at the entry of the node beside the calling server, with the class of its own route and without the account of its parent. When it was refused, the run of its parent was lost.

Change: the gate registers the calls at its server (RunningCalls). A call with an id PARENT.CHILD whose parent runs there gets the parent's class, route priority, account and the earlier of both deadlines (NestedCallProtocol); node headers state to the gate that it is nested and for which account. Each run tells NestedCallForecast which nested calls were accepted.

Tested: NestedCallTest (recognition, expiry, end of the parent), NestedCallForecastTest (refused share at several accepted shares, return, expiry), and the tests of retries, dispatch and the log table.

--- /dev/null
+++ b/mustardusher-core/src/main/java/io/mustardusher/nested/package-info.java
@@ -0,0 +1,2 @@
+/** Nested calls: calls that a running request makes to other services. */
+package io.mustardusher.nested;
--- a/mustardusher-core/src/main/java/io/mustardusher/retry/RetryPolicy.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/retry/RetryPolicy.java
@@ -29,7 +29,8 @@
             ResultCode.CANCELLED,
             ResultCode.KEY_REUSED,
             ResultCode.KEY_REQUIRED,
-            ResultCode.REQUEST_MALFORMED);
+            ResultCode.REQUEST_MALFORMED,
+            ResultCode.DEPENDENCY_REFUSED);
 
     private final RetryBudget budget;
     private final int maxAttempts;
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Call.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Call.java
@@ -13,6 +13,7 @@
 import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.catalogue.ServiceName;
 import io.mustardusher.claim.IdempotencyKey;
+import io.mustardusher.nested.RunningCall;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
@@ -102,6 +103,25 @@
         return entry.service();
     }
 
+    /**
+     * Returns this call as a nested call, with the class of the call that made it and the earlier of both deadlines.
+     *
+     * @param parent call that made this one
+     * @return the nested call
+     */
+    public Call withParent(RunningCall parent) {
+        return new Call(
+                entry,
+                headers,
+                owner,
+                parent.serviceClass(),
+                Math.min(deadlineNanos, parent.deadlineNanos()),
+                key,
+                depth,
+                retry,
+                options.withParent(parent));
+    }
+
     /**
      * Creates the request headers with which the call is sent to another node.
      *
@@ -120,6 +140,7 @@
         next.set(CallHeaders.TIMEOUT, Timeout.format(remainingNanos));
         next.set(CallHeaders.IDEMPOTENT, isIdempotent() ? "1" : "0");
         next.set(CallHeaders.FINGERPRINT, Long.toHexString(fingerprint));
+        PrecedenceHeaders.write(options, next);
         String authorization = headers.get(HttpHeaderNames.AUTHORIZATION);
         if (authorization != null) {
             next.set(ServerRequest.CALLER_AUTHORIZATION, authorization);
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -68,6 +68,15 @@
     /** Class of the call; only between nodes. */
     public static final AsciiString CLASS = AsciiString.cached("mustardusher-class");
 
+    /** Name of the client account on whose behalf the call is made, percent-encoded; only between nodes. */
+    public static final AsciiString ACCOUNT = AsciiString.cached("mustardusher-account");
+
+    /** Present if a running request made the call; only between nodes. */
+    public static final AsciiString NESTED = AsciiString.cached("mustardusher-nested");
+
+    /** Priority of the call's route within its class, 0 is the highest and the default; only between nodes. */
+    public static final AsciiString ROUTE_PRIORITY = AsciiString.cached("mustardusher-route-priority");
+
     /** Value of {@link #ROLE} for the home of an idempotency key. */
     public static final String ROLE_HOME = "home";
 
@@ -84,7 +93,18 @@
 
     /** Request headers that only nodes may set. */
     private static final List<AsciiString> NODE_REQUEST_HEADERS = List.of(
-            FINGERPRINT, CRASH, ROLE, CLASS, IDEMPOTENT, TARGET, MOVABLE, CONDITIONS, HttpHeaderNames.AUTHORIZATION);
+            FINGERPRINT,
+            CRASH,
+            ROLE,
+            CLASS,
+            IDEMPOTENT,
+            TARGET,
+            MOVABLE,
+            CONDITIONS,
+            ACCOUNT,
+            NESTED,
+            ROUTE_PRIORITY,
+            HttpHeaderNames.AUTHORIZATION);
 
     /** Request headers of the native protocol, which other protocols do not pass on to a backend server. */
     private static final List<AsciiString> NATIVE_PROTOCOL_HEADERS = List.of(SERVICE, OWNER, DEPTH, ATTEMPT, TIMEOUT);
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -49,6 +49,10 @@
     /** Refusals by the backend server itself, which count as attempts that reached it. */
     private static final Set<ResultCode> SERVER_REFUSALS = EnumSet.of(ResultCode.SERVER_REFUSED);
 
+    /** Rejections that do not show whether the service has room for the call. */
+    private static final Set<ResultCode> UNRELATED_TO_ROOM =
+            EnumSet.of(ResultCode.CANCELLED, ResultCode.DEADLINE_EXPIRED, ResultCode.SUSPECT_REFUSED);
+
     private static final String OK = "ok";
     private static final String CLIENT_ERROR = "client_error";
     private static final String SERVER_ERROR = "server_error";
@@ -322,6 +326,7 @@
     }
 
     private void complete(Reply reply, String result) {
+        call.options().parent().ifPresent(parent -> parent.recordNestedCall(call.service(), true));
         router.countAnswer(call.owner(), result);
         if (failedReply != null && failedReply != reply) {
             failedReply.response().abort();
@@ -397,6 +402,9 @@
         }
         boolean certain = !mayHaveRun || code.outcome() != Outcome.NOT_RUN;
         ResultCode reported = certain ? code : ResultCode.RETRY_REFUSED;
+        if (reported.outcome() == Outcome.NOT_RUN && !UNRELATED_TO_ROOM.contains(code)) {
+            call.options().parent().ifPresent(parent -> parent.recordNestedCall(call.service(), false));
+        }
         router.countAnswer(call.owner(), reported.label());
         NodeLog.DECISIONS.callFailed(
                 call.options().id(), call.service().value(), reported.number(), servers.attempt(), detail);
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
@@ -18,6 +18,7 @@
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.Problem;
+import io.mustardusher.nested.RunningCall;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.result.ResultCode;
@@ -32,8 +33,8 @@
 
     private final HttpRequest request;
 
-    /** Time by which the response must start, in nanoseconds. */
-    private final long deadlineNanos;
+    /** The call as its nested calls see it; its response must start by its deadline. */
+    private final RunningCall running;
 
     /** Hash of service, method, path and body. */
     private final long fingerprint;
@@ -55,20 +56,20 @@
     /**
      * Creates a dispatch that has no ticket yet.
      *
-     * @param gate          gate that received the call
-     * @param link          connection to the backend server
-     * @param request       the call, with the headers that nodes set
-     * @param deadlineNanos time by which the response must start, in nanoseconds
-     * @param fingerprint   hash of service, method, path and body
-     * @param exclusive     whether no other call may run beside this one
-     * @param response      completed with the response to the caller
-     * @param cancelled     completes when the caller has cancelled the call
+     * @param gate        gate that received the call
+     * @param link        connection to the backend server
+     * @param request     the call, with the headers that nodes set
+     * @param running     the call as its nested calls see it
+     * @param fingerprint hash of service, method, path and body
+     * @param exclusive   whether no other call may run beside this one
+     * @param response    completed with the response to the caller
+     * @param cancelled   completes when the caller has cancelled the call
      */
     Dispatch(
             Gate gate,
             ServerLink link,
             HttpRequest request,
-            long deadlineNanos,
+            RunningCall running,
             long fingerprint,
             boolean exclusive,
             CompletableFuture<HttpResponse> response,
@@ -76,7 +77,7 @@
         this.gate = gate;
         this.link = link;
         this.request = request;
-        this.deadlineNanos = deadlineNanos;
+        this.running = running;
         this.fingerprint = fingerprint;
         this.exclusive = exclusive;
         this.response = response;
@@ -111,6 +112,7 @@
         }
         dispatchedNanos = gate.clock().nanoTime();
         gate.crashDetector().recordDispatch(ticket, fingerprint);
+        gate.runningCalls().start(running);
         // The only place that releases the slot, whatever fails on the way.
         send().whenComplete((result, failure) -> {
             Result ended = failure == null ? result : unexpectedFailure(failure);
@@ -126,7 +128,7 @@
 
     private CompletableFuture<Result> send() {
         try {
-            Exchange exchange = link.send(request, deadlineNanos - dispatchedNanos);
+            Exchange exchange = link.send(request, running.deadlineNanos() - dispatchedNanos);
             exchange.abortOn(cancelled);
             return exchange.headers()
                     .handle((headers, failure) ->
@@ -206,6 +208,7 @@
 
     private void release(CallEnd end) {
         gate.crashDetector().recordEnd(ticket);
+        gate.runningCalls().end(running);
         if (exclusive && end == CallEnd.ANSWERED) {
             gate.suspects().clear(fingerprint);
         }
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import com.linecorp.armeria.common.HttpRequest;
@@ -19,6 +20,7 @@
 import io.mustardusher.admission.Ticket;
 import io.mustardusher.budget.TokenBucket;
 import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.PrecedenceHeaders;
 import io.mustardusher.call.Problem;
 import io.mustardusher.call.Timeout;
 import io.mustardusher.catalogue.ServiceClass;
@@ -29,6 +31,9 @@
 import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.log.DecisionLog;
 import io.mustardusher.log.NodeLog;
+import io.mustardusher.nested.NestedCallForecast;
+import io.mustardusher.nested.RunningCall;
+import io.mustardusher.nested.RunningCalls;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.routing.LoadReport;
@@ -61,6 +66,9 @@
 
     private final TokenBucket probeBudget;
 
+    /** Calls at the backend server, by which the entry recognises their nested calls. */
+    private final RunningCalls runningCalls;
+
     /** What the backend server states in its answers. */
     private final ConditionsTracker conditions = new ConditionsTracker();
 
@@ -73,6 +81,9 @@
 
     private final Timer callTimer;
 
+    /** Calls that were refused because their nested calls would be. */
+    private final Counter rootsRefused;
+
     /** The backend server; {@code null} before its first announcement. */
     private volatile Backend backend;
 
@@ -106,10 +117,12 @@
         this.crashDetector = crashDetector;
         this.callNames = callNames;
         this.probeBudget = new TokenBucket(clock, 0, 0);
+        this.runningCalls = new RunningCalls(new NestedCallForecast(clock, NodeLog.LOG::rootsRefused));
         this.admission = admission;
         this.eventLoopDelay = eventLoopDelay;
         this.metrics = metrics;
         this.callTimer = metrics.timer("gate.calls");
+        this.rootsRefused = metrics.counter("gate.rootsRefused");
         metrics.gauge("gate.busy", () -> () -> load().busy());
         metrics.gauge("gate.queued", () -> () -> load().queued());
         metrics.gauge("gate.limit", () -> () -> load().limit());
@@ -259,20 +272,31 @@
         if (action == SuspectTable.Action.REJECT) {
             return reject(ResultCode.SUSPECT_REFUSED, request.headers());
         }
+        if (runningCalls.forecast().refuses(request.headers().get(CallHeaders.OWNER, ""))) {
+            rootsRefused.inc();
+            return reject(ResultCode.DEPENDENCY_REFUSED, request.headers());
+        }
         long now = clock.nanoTime();
         long remainingNanos =
                 Timeout.parse(request.headers().get(CallHeaders.TIMEOUT, "0n")).orElse(0);
         boolean exclusive = action == SuspectTable.Action.RUN_EXCLUSIVELY;
+        RunningCall running = new RunningCall(
+                callNames.apply(request.headers()),
+                request.headers().get(CallHeaders.OWNER, ""),
+                serviceClass,
+                PrecedenceHeaders.read(request.headers()),
+                now + remainingNanos);
         CompletableFuture<HttpResponse> response = new CompletableFuture<>();
-        Dispatch dispatch = new Dispatch(
-                this, current.link(), request, now + remainingNanos, fingerprint, exclusive, response, cancelled);
+        Dispatch dispatch =
+                new Dispatch(this, current.link(), request, running, fingerprint, exclusive, response, cancelled);
         Ticket ticket = new Ticket(
-                request.headers().get(CallHeaders.OWNER, ""),
+                running.route(),
                 serviceClass,
                 now + remainingNanos,
                 exclusive,
                 dispatch,
-                latencyTarget(request.headers(), now));
+                latencyTarget(request.headers(), now),
+                running.precedence());
         dispatch.bind(ticket);
         Runnable offer = () -> {
             admission.offer(ticket);
@@ -418,6 +442,15 @@
         return conditions.toHint();
     }
 
+    /**
+     * Returns the calls at the backend server.
+     *
+     * @return the calls
+     */
+    public RunningCalls runningCalls() {
+        return runningCalls;
+    }
+
     /**
      * Returns the source of time.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/log/DecisionLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/DecisionLog.java
@@ -73,4 +73,17 @@
                     + ", queued " + queued + ", limit " + limit);
         }
     }
+
+    /**
+     * A call was recognised as a nested call of a request at the backend server beside the node.
+     *
+     * @param call    identifier of the call
+     * @param service called service
+     * @param parent  route of the request that made the call
+     */
+    public void nestedCall(String call, String service, String parent) {
+        if (logger.isInfoEnabled()) {
+            logger.info("MUSH2021: call " + call + ": nested call to " + service + " by a request of " + parent);
+        }
+    }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -179,6 +179,16 @@
     @Message(id = 1301, value = "keepers of %s in epoch %d: %s")
     void keepersChanged(String service, long epoch, String keepers);
 
+    /**
+     * The gate began or ceased to refuse the calls of a route because their nested calls would be refused.
+     *
+     * @param route    name of the route
+     * @param refusing whether the calls are refused
+     */
+    @LogMessage(level = Logger.Level.WARN)
+    @Message(id = 1121, value = "calls of %s are refused ahead of their nested calls: %s")
+    void rootsRefused(String route, boolean refusing);
+
     /**
      * A call was routed to a backend server.
      *
@@ -301,4 +311,15 @@
     @LogMessage(level = Logger.Level.INFO)
     @Message(id = 2004, value = "call of %s with a key routed to home %s in epoch %d")
     void routedToHome(String service, String home, long epoch);
+
+    /**
+     * A call was recognised as a nested call of a request at the backend server beside the node.
+     *
+     * @param call    identifier of the call
+     * @param service called service
+     * @param parent  route of the request that made the call
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 2021, value = "call %s: nested call to %s by a request of %s")
+    void nestedCall(String call, String service, String parent);
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -14,6 +14,7 @@
 import io.mustardusher.budget.SharedAllowance;
 import io.mustardusher.call.CallerProtocol;
 import io.mustardusher.call.HeaderPacking;
+import io.mustardusher.call.NestedCallProtocol;
 import io.mustardusher.call.Problem;
 import io.mustardusher.entry.Entry;
 import io.mustardusher.entry.RetryPolicyFactory;
@@ -126,7 +127,8 @@
                 core.timers(),
                 clock,
                 core.metrics());
-        protocol = environment.callerProtocol(routes::current);
+        protocol = new NestedCallProtocol(
+                environment.callerProtocol(routes::current), core.gate().runningCalls(), core.metrics());
         entry = new Entry(router, null, protocol, call -> {}, core.eventLoopDelay(), clock, core.metrics());
         listener = new HttpListener(core.group(), clock, core.metrics());
         core.metrics().gauge("routes.version", () -> routes::revision);
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/GateFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/GateFixture.java
@@ -22,6 +22,9 @@
     /** Service of the simulated server. */
     public static final String SERVICE = "s";
 
+    /** Header with the identifier of a call. */
+    static final String CALL_ID = "x-call-id";
+
     private static final MetricRegistry METRICS = new MetricRegistry();
 
     private GateFixture() {}
@@ -71,7 +74,7 @@
                 crashDetector,
                 admission,
                 new EventLoopDelay(clock),
-                call -> "-",
+                call -> call.get(CALL_ID, "-"),
                 METRICS);
         gate.applyAnnouncement(new Announcement()
                 .withService(SERVICE)
