Reserve retries for the highest class, and detect services that refuse calls

Cause: a gate took each refusal by its server for overload and lowered its concurrency limit, although the server had free slots: a server that refused half of 4 concurrent calls brought the limit from 10 to 4 (LostAnswersTest, new test before the change). Retries were spent in the order in which calls failed.

Change: a refusal lowers the limit only under the condition that already applied to a missing answer, that the server reports all slots busy or reports nothing. WindowBudget lets classes below the highest one seen in the window use half of the budget, and nested calls all of it.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -437,9 +437,8 @@
                 }
                 limit.recordAnswer();
             }
-            case OVERLOADED -> limit.recordOverload(now, (long) times.smoothedNanos());
-            case UNANSWERED -> {
-                // A server with free slots has not dropped the call for lack of room.
+            case OVERLOADED, UNANSWERED -> {
+                // A server with free slots has not refused or dropped the call for lack of room.
                 if (callsAtServer < 0 || callsAtServer >= announcedSlots) {
                     limit.recordOverload(now, (long) times.smoothedNanos());
                 }
--- a/mustardusher-core/src/main/java/io/mustardusher/budget/RetryBudget.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/budget/RetryBudget.java
@@ -1,5 +1,7 @@
 package io.mustardusher.budget;
 
+import io.mustardusher.catalogue.ServiceClass;
+
 /** Limits the extra attempts of one service, such as retries and hedged requests, to a fraction of its requests. */
 public interface RetryBudget {
 
@@ -10,6 +12,16 @@
      */
     void earn(int percent);
 
+    /**
+     * Records an original request of a class.
+     *
+     * @param percent      extra attempts that the request adds to the budget, in hundredths of an attempt
+     * @param serviceClass class of the request
+     */
+    default void earn(int percent, ServiceClass serviceClass) {
+        earn(percent);
+    }
+
     /**
      * Spends one extra attempt if the budget allows it.
      *
@@ -26,4 +38,15 @@
      * @return {@code true} if they were spent
      */
     boolean trySpend(int attempts);
+
+    /**
+     * Spends some extra attempts of a call if the budget allows all of them for its rank, and none otherwise.
+     *
+     * @param attempts number of extra attempts
+     * @param rank     rank of the call
+     * @return {@code true} if they were spent
+     */
+    default boolean trySpend(int attempts, SpendingRank rank) {
+        return trySpend(attempts);
+    }
 }
--- a/mustardusher-core/src/main/java/io/mustardusher/budget/WindowBudget.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/budget/WindowBudget.java
@@ -2,17 +2,23 @@
 
 import java.util.function.DoubleSupplier;
 
+import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.time.Clock;
 
 /**
  * Budget over a sliding window: the extra attempts within any window stay below a fraction of the requests of that
  * window plus an allowance. Nodes that share one bound each use their share of the allowance.
+ *
+ * <p>Half of the budget is reserved for nested calls and for the highest class of the requests within the window.
  */
 public final class WindowBudget implements RetryBudget {
 
     private static final int BUCKETS = 20;
     private static final double PERCENT = 100;
 
+    /** Fraction of the budget that calls below the highest class may use, together with the others. */
+    private static final double UNRESERVED_FRACTION = 0.5;
+
     private final Clock clock;
     private final long bucketNanos;
     private final DoubleSupplier allowance;
@@ -23,6 +29,9 @@
     /** Extra attempts spent, for each time bucket. */
     private final int[] spent = new int[BUCKETS];
 
+    /** Classes of the requests, as a set of bits by ordinal, for each time bucket. */
+    private final int[] classes = new int[BUCKETS];
+
     /** Number of the current time bucket since the origin of the clock. */
     private long currentBucket;
 
@@ -48,15 +57,29 @@
     }
 
     @Override
-    public synchronized boolean trySpend(int attempts) {
+    public synchronized void earn(int percent, ServiceClass serviceClass) {
+        earn(percent);
+        classes[index(currentBucket)] |= bit(serviceClass);
+    }
+
+    @Override
+    public boolean trySpend(int attempts) {
+        return trySpend(attempts, SpendingRank.HIGHEST);
+    }
+
+    @Override
+    public synchronized boolean trySpend(int attempts, SpendingRank rank) {
         advance();
         double credit = allowance.getAsDouble() * PERCENT;
         int debit = attempts;
+        int seen = 0;
         for (int i = 0; i < BUCKETS; i++) {
             credit += earned[i];
             debit += spent[i];
+            seen |= classes[i];
         }
-        if (debit * PERCENT > credit) {
+        boolean preferred = rank.nested() || (seen & (bit(rank.serviceClass()) - 1)) == 0;
+        if (debit * PERCENT > credit * (preferred ? 1 : UNRESERVED_FRACTION)) {
             return false;
         }
         spent[index(currentBucket)] += attempts;
@@ -69,10 +92,16 @@
         for (long bucket = firstExpired; bucket <= bucketNow; bucket++) {
             earned[index(bucket)] = 0;
             spent[index(bucket)] = 0;
+            classes[index(bucket)] = 0;
         }
         currentBucket = Math.max(currentBucket, bucketNow);
     }
 
+    // Higher classes have lower bits.
+    private static int bit(ServiceClass serviceClass) {
+        return 1 << serviceClass.ordinal();
+    }
+
     private static int index(long bucket) {
         return (int) Math.floorMod(bucket, (long) BUCKETS);
     }
--- a/mustardusher-core/src/main/java/io/mustardusher/retry/RetryPolicy.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/retry/RetryPolicy.java
@@ -90,9 +90,9 @@
             return false;
         }
         if (attempt.isProvenNotRun()) {
-            return budget.trySpend();
+            return budget.trySpend(1, attempt.rank());
         }
-        return attempt.idempotent() && budget.trySpend(COST_AFTER_RUN);
+        return attempt.idempotent() && budget.trySpend(COST_AFTER_RUN, attempt.rank());
     }
 
     /** Rejections whose retries are not charged to the budget, because no backend server received the call. */
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/LoadReport.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/LoadReport.java
@@ -29,6 +29,15 @@
         this(busy, queued, limit, serviceMicros, draining, false);
     }
 
+    /**
+     * Returns whether the gate could dispatch another call at once.
+     *
+     * @return {@code true} if a slot is free and no call is queued
+     */
+    public boolean hasFreeSlots() {
+        return busy < limit && queued == 0;
+    }
+
     /**
      * Formats this report as the value of the load header.
      *
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/LostAnswersTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/LostAnswersTest.java
@@ -9,7 +9,8 @@
 
 /**
  * Load pattern: a server runs calls whose answers are lost, or is full and never answers. The gate learns of it at the
- * deadline only, and must neither keep the slots of lost calls empty until then nor fill a full server further.
+ * deadline only, and must neither keep the slots of lost calls empty until then nor fill a full server further. A server
+ * with free slots that refuses calls is not full either.
  */
 class LostAnswersTest {
 
@@ -68,6 +69,30 @@
         assertThat(admission.load().limit()).isLessThan(SLOTS);
     }
 
+    /** Guards against a gate that uses few of the slots of a server that refuses half of all calls whatever its load. */
+    @Test
+    void keepsLimitWhenServerWithFreeSlotsRefusesHalfOfTheCalls() {
+        for (int i = 0; i < 40; i++) {
+            TestCall[] calls = offer(4);
+            clock.advanceMillis(100);
+            admission.updateServerLoad(2, BASELINE_PERCENT);
+            admission.release(calls[0].ticket, CallEnd.OVERLOADED);
+            admission.release(calls[1].ticket, CallEnd.OVERLOADED);
+            admission.release(calls[2].ticket, CallEnd.ANSWERED);
+            admission.release(calls[3].ticket, CallEnd.ANSWERED);
+        }
+        assertThat(admission.load().limit()).isEqualTo(SLOTS);
+    }
+
+    @Test
+    void reducesLimitWhenFullServerRefuses() {
+        TestCall[] calls = offer(SLOTS);
+        admission.updateServerLoad(SLOTS, BASELINE_PERCENT);
+        clock.advanceMillis(100);
+        admission.release(calls[0].ticket, CallEnd.OVERLOADED);
+        assertThat(admission.load().limit()).isLessThan(SLOTS);
+    }
+
     private TestCall[] offer(int count) {
         TestCall[] calls = new TestCall[count];
         for (int i = 0; i < count; i++) {
--- a/mustardusher-core/src/test/java/io/mustardusher/budget/WindowBudgetTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/budget/WindowBudgetTest.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.Random;
 
+import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.api.Test;
 
@@ -40,6 +41,33 @@
         assertThat(spend(budget, 5)).isEqualTo(2);
     }
 
+    /** Guards against retries of lower classes that leave none for calls whose loss costs most. */
+    @Test
+    void lowerClassesLeaveHalfOfBudgetToHighestClassAndNestedCalls() {
+        WindowBudget budget = budget(0);
+        for (int i = 0; i < 100; i++) {
+            budget.earn(20, i % 2 == 0 ? ServiceClass.STANDARD : ServiceClass.BACKGROUND);
+        }
+        assertThat(spend(budget, 100, new SpendingRank(ServiceClass.BACKGROUND, false)))
+                .isEqualTo(10);
+        assertThat(spend(budget, 4, new SpendingRank(ServiceClass.BACKGROUND, true)))
+                .isEqualTo(4);
+        assertThat(spend(budget, 100, new SpendingRank(ServiceClass.STANDARD, false)))
+                .isEqualTo(6);
+    }
+
+    @Test
+    void lowerClassesUseWholeBudgetWhileNoHigherClassIsSeen() {
+        WindowBudget budget = budget(0);
+        budget.earn(20, ServiceClass.CRITICAL);
+        clock.advanceMillis(2 * WINDOW_MILLIS);
+        for (int i = 0; i < 100; i++) {
+            budget.earn(20, ServiceClass.BACKGROUND);
+        }
+        assertThat(spend(budget, 100, new SpendingRank(ServiceClass.BACKGROUND, false)))
+                .isEqualTo(20);
+    }
+
     /** In every window, extra attempts stay below a fifth of the requests of that window and the one before it. */
     @Test
     void noWindowExceedsRatioUnderChangingLoad() {
@@ -75,9 +103,13 @@
     }
 
     private static int spend(WindowBudget budget, int attempts) {
+        return spend(budget, attempts, SpendingRank.HIGHEST);
+    }
+
+    private static int spend(WindowBudget budget, int attempts, SpendingRank rank) {
         int spent = 0;
         for (int i = 0; i < attempts; i++) {
-            spent += budget.trySpend() ? 1 : 0;
+            spent += budget.trySpend(1, rank) ? 1 : 0;
         }
         return spent;
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -15,12 +15,14 @@
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import io.mustardusher.budget.SpendingRank;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.Fingerprint;
 import io.mustardusher.call.Problem;
 import io.mustardusher.call.Timeout;
+import io.mustardusher.health.ServiceShedding;
 import io.mustardusher.instance.InstanceConditions;
 import io.mustardusher.log.DecisionLog;
 import io.mustardusher.log.NodeLog;
@@ -85,6 +87,9 @@
 
     private final TransferCost transferCost;
 
+    /** Whether the called service refuses calls as a whole. */
+    private final ServiceShedding shedding;
+
     /** Estimated time to an answer of the current attempt, in nanoseconds. */
     private volatile long expectedNanos;
 
@@ -122,6 +127,7 @@
         this.cancelled = cancelled;
         this.startNanos = router.clock().nanoTime();
         this.transferCost = router.transferCost(call.owner());
+        this.shedding = router.shedding(call.service());
         long target = call.options().targetLatencyNanos();
         this.targetNanos = target == Long.MAX_VALUE ? ServerSelection.NO_TARGET : startNanos + target;
         this.servers = new ServerSelection(call.entry().policy(), transferCost, targetNanos);
@@ -234,7 +240,8 @@
     private void onHeaders(
             ServerLoad server, Exchange exchange, ResponseHeaders headers, Optional<InstanceConditions> conditions) {
         long now = router.clock().nanoTime();
-        LoadReport.parse(headers.get(CallHeaders.LOAD)).ifPresent(load -> server.update(load, now));
+        Optional<LoadReport> report = LoadReport.parse(headers.get(CallHeaders.LOAD));
+        report.ifPresent(load -> server.update(load, now));
         exchange.whenComplete().whenComplete((ignored, failure) -> server.recordCallEnd());
         Outcome outcome = Outcome.of(headers.get(CallHeaders.OUTCOME)).orElse(Outcome.UNKNOWN);
         if (outcome == Outcome.RAN) {
@@ -259,10 +266,22 @@
         if (code == ResultCode.SLOWER_THAN_TARGET) {
             servers.recordSlow(server);
         }
+        if (code == ResultCode.SERVER_REFUSED
+                && report.filter(LoadReport::hasFreeSlots).isPresent()) {
+            onRefusalDespiteFreeSlots(server, now);
+        }
         exchange.discard();
         retryOrFail(code, code.title(), now);
     }
 
+    // A server that refuses calls as all others of its service do is not at fault, and ends a trial like an answer.
+    private void onRefusalDespiteFreeSlots(ServerLoad server, long now) {
+        shedding.recordRefused(server.node());
+        if (shedding.isShedding()) {
+            server.ejection().recordCall(true, now);
+        }
+    }
+
     /**
      * Returns the result code of an answer that does not come from a backend server. A gate that rejects this node's
      * credential counts as unreachable.
@@ -287,6 +306,7 @@
     private void onServerAnswer(ServerLoad server, Exchange exchange, ResponseHeaders headers, long now) {
         boolean serverError = headers.status().isServerError();
         server.ejection().recordCall(!serverError, now);
+        shedding.recordAccepted(server.node());
         if (headers.getLong(HttpHeaderNames.CONTENT_LENGTH, Long.MAX_VALUE) > MAX_BUFFERED_ANSWER_BYTES) {
             complete(new Reply(exchange.stream(callerHeaders(headers)), Outcome.RAN), resultOf(headers.status()));
             return;
@@ -377,6 +397,9 @@
         if (cancelled.toCompletableFuture().isDone() || !servers.mayBeAcceptedElsewhere(code, pool, now)) {
             return false;
         }
+        if (code == ResultCode.SERVER_REFUSED && !shedding.isRetryWorthwhile()) {
+            return false;
+        }
         return retryPolicy.mayRetry(new FailedAttempt(
                 servers.attempt(),
                 reachedAttempts,
@@ -385,7 +408,8 @@
                 idempotent,
                 body.isReplayable(),
                 call.retry(),
-                call.deadlineNanos() - now));
+                call.deadlineNanos() - now,
+                new SpendingRank(call.serviceClass(), call.options().parent().isPresent())));
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
@@ -14,7 +14,9 @@
 import io.mustardusher.budget.RatioBudget;
 import io.mustardusher.call.Call;
 import io.mustardusher.catalogue.ServiceName;
+import io.mustardusher.health.ServiceShedding;
 import io.mustardusher.health.SuspectTable;
+import io.mustardusher.log.NodeLog;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.retry.RetryPolicy;
 import io.mustardusher.routing.TransferCost;
@@ -43,6 +45,9 @@
     /** Retry policies by service. */
     private final Map<ServiceName, RetryPolicy> retryPolicies = new ConcurrentHashMap<>();
 
+    /** Services that refuse calls as a whole. */
+    private final Map<ServiceName, ServiceShedding> shedding = new ConcurrentHashMap<>();
+
     /** Hedging budgets by service. */
     private final Map<ServiceName, RatioBudget> hedgeBudgets = new ConcurrentHashMap<>();
 
@@ -100,7 +105,7 @@
     HttpResponse route(Call call, CallBody body, boolean idempotent, CompletionStage<?> cancelled) {
         calls.mark();
         RetryPolicy policy = retryPolicies.computeIfAbsent(call.service(), policyFactory::create);
-        policy.budget().earn(call.entry().retryPercent());
+        policy.budget().earn(call.entry().retryPercent(), call.serviceClass());
         int hedgePercent = call.entry().hedgePercent();
         if (hedgePercent == 0 || !idempotent || !body.isReplayable() || call.retry()) {
             return new RoutedCall(this, call, body, idempotent, policy, cancelled).start();
@@ -122,6 +127,22 @@
         return transferCosts.computeIfAbsent(route, name -> new TransferCost());
     }
 
+    /**
+     * Returns whether a service refuses calls as a whole.
+     *
+     * @param service name of the service
+     * @return the state of the service
+     */
+    ServiceShedding shedding(ServiceName service) {
+        return shedding.computeIfAbsent(
+                service,
+                name -> new ServiceShedding(clock, (refuses, refusing, used) -> {
+                    NodeLog.LOG.serviceRefuses(name.value(), refuses, refusing, used);
+                    metrics.counter(refuses ? "entry.refusingServices.begun" : "entry.refusingServices.ended")
+                            .inc();
+                }));
+    }
+
     /**
      * Returns what backend servers stated in their answers.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -189,6 +189,18 @@
     @Message(id = 1121, value = "calls of %s are refused ahead of their nested calls: %s")
     void rootsRefused(String route, boolean refusing);
 
+    /**
+     * The servers of a service began or ceased to refuse calls as a whole.
+     *
+     * @param service  name of the service
+     * @param refuses  whether the service refuses calls
+     * @param refusing number of servers that refused calls within the last second
+     * @param used     number of servers that this node used within the last second
+     */
+    @LogMessage(level = Logger.Level.WARN)
+    @Message(id = 1122, value = "service %s refuses calls: %s; at %d of %d servers within the last second")
+    void serviceRefuses(String service, boolean refuses, int refusing, int used);
+
     /**
      * A call was routed to a backend server.
      *
