Derive Retry-After from the time until the refusing gate expects room

Cause: each 503 asked its caller to return after 150 to 450 ms, whatever the state of the gate that refused the call.

Change: a gate that refuses for lack of room states the wait behind its queue less what the call may wait within its target (Admission.roomDelayNanos) in a node header; 1 s for roots refused ahead of their nested calls.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -267,6 +267,22 @@
         return new LoadReport(busy, queuedCalls(), usable, micros, closed, times.isSlow(clock.nanoTime()));
     }
 
+    /**
+     * Returns the time after which a call that is refused now is expected to meet its target here: the wait behind the
+     * queued calls, less the time that the call can wait.
+     *
+     * @param kind        kind of call
+     * @param targetNanos time within which the call is to be answered, in nanoseconds; 0 if it has no target
+     * @return time in nanoseconds; 0 if the call could be queued now
+     */
+    public synchronized long roomDelayNanos(String kind, long targetNanos) {
+        int queuedNow = queuedCalls();
+        double turnNanos = times.smoothedNanos() * queuedNow / effectiveLimit();
+        double waitNanos = Math.max(turnNanos, rate.delayNanos(queuedNow));
+        double acceptableNanos = Math.max(0, targetNanos - times.expectedNanos(kind, clock.nanoTime()));
+        return (long) Math.max(0, waitNanos - acceptableNanos);
+    }
+
     /**
      * Returns the number of calls in flight: queued or dispatched.
      *
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/AdmissionTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/AdmissionTest.java
@@ -93,6 +93,21 @@
         assertThat(offer("a", ServiceClass.STANDARD, SECOND).admitted).isTrue();
     }
 
+    /** Two slots of 400 ms with four calls ahead: a new call starts after 800 ms and is answered after 1,200 ms. */
+    @Test
+    void roomIsExpectedWhenWaitFallsBelowTarget() {
+        TestCall first = offer("a", ServiceClass.STANDARD, SECOND);
+        clock.advanceMillis(400);
+        admission.release(first.ticket, CallEnd.ANSWERED);
+        assertThat(admission.roomDelayNanos("a", SECOND)).isEqualTo(0);
+        for (int i = 0; i < 6; i++) {
+            offer("a", ServiceClass.STANDARD, 10 * SECOND);
+        }
+        assertThat(admission.roomDelayNanos("a", SECOND)).isEqualTo(200 * Clock.NANOS_PER_MILLI);
+        assertThat(admission.roomDelayNanos("a", 0)).isEqualTo(800 * Clock.NANOS_PER_MILLI);
+        assertThat(admission.roomDelayNanos("a", 2 * SECOND)).isEqualTo(0);
+    }
+
     @Test
     void limitDecreasesWhenServerShedsAndRecoversAfterwards() {
         admission.configure(20, 2, 0);
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -77,6 +77,9 @@
     /** Priority of the call's route within its class, 0 is the highest and the default; only between nodes. */
     public static final AsciiString ROUTE_PRIORITY = AsciiString.cached("mustardusher-route-priority");
 
+    /** Time until a refusing gate expects room, in milliseconds; only between nodes. */
+    public static final AsciiString RETRY_DELAY = AsciiString.cached("mustardusher-retry-delay");
+
     /** Value of {@link #ROLE} for the home of an idempotency key. */
     public static final String ROLE_HOME = "home";
 
@@ -110,7 +113,8 @@
     private static final List<AsciiString> NATIVE_PROTOCOL_HEADERS = List.of(SERVICE, OWNER, DEPTH, ATTEMPT, TIMEOUT);
 
     /** Response headers that only nodes may set. */
-    private static final List<AsciiString> NODE_RESPONSE_HEADERS = List.of(OUTCOME, CODE, LOAD, CRASH, CONDITIONS);
+    private static final List<AsciiString> NODE_RESPONSE_HEADERS =
+            List.of(OUTCOME, CODE, LOAD, CRASH, CONDITIONS, RETRY_DELAY);
 
     private static final Set<AsciiString> STRIPPED_FROM_CALLER_REQUESTS = union(HOP_BY_HOP, NODE_REQUEST_HEADERS);
 
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Problem.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Problem.java
@@ -61,6 +61,22 @@
         return HttpResponse.of(headers(code).build(), HttpData.ofUtf8(Schema.write(of(code, detail))));
     }
 
+    /**
+     * Creates the response for a result code with the time until a gate expects room.
+     *
+     * @param code        the result code
+     * @param detail      description of this occurrence
+     * @param delayMillis the time, in milliseconds; negative if it is unknown
+     * @return the response
+     */
+    public static HttpResponse response(ResultCode code, String detail, long delayMillis) {
+        return delayMillis < 0
+                ? response(code, detail)
+                : response(code, detail).mapHeaders(headers -> headers.toBuilder()
+                        .setLong(CallHeaders.RETRY_DELAY, delayMillis)
+                        .build());
+    }
+
     /**
      * Creates the response of a gate to the entry of a call that has no answer of the backend server. It has no text,
      * because the entry words the problem for its caller.
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -99,6 +99,9 @@
     /** Whether an attempt that ended without an answer may have run. */
     private boolean mayHaveRun;
 
+    /** Shortest time until a gate that refused the call expects room, in milliseconds; negative if none stated it. */
+    private long retryDelayMillis = -1;
+
     /** Server error that is returned if no retry gets a better answer; {@code null} if there is none. */
     private Reply failedReply;
 
@@ -254,6 +257,10 @@
             return;
         }
         ResultCode code = codeOf(headers);
+        long delayMillis = headers.getLong(CallHeaders.RETRY_DELAY, -1);
+        if (delayMillis >= 0) {
+            retryDelayMillis = retryDelayMillis < 0 ? delayMillis : Math.min(retryDelayMillis, delayMillis);
+        }
         boolean healthy = code.outcome() == Outcome.NOT_RUN && code != ResultCode.SERVER_UNREACHABLE;
         if (code == ResultCode.SERVER_UNREACHABLE) {
             server.ejection().recordUnreachable(now);
@@ -432,7 +439,7 @@
         router.countAnswer(call.owner(), reported.label());
         NodeLog.DECISIONS.callFailed(
                 call.options().id(), call.service().value(), reported.number(), servers.attempt(), detail);
-        answer.complete(new Reply(Problem.response(reported, detail), reported.outcome()));
+        answer.complete(new Reply(Problem.response(reported, detail, retryDelayMillis), reported.outcome()));
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -1,7 +1,9 @@
 package io.mustardusher.gate;
 
+import java.util.EnumSet;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
@@ -15,6 +17,7 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.admission.EventLoopDelay;
 import io.mustardusher.admission.Ticket;
@@ -47,6 +50,16 @@
     /** Service class of a call without the class header. */
     private static final String DEFAULT_CLASS = "standard";
 
+    /** Rejections after which callers return when the queue is shorter. */
+    private static final Set<ResultCode> LACK_OF_ROOM =
+            EnumSet.of(ResultCode.OVERLOADED, ResultCode.LIMIT_REACHED, ResultCode.DEADLINE_UNREACHABLE);
+
+    /**
+     * Time after which a caller returns whose call was refused because of its nested calls, in milliseconds; as long as
+     * the nested calls that showed it keep half of their weight.
+     */
+    private static final long DEPENDENCY_RETRY_MILLIS = 1_000;
+
     private final Clock clock;
 
     private final Admission admission;
@@ -414,7 +427,16 @@
                 load.busy(),
                 load.queued(),
                 load.limit());
-        return HttpResponse.of(Problem.gateResponse(code, load.toHeader()).build());
+        ResponseHeadersBuilder response = Problem.gateResponse(code, load.toHeader());
+        if (code == ResultCode.DEPENDENCY_REFUSED) {
+            response.setLong(CallHeaders.RETRY_DELAY, DEPENDENCY_RETRY_MILLIS);
+        } else if (LACK_OF_ROOM.contains(code)) {
+            long targetNanos =
+                    Timeout.parse(headers.get(CallHeaders.TARGET, "0n")).orElse(0);
+            long delayNanos = admission.roomDelayNanos(headers.get(CallHeaders.OWNER, ""), targetNanos);
+            response.setLong(CallHeaders.RETRY_DELAY, delayNanos / Clock.NANOS_PER_MILLI);
+        }
+        return HttpResponse.of(response.build());
     }
 
     /**
