--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -183,7 +183,7 @@
             ticket.phase = Ticket.Phase.ENDED;
             busy--;
             exclusiveRunning &= !ticket.exclusive;
-            queue.onCompletion(ticket.owner);
+            queue.onCompletion(ticket);
             recordEnd(ticket, end);
             dispatch(notifications);
         });
@@ -267,6 +267,22 @@
         return new LoadReport(busy, queuedCalls(), usable, micros, closed, times.isSlow(clock.nanoTime()));
     }
 
+    /**
+     * Returns the time after which a call that is refused now is expected to meet its target here: the wait behind the
+     * queued calls, less the time that the call can wait.
+     *
+     * @param kind        kind of call
+     * @param targetNanos time within which the call is to be answered, in nanoseconds; 0 if it has no target
+     * @return time in nanoseconds; 0 if the call could be queued now
+     */
+    public synchronized long roomDelayNanos(String kind, long targetNanos) {
+        int queuedNow = queuedCalls();
+        double turnNanos = times.smoothedNanos() * queuedNow / effectiveLimit();
+        double waitNanos = Math.max(turnNanos, rate.delayNanos(queuedNow));
+        double acceptableNanos = Math.max(0, targetNanos - times.expectedNanos(kind, clock.nanoTime()));
+        return (long) Math.max(0, waitNanos - acceptableNanos);
+    }
+
     /**
      * Returns the number of calls in flight: queued or dispatched.
      *
@@ -304,7 +320,7 @@
         if (now - ticket.deadlineNanos >= 0) {
             return ResultCode.DEADLINE_EXPIRED;
         }
-        int ahead = queue.countAhead(ticket.serviceClass) + exclusiveQueue.size();
+        int ahead = queue.countAhead(ticket) + exclusiveQueue.size();
         int free = effectiveLimit() - busy;
         double rounds = Math.max(0, ahead + 1 - free) / (double) effectiveLimit();
         double rateDelayNanos = rate.delayNanos(ahead);
@@ -411,7 +427,7 @@
         rate.recordDispatch();
         ticket.dispatchedNearlyFull = usableSlots.isNearlyFull(busy);
         exclusiveRunning |= ticket.exclusive;
-        queue.onDispatch(ticket.owner);
+        queue.onDispatch(ticket);
         notifications.add(ticket.listener::onAdmitted);
     }
 
@@ -437,9 +453,8 @@
                 }
                 limit.recordAnswer();
             }
-            case OVERLOADED -> limit.recordOverload(now, (long) times.smoothedNanos());
-            case UNANSWERED -> {
-                // A server with free slots has not dropped the call for lack of room.
+            case OVERLOADED, UNANSWERED -> {
+                // A server with free slots has not refused or dropped the call for lack of room.
                 if (callsAtServer < 0 || callsAtServer >= announcedSlots) {
                     limit.recordOverload(now, (long) times.smoothedNanos());
                 }
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -68,9 +68,18 @@
     /** Class of the call; only between nodes. */
     public static final AsciiString CLASS = AsciiString.cached("mustardusher-class");
 
-    /** Priority of the call's route, which orders calls of one class; 0 if absent; only between nodes. */
+    /** Name of the client account on whose behalf the call is made, percent-encoded; only between nodes. */
+    public static final AsciiString ACCOUNT = AsciiString.cached("mustardusher-account");
+
+    /** Present if a running request made the call; only between nodes. */
+    public static final AsciiString NESTED = AsciiString.cached("mustardusher-nested");
+
+    /** Priority of the call's route within its class, 0 is the highest and the default; only between nodes. */
     public static final AsciiString ROUTE_PRIORITY = AsciiString.cached("mustardusher-route-priority");
 
+    /** Time until a refusing gate expects room, in milliseconds; only between nodes. */
+    public static final AsciiString RETRY_DELAY = AsciiString.cached("mustardusher-retry-delay");
+
     /** Value of {@link #ROLE} for the home of an idempotency key. */
     public static final String ROLE_HOME = "home";
 
@@ -95,6 +104,8 @@
             TARGET,
             MOVABLE,
             CONDITIONS,
+            ACCOUNT,
+            NESTED,
             ROUTE_PRIORITY,
             HttpHeaderNames.AUTHORIZATION,
             AsciiString.of(ServerRequest.CALLER_AUTHORIZATION));
@@ -103,7 +114,8 @@
     private static final List<AsciiString> NATIVE_PROTOCOL_HEADERS = List.of(SERVICE, OWNER, DEPTH, ATTEMPT, TIMEOUT);
 
     /** Response headers that only nodes may set. */
-    private static final List<AsciiString> NODE_RESPONSE_HEADERS = List.of(OUTCOME, CODE, LOAD, CRASH, CONDITIONS);
+    private static final List<AsciiString> NODE_RESPONSE_HEADERS =
+            List.of(OUTCOME, CODE, LOAD, CRASH, CONDITIONS, RETRY_DELAY);
 
     private static final Set<AsciiString> STRIPPED_FROM_CALLER_REQUESTS = union(HOP_BY_HOP, NODE_REQUEST_HEADERS);
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -15,12 +15,14 @@
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import io.mustardusher.budget.SpendingRank;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.Fingerprint;
 import io.mustardusher.call.Problem;
 import io.mustardusher.call.Timeout;
+import io.mustardusher.health.ServiceShedding;
 import io.mustardusher.instance.InstanceConditions;
 import io.mustardusher.log.DecisionLog;
 import io.mustardusher.log.NodeLog;
@@ -49,6 +51,10 @@
     /** Refusals by the backend server itself, which count as attempts that reached it. */
     private static final Set<ResultCode> SERVER_REFUSALS = EnumSet.of(ResultCode.SERVER_REFUSED);
 
+    /** Rejections that do not show whether the service has room for the call. */
+    private static final Set<ResultCode> UNRELATED_TO_ROOM =
+            EnumSet.of(ResultCode.CANCELLED, ResultCode.DEADLINE_EXPIRED, ResultCode.SUSPECT_REFUSED);
+
     private static final String OK = "ok";
     private static final String CLIENT_ERROR = "client_error";
     private static final String SERVER_ERROR = "server_error";
@@ -81,6 +87,9 @@
 
     private final TransferCost transferCost;
 
+    /** Whether the called service refuses calls as a whole. */
+    private final ServiceShedding shedding;
+
     /** Estimated time to an answer of the current attempt, in nanoseconds. */
     private volatile long expectedNanos;
 
@@ -90,6 +99,9 @@
     /** Whether an attempt that ended without an answer may have run. */
     private boolean mayHaveRun;
 
+    /** Shortest time until a gate that refused the call expects room, in milliseconds; negative if none stated it. */
+    private long retryDelayMillis = -1;
+
     /** Server error that is returned if no retry gets a better answer; {@code null} if there is none. */
     private Reply failedReply;
 
@@ -118,6 +130,7 @@
         this.cancelled = cancelled;
         this.startNanos = router.clock().nanoTime();
         this.transferCost = router.transferCost(call.owner());
+        this.shedding = router.shedding(call.service());
         long target = call.options().targetLatencyNanos();
         this.targetNanos = target == Long.MAX_VALUE ? ServerSelection.NO_TARGET : startNanos + target;
         this.servers = new ServerSelection(call.entry().policy(), transferCost, targetNanos);
@@ -230,7 +243,8 @@
     private void onHeaders(
             ServerLoad server, Exchange exchange, ResponseHeaders headers, Optional<InstanceConditions> conditions) {
         long now = router.clock().nanoTime();
-        LoadReport.parse(headers.get(CallHeaders.LOAD)).ifPresent(load -> server.update(load, now));
+        Optional<LoadReport> report = LoadReport.parse(headers.get(CallHeaders.LOAD));
+        report.ifPresent(load -> server.update(load, now));
         exchange.whenComplete().whenComplete((ignored, failure) -> server.recordCallEnd());
         Outcome outcome = Outcome.of(headers.get(CallHeaders.OUTCOME)).orElse(Outcome.UNKNOWN);
         if (outcome == Outcome.RAN) {
@@ -243,6 +257,10 @@
             return;
         }
         ResultCode code = codeOf(headers);
+        long delayMillis = headers.getLong(CallHeaders.RETRY_DELAY, -1);
+        if (delayMillis >= 0) {
+            retryDelayMillis = retryDelayMillis < 0 ? delayMillis : Math.min(retryDelayMillis, delayMillis);
+        }
         boolean healthy = code.outcome() == Outcome.NOT_RUN && code != ResultCode.SERVER_UNREACHABLE;
         if (code == ResultCode.SERVER_UNREACHABLE) {
             server.ejection().recordUnreachable(now);
@@ -255,10 +273,22 @@
         if (code == ResultCode.SLOWER_THAN_TARGET) {
             servers.recordSlow(server);
         }
+        if (code == ResultCode.SERVER_REFUSED
+                && report.filter(LoadReport::hasFreeSlots).isPresent()) {
+            onRefusalDespiteFreeSlots(server, now);
+        }
         exchange.discard();
         retryOrFail(code, code.title(), now);
     }
 
+    // A server that refuses calls as all others of its service do is not at fault, and ends a trial like an answer.
+    private void onRefusalDespiteFreeSlots(ServerLoad server, long now) {
+        shedding.recordRefused(server.node());
+        if (shedding.isShedding()) {
+            server.ejection().recordCall(true, now);
+        }
+    }
+
     /**
      * Returns the result code of an answer that does not come from a backend server. A gate that rejects this node's
      * credential counts as unreachable.
@@ -283,6 +313,7 @@
     private void onServerAnswer(ServerLoad server, Exchange exchange, ResponseHeaders headers, long now) {
         boolean serverError = headers.status().isServerError();
         server.ejection().recordCall(!serverError, now);
+        shedding.recordAccepted(server.node());
         if (headers.getLong(HttpHeaderNames.CONTENT_LENGTH, Long.MAX_VALUE) > MAX_BUFFERED_ANSWER_BYTES) {
             complete(new Reply(exchange.stream(callerHeaders(headers)), Outcome.RAN), resultOf(headers.status()));
             return;
@@ -322,6 +353,7 @@
     }
 
     private void complete(Reply reply, String result) {
+        call.options().parent().ifPresent(parent -> parent.recordNestedCall(call.service(), true));
         router.countAnswer(call.owner(), result);
         if (failedReply != null && failedReply != reply) {
             failedReply.response().abort();
@@ -372,6 +404,9 @@
         if (cancelled.toCompletableFuture().isDone() || !servers.mayBeAcceptedElsewhere(code, pool, now)) {
             return false;
         }
+        if (code == ResultCode.SERVER_REFUSED && !shedding.isRetryWorthwhile()) {
+            return false;
+        }
         return retryPolicy.mayRetry(new FailedAttempt(
                 servers.attempt(),
                 reachedAttempts,
@@ -380,7 +415,8 @@
                 idempotent,
                 body.isReplayable(),
                 call.retry(),
-                call.deadlineNanos() - now));
+                call.deadlineNanos() - now,
+                new SpendingRank(call.serviceClass(), call.options().parent().isPresent())));
     }
 
     /**
@@ -397,10 +433,13 @@
         }
         boolean certain = !mayHaveRun || code.outcome() != Outcome.NOT_RUN;
         ResultCode reported = certain ? code : ResultCode.RETRY_REFUSED;
+        if (reported.outcome() == Outcome.NOT_RUN && !UNRELATED_TO_ROOM.contains(code)) {
+            call.options().parent().ifPresent(parent -> parent.recordNestedCall(call.service(), false));
+        }
         router.countAnswer(call.owner(), reported.label());
         NodeLog.DECISIONS.callFailed(
                 call.options().id(), call.service().value(), reported.number(), servers.attempt(), detail);
-        answer.complete(new Reply(Problem.response(reported, detail), reported.outcome()));
+        answer.complete(new Reply(Problem.response(reported, detail, retryDelayMillis), reported.outcome()));
     }
 
     /**
