Evacuate failure domains by order of the operator

Cause: an operator could not keep requests away from a failure domain whose servers still run. Change: rows evacuate/DOMAIN of the operator's table are orders. They are read with the manifest (the table is read whole in one call, the feed updates them) and replicated by gossip, which carries them once there was an order. The server directory leaves out the servers of evacuated domains, and the gate there refuses new and queued calls as not run. A row of the store with an unreadable value no longer fails the reading of the others.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -39,9 +39,12 @@
     /** Maximum number of queued calls for each slot. */
     private int queuePerSlot;
 
-    /** Whether new calls are rejected. */
+    /** Whether new calls are rejected because the server does not accept them. */
     private boolean closed = true;
 
+    /** Whether all calls that are not running are rejected because the failure domain is evacuated. */
+    private boolean evacuated;
+
     /** Number of calls dispatched to the server and not yet completed. */
     private int busy;
 
@@ -131,6 +134,30 @@
         });
     }
 
+    /**
+     * Sets whether the failure domain of the server is evacuated. New and queued calls are then rejected; dispatched
+     * calls continue. This is independent of {@link #close()}, and load reports do not show it: entries decide about
+     * evacuated servers by the orders alone, so that no stale report keeps them away after the end of an order.
+     *
+     * @param value {@code true} if it is
+     */
+    public void setEvacuated(boolean value) {
+        updateAndNotify(notifications -> {
+            evacuated = value;
+            if (evacuated) {
+                rejectQueued(notifications);
+            }
+        });
+    }
+
+    private void rejectQueued(List<Runnable> notifications) {
+        exclusiveQueue.forEach(ticket -> reject(ticket, ResultCode.DRAINING, notifications));
+        exclusiveQueue.clear();
+        while (queue.size() > 0) {
+            reject(queue.removeNext(clock.nanoTime()), ResultCode.DRAINING, notifications);
+        }
+    }
+
     /** Starts accepting new calls. */
     public synchronized void open() {
         closed = false;
@@ -297,7 +324,7 @@
      * @return the result code of the rejection, or {@code null} if the call may be queued
      */
     private ResultCode rejectionOnArrival(Ticket ticket) {
-        if (closed) {
+        if (closed || evacuated) {
             return ResultCode.DRAINING;
         }
         long now = clock.nanoTime();
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/AdmissionTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/AdmissionTest.java
@@ -41,6 +41,33 @@
         assertThat(admission.inFlight()).isEqualTo(1);
     }
 
+    // Guards against calls that reach a server of an evacuated failure domain from the queue of its gate.
+    @Test
+    void rejectsNewAndQueuedCallsAndKeepsRunningOnesWhenEvacuated() {
+        List<TestCall> calls = offer(4, "a", ServiceClass.STANDARD);
+        admission.setEvacuated(true);
+        TestCall late = offer("a", ServiceClass.STANDARD, SECOND);
+        assertThat(calls.stream().map(call -> call.code))
+                .containsExactly(null, null, ResultCode.DRAINING, ResultCode.DRAINING)
+                .inOrder();
+        assertThat(late.code).isEqualTo(ResultCode.DRAINING);
+        assertThat(admission.inFlight()).isEqualTo(2);
+        assertThat(admission.load().draining()).isFalse();
+    }
+
+    // Guards against an announcement that opens the gate of an evacuated domain, and an order that opens a drained one.
+    @Test
+    void evacuationAndStateOfServerAreIndependent() {
+        admission.setEvacuated(true);
+        admission.open();
+        assertThat(offer("a", ServiceClass.STANDARD, SECOND).code).isEqualTo(ResultCode.DRAINING);
+        admission.close();
+        admission.setEvacuated(false);
+        assertThat(offer("a", ServiceClass.STANDARD, SECOND).code).isEqualTo(ResultCode.DRAINING);
+        admission.open();
+        assertThat(offer("a", ServiceClass.STANDARD, SECOND).admitted).isTrue();
+    }
+
     @Test
     void floodOfOneOwnerDoesNotStarveAnother() {
         List<TestCall> flood = offer(6, "flood", ServiceClass.STANDARD);
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -252,6 +252,9 @@
         if (code == ResultCode.SERVER_CRASHED) {
             router.recordSuspect(fingerprint, headers.getLong(CallHeaders.CRASH, 0));
         }
+        if (code == ResultCode.DRAINING && server.isServing()) {
+            router.directory().recordEvacuatedGate(server);
+        }
         if (code == ResultCode.SLOWER_THAN_TARGET) {
             servers.recordSlow(server);
         }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import com.linecorp.armeria.client.ClientFactory;
@@ -17,6 +18,7 @@
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.call.Lazy;
 import io.mustardusher.catalogue.ServiceName;
+import io.mustardusher.evacuation.EvacuationOrders;
 import io.mustardusher.frame.Credential;
 import io.mustardusher.frame.Peers;
 import io.mustardusher.gate.Gate;
@@ -65,6 +67,13 @@
     /** Version of the member table from which the directory was built. */
     private long version = -1;
 
+    private Supplier<EvacuationOrders> evacuation = () -> EvacuationOrders.NONE;
+
+    /** Orders from which the directory was built. */
+    private EvacuationOrders appliedOrders = EvacuationOrders.NONE;
+
+    private volatile Consumer<NodeId> evacuatedGateListener = node -> {};
+
     /** Transport of calls to other nodes; {@code null} if all calls are sent as HTTP streams. */
     private FrameTransport transport;
 
@@ -102,6 +111,27 @@
         transport = frames;
     }
 
+    /**
+     * Leaves out the servers of evacuated failure domains.
+     *
+     * @param orders        supplies the orders in force; {@link #refresh()} has to be called after each change
+     * @param evacuatedGate receives each node whose gate refused a call of this node because of an order that is not in
+     *     force here
+     */
+    public synchronized void followOrders(Supplier<EvacuationOrders> orders, Consumer<NodeId> evacuatedGate) {
+        evacuation = orders;
+        evacuatedGateListener = evacuatedGate;
+    }
+
+    /**
+     * Records that a gate refused a call because its failure domain is evacuated, although this node chose its server.
+     *
+     * @param server the server beside the gate
+     */
+    void recordEvacuatedGate(ServerLoad server) {
+        evacuatedGateListener.accept(server.node());
+    }
+
     /**
      * Returns the servers of a service.
      *
@@ -133,13 +163,15 @@
         return Optional.ofNullable(nodes.get(id + "@" + boot)).map(KnownNode::link);
     }
 
-    /** Rebuilds the directory if the member table has changed. */
+    /** Rebuilds the directory if the member table or the evacuation orders have changed. */
     public synchronized void refresh() {
         long currentVersion = members.version();
-        if (currentVersion == version) {
+        EvacuationOrders orders = evacuation.get();
+        if (currentVersion == version && orders.equals(appliedOrders)) {
             return;
         }
         version = currentVersion;
+        appliedOrders = orders;
         Map<String, KnownNode> nextNodes = new HashMap<>();
         Map<ServiceName, List<ServerLoad>> loadsByService = new HashMap<>();
         for (MemberRecord member : members.members()) {
@@ -150,6 +182,8 @@
             nextNodes.put(processName(member), node);
             if (member.getService() != null) {
                 node.load.setServing(member.isServing() && MemberState.of(member) != MemberState.LEAVING);
+            }
+            if (member.getService() != null && !orders.isEvacuated(member.getDomain())) {
                 loadsByService
                         .computeIfAbsent(ServiceName.of(member.getService()), name -> new ArrayList<>())
                         .add(node.load);
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/MessageCodec.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/MessageCodec.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.mustardusher.generated.EvacuationRecord;
 import io.mustardusher.generated.Gossip;
 import io.mustardusher.generated.MemberRecord;
 import io.mustardusher.generated.SuspectRecord;
@@ -127,6 +128,7 @@
         INSTANCE;
 
         private static final int FIELDS = 7;
+        private static final int EVACUATION_FIELDS = 3;
         private static final int MEMBER_FIELDS = 13;
         private static final int SUSPECT_FIELDS = 2;
 
@@ -137,7 +139,8 @@
         public void encode(Object message, ByteBuf out) throws IOException {
             Gossip gossip = (Gossip) message;
             try (MessagePacker packer = packer(out, BUFFER_BYTES)) {
-                packer.packArrayHeader(FIELDS);
+                // The last field is left out if it is absent, which it nearly always is.
+                packer.packArrayHeader(gossip.getEvacuation() == null ? FIELDS : FIELDS + 1);
                 packText(packer, gossip.getFrom());
                 packer.packLong(gossip.getRevision());
                 packText(packer, gossip.getTarget());
@@ -153,6 +156,9 @@
                     packer.packLong(suspect.getFingerprint());
                     packer.packLong(suspect.getCrash());
                 }
+                if (gossip.getEvacuation() != null) {
+                    encode(gossip.getEvacuation(), packer);
+                }
             }
         }
 
@@ -177,6 +183,9 @@
                                     .withCrash(fields.number()));
                     fields.end();
                 }
+                if (fields.nested()) {
+                    gossip.setEvacuation(decodeEvacuation(fields));
+                }
                 fields.end();
                 return gossip;
             } catch (MessagePackException | IllegalArgumentException e) {
@@ -223,6 +232,27 @@
             return member;
         }
 
+        private static void encode(EvacuationRecord evacuation, MessagePacker packer) throws IOException {
+            packer.packArrayHeader(EVACUATION_FIELDS);
+            packer.packLong(evacuation.getGeneration());
+            packer.packLong(evacuation.getVersion());
+            packer.packArrayHeader(evacuation.getDomains().size());
+            for (String domain : evacuation.getDomains()) {
+                packText(packer, domain);
+            }
+        }
+
+        private static EvacuationRecord decodeEvacuation(PackedFields fields) throws IOException {
+            fields.begin();
+            EvacuationRecord evacuation =
+                    new EvacuationRecord().withGeneration(fields.number()).withVersion(fields.number());
+            for (int left = fields.list(); left > 0; left--) {
+                evacuation.getDomains().add(fields.element());
+            }
+            fields.end();
+            return evacuation;
+        }
+
         private static void packText(MessagePacker packer, String text) throws IOException {
             if (text == null) {
                 packer.packNil();
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/PackedFields.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/PackedFields.java
@@ -90,6 +90,26 @@
         return isAbsent() ? null : unpacker.unpackString();
     }
 
+    /**
+     * Reads a text in a list.
+     *
+     * @return the text
+     * @throws IOException if the element is no text
+     */
+    String element() throws IOException {
+        return unpacker.unpackString();
+    }
+
+    /**
+     * Returns whether the next field is a nested array, whose fields are to be read with {@link #begin()}.
+     *
+     * @return {@code true} if it is; {@code false} without the field
+     * @throws IOException if the message is cut short
+     */
+    boolean nested() throws IOException {
+        return !isAbsent();
+    }
+
     /**
      * Reads a whole number.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -204,6 +204,16 @@
         }
     }
 
+    /**
+     * Sets whether the failure domain of this gate is evacuated. New and queued calls are then rejected; calls at the
+     * backend server continue.
+     *
+     * @param evacuated {@code true} if it is
+     */
+    public void setEvacuated(boolean evacuated) {
+        admission.setEvacuated(evacuated);
+    }
+
     /** Rejects new calls; calls in flight continue. */
     public void close() {
         admission.close();
--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/Gossiper.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/Gossiper.java
@@ -7,8 +7,11 @@
 import java.util.concurrent.CompletableFuture;
 
 import io.mustardusher.budget.TokenBucket;
+import io.mustardusher.evacuation.EvacuationOrders;
+import io.mustardusher.evacuation.EvacuationReplica;
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.frame.Peers;
+import io.mustardusher.generated.EvacuationRecord;
 import io.mustardusher.generated.Gossip;
 import io.mustardusher.generated.MemberRecord;
 import io.mustardusher.log.NodeLog;
@@ -66,6 +69,8 @@
 
     private final SuspectReplicator suspects;
 
+    private final EvacuationReplica evacuation = new EvacuationReplica();
+
     /** Rate limit for requests of full member tables within the failure domain. */
     private final TokenBucket fullRequests;
 
@@ -98,6 +103,15 @@
         this.remoteFullRequests = new TokenBucket(clock, REMOTE_FULL_REQUESTS_PER_SECOND, 1);
     }
 
+    /**
+     * Returns this node's copy of the evacuation orders, which messages carry once there was an order.
+     *
+     * @return the replica
+     */
+    public EvacuationReplica evacuation() {
+        return evacuation;
+    }
+
     /** Runs one round. Every few rounds it also probes a failed member, because a network partition may have healed. */
     public void tick() {
         members.expire().forEach(Gossiper::logChange);
@@ -267,6 +281,12 @@
         members.merge(message.getMembers()).forEach(Gossiper::logChange);
         members.find(message.getFrom()).ifPresent(peer -> configuration.onPeerRevision(peer, message.getRevision()));
         suspects.addAll(message.getSuspects());
+        EvacuationRecord received = message.getEvacuation();
+        if (received != null) {
+            evacuation.receive(EvacuationOrders.of(
+                    new EvacuationOrders.Revision(received.getGeneration(), received.getVersion()),
+                    received.getDomains()));
+        }
     }
 
     private Gossip createMessage(GossipRange range) {
@@ -288,7 +308,15 @@
                 .withRevision(configuration.revision())
                 .withDigest(members.digest())
                 .withMembers(records)
-                .withSuspects(suspects.gossipRecords());
+                .withSuspects(suspects.gossipRecords())
+                .withEvacuation(evacuation.toSend().map(Gossiper::toRecord).orElse(null));
+    }
+
+    private static EvacuationRecord toRecord(EvacuationOrders orders) {
+        return new EvacuationRecord()
+                .withGeneration(orders.revision().generation())
+                .withVersion(orders.revision().version())
+                .withDomains(List.copyOf(orders.domains()));
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -113,6 +113,45 @@
     @Message(id = 1103, value = "backend server crashed (crash %d) with %d calls in flight")
     void serverCrashed(long crash, int suspects);
 
+    /**
+     * An order to evacuate a failure domain came into force at this node.
+     *
+     * @param domain  name of the failure domain
+     * @param servers number of known backend servers in it, which receive no more calls
+     */
+    @LogMessage(level = Logger.Level.WARN)
+    @Message(id = 1110, value = "failure domain %s is evacuated; %d backend servers receive no calls")
+    void domainEvacuated(String domain, long servers);
+
+    /**
+     * An order to evacuate a failure domain ended at this node.
+     *
+     * @param domain  name of the failure domain
+     * @param servers number of known backend servers in it, which receive calls again
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 1111, value = "failure domain %s is no longer evacuated; %d backend servers receive calls again")
+    void domainReturned(String domain, long servers);
+
+    /**
+     * An order names a failure domain of which this node knows no member.
+     *
+     * @param domain name of the failure domain
+     */
+    @LogMessage(level = Logger.Level.WARN)
+    @Message(id = 1112, value = "evacuation order for unknown failure domain %s")
+    void unknownDomainEvacuated(String domain);
+
+    /**
+     * A row of the table service was skipped because its value cannot be read.
+     *
+     * @param key   key of the row
+     * @param cause the fault
+     */
+    @LogMessage(level = Logger.Level.WARN)
+    @Message(id = 1115, value = "row %s of the table service skipped: %s")
+    void rowUnreadable(String key, String cause);
+
     /**
      * A catalogue revision came into force at this node.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -22,6 +22,7 @@
 import io.mustardusher.admission.EventLoopDelay;
 import io.mustardusher.call.Lazy;
 import io.mustardusher.entry.ServerDirectory;
+import io.mustardusher.evacuation.EvacuationOrders;
 import io.mustardusher.frame.Credential;
 import io.mustardusher.frame.DeadPeerDetection;
 import io.mustardusher.frame.FrameClient;
@@ -172,6 +173,16 @@
     void configureGossip(ReplicatedConfiguration configuration, TableService table) {
         gossiper = new Gossiper(members, frames, configuration, suspectReplicator, clock);
         discovery = new PeerDiscovery(table, seeds(settings), members, gossiper, random);
+        new EvacuationControl(settings.getFailureDomain(), gate, directory, members, gossiper, timers, clock, metrics);
+    }
+
+    /**
+     * Puts evacuation orders into force unless newer ones are.
+     *
+     * @param orders orders as read from the table service
+     */
+    void offerEvacuation(EvacuationOrders orders) {
+        gossiper.evacuation().offer(orders);
     }
 
     /** Starts the listener for frames. */
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
@@ -7,6 +7,7 @@
 
 import com.linecorp.armeria.common.RequestHeaders;
 import io.mustardusher.call.CallerProtocol;
+import io.mustardusher.evacuation.EvacuationOrders;
 import io.mustardusher.generated.RouteDocument;
 import io.mustardusher.route.RouteTable;
 import io.mustardusher.server.ServerDialect;
@@ -35,6 +36,16 @@
      */
     void watchRoutes(Consumer<RouteDocument> listener);
 
+    /**
+     * Watches the operator's evacuation orders until the process ends. Called before {@link #watchRoutes}; by default
+     * there are no orders.
+     *
+     * @param listener receives all orders in force whenever they were read or have changed
+     */
+    default void watchEvacuation(Consumer<EvacuationOrders> listener) {
+        // Platforms without such orders have nothing to report.
+    }
+
     /**
      * Decodes a version of the operator's configuration.
      *
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/RouterFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/RouterFixture.java
@@ -5,6 +5,8 @@
 import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.HttpMethod;
@@ -16,6 +18,7 @@
 import io.mustardusher.catalogue.Idempotence;
 import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.catalogue.ServiceName;
+import io.mustardusher.evacuation.EvacuationOrders;
 import io.mustardusher.frame.Credential;
 import io.mustardusher.frame.Peers;
 import io.mustardusher.generated.DistanceSettings;
@@ -23,6 +26,7 @@
 import io.mustardusher.health.SuspectTable;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
+import io.mustardusher.membership.NodeId;
 import io.mustardusher.routing.RoutingPolicy;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.ImmediateEventExecutor;
@@ -111,6 +115,18 @@
                 new CallOptions("call", 2, SECOND_NANOS / 2, Optional.empty()));
     }
 
+    /**
+     * Evacuates the failure domain of all servers.
+     *
+     * @param router        the router
+     * @param orders        the orders in force
+     * @param evacuatedGate receives the nodes whose gates follow an order that is not in force
+     */
+    static void followOrders(Router router, Supplier<EvacuationOrders> orders, Consumer<NodeId> evacuatedGate) {
+        router.directory().followOrders(orders, evacuatedGate);
+        router.directory().refresh();
+    }
+
     private static MemberRecord member(int number, boolean serving) {
         return new MemberRecord()
                 .withId("node-" + number)
@@ -121,7 +137,7 @@
                 .withFramePort(number + 1)
                 .withGatePort(number + 1)
                 .withRegion("r")
-                .withDomain("d")
+                .withDomain(number % 2 == 0 ? "d" : "e")
                 .withService(SERVICE.value())
                 .withSlots(4)
                 .withServing(serving);
--- a/mustardusher-node/src/test/java/io/mustardusher/frame/MessageCodecTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/frame/MessageCodecTest.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.mustardusher.generated.EvacuationRecord;
 import io.mustardusher.generated.Gossip;
 import io.mustardusher.generated.MemberRecord;
 import io.mustardusher.generated.SuspectRecord;
@@ -49,11 +50,27 @@
         }
     }
 
+    // Guards against messages that grow for all deployments although few ever evacuate a failure domain.
+    @Test
+    void gossipCarriesEvacuationOrdersOnlyIfPresent() throws IOException {
+        Gossip message = gossip(new Random(13), 1);
+        int length = encode(message).length;
+        message.withEvacuation(
+                new EvacuationRecord().withGeneration(2).withVersion(70_000).withDomains(List.of("east", "west")));
+        assertThat(previousVersion.readValue(encode(message), Gossip.class)).isEqualTo(message);
+        assertThat(decode(Gossip.class, previousVersion.writeValueAsBytes(message)))
+                .isEqualTo(message);
+        assertThat(decode(Gossip.class, encode(message))).isEqualTo(message);
+        assertThat(encode(message).length).isAtMost(length + 20);
+        message.setEvacuation(null);
+        assertThat(previousVersion.readTree(encode(message)).size()).isEqualTo(7);
+    }
+
     /** A later version adds fields at the end, an earlier one lacks some. */
     @Test
     void skipsAddedFieldsAndFillsMissingOnes() throws IOException {
         byte[] longer = previousVersion.writeValueAsBytes(
-                List.of("a", 3, "b", 4, true, List.of(), List.of(), "added", List.of(1, 2)));
+                Arrays.asList("a", 3, "b", 4, true, List.of(), List.of(), null, "added", List.of(1, 2)));
         assertThat(decode(Gossip.class, longer))
                 .isEqualTo(new Gossip()
                         .withFrom("a")
--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/GossipSimulationTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/GossipSimulationTest.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
+import io.mustardusher.evacuation.EvacuationOrders;
 import io.mustardusher.generated.CatalogueDelta;
 import io.mustardusher.generated.EntryDocument;
 import io.mustardusher.health.SuspectTable;
@@ -175,6 +176,31 @@
                 .isTrue();
     }
 
+    /** Only one node reaches the table service, and another one restarts meanwhile. */
+    @Test
+    void evacuationOrderAndItsEndReachAllNodesWithinTwoSeconds() {
+        startAll(SIZE);
+        runFor(2_000);
+        offerOrders(1, "d1");
+        runFor(1_000);
+        nodes.set(9, new FakeNode(9, 2, network, table, clock));
+        nodes.get(9).join(8);
+        runFor(1_000);
+        assertThat(allNodes(node -> node.gossiper.evacuation().current().isEvacuated("d1")))
+                .isTrue();
+        offerOrders(2);
+        runFor(2_000);
+        assertThat(allNodes(node -> node.gossiper.evacuation().current().isEvacuated("d1")))
+                .isFalse();
+    }
+
+    private void offerOrders(long version, String... domains) {
+        nodes.get(0)
+                .gossiper
+                .evacuation()
+                .offer(EvacuationOrders.of(new EvacuationOrders.Revision(0, version), List.of(domains)));
+    }
+
     private void startAll(int size) {
         for (int port = 0; port < size; port++) {
             FakeNode node = new FakeNode(port, 1, network, table, clock);
