Show that calls are lost on a connection that goes silent

Cause: a connection between nodes is given up only when the kernel gives it up. If something on the way takes the bytes and drops them, that never happens: calls sent before and after the silence wait for their time limit, further requests keep going into the connection, and requests whose own time limit is shorter than any check leave no trace of it.

--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/SilentConnectionTest.java
@@ -0,0 +1,147 @@
+package io.mustardusher.entry;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Phaser;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.HeaderPacking;
+import io.mustardusher.call.Timeout;
+import io.mustardusher.frame.CallMessage;
+import io.mustardusher.frame.Credential;
+import io.mustardusher.frame.FrameClient;
+import io.mustardusher.frame.FrameKind;
+import io.mustardusher.frame.FrameServer;
+import io.mustardusher.frame.FrameTraffic;
+import io.mustardusher.frame.SilentRelay;
+import io.mustardusher.gate.FramedGate;
+import io.mustardusher.gate.GateFixture;
+import io.mustardusher.generated.ProbeAnswer;
+import io.mustardusher.generated.ProbeQuestion;
+import io.mustardusher.http.Transport;
+import io.mustardusher.time.Clock;
+import io.netty.channel.EventLoopGroup;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against calls that are lost, late or run twice when a connection between nodes goes silent for good: no byte
+ * passes, and neither end sees a reset. Over real sockets, since what the kernel reports is part of the failure; the
+ * time limit of calls is far above the time within which silence has to be found, so that a slow machine does not
+ * matter.
+ */
+@Tag("known-red")
+class SilentConnectionTest {
+
+    private static final Clock CLOCK = Clock.ForSystem.INSTANCE;
+    private static final long TIMEOUT_MILLIS = 3_000;
+    private static final long BOOT = 7;
+
+    private final EventLoopGroup group = Transport.newEventLoops(1, "test");
+    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+    private final HeaderPacking packing = new HeaderPacking(List.of());
+    private final Credential credential = new Credential("secret");
+    private final FrameServer server = new FrameServer(credential, new FrameTraffic(), cause -> {});
+    private final AtomicInteger runs = new AtomicInteger();
+    private final Phaser arrivals = new Phaser(1);
+    private CompletableFuture<AggregatedHttpResponse> response = new CompletableFuture<>();
+    private SilentRelay relay;
+    private FrameClient client;
+    private GateLink link;
+
+    @BeforeEach
+    void open() throws IOException {
+        FramedGate gate =
+                new FramedGate(GateFixture.of(CLOCK, timers, 8, this::run), packing, BOOT, group.next(), CLOCK);
+        server.on(FrameKind.CALL, (CallMessage call) -> gate.call(call))
+                .on(FrameKind.RESUME, (CallMessage call) -> gate.resume(call))
+                .on(FrameKind.CANCEL, (CallMessage call) -> gate.cancel(call))
+                .on(FrameKind.PROBE, (ProbeQuestion question) -> CompletableFuture.completedFuture(new ProbeAnswer()));
+        int port = server.start("127.0.0.1", 0, group, Transport.of(group).serverChannelType());
+        relay = new SilentRelay(new InetSocketAddress("127.0.0.1", port));
+        client = new FrameClient(group, Transport.of(group).socketChannelType(), credential, new FrameTraffic());
+        link = new GateLink.ForFrames(
+                client, relay.address(), BOOT, packing, new AtomicLong()::incrementAndGet, group.next(), CLOCK, null);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        client.close();
+        server.close();
+        relay.close();
+        timers.shutdownNow();
+        group.shutdownGracefully();
+    }
+
+    @Test
+    void callSentIntoSilentConnectionRunsOnceAndIsAnswered() {
+        response.complete(AggregatedHttpResponse.of(ResponseHeaders.of(HttpStatus.OK), HttpData.ofUtf8("done")));
+        assertThat(status(call())).isEqualTo(HttpStatus.OK);
+        relay.silenceOpenConnections();
+        assertThat(status(call())).isEqualTo(HttpStatus.OK);
+        assertThat(runs.get()).isEqualTo(2);
+    }
+
+    @Test
+    void callThatRunsWhenItsConnectionGoesSilentIsAnsweredAndNotRunAgain() {
+        CompletableFuture<ResponseHeaders> headers = call();
+        arrivals.awaitAdvance(0);
+        relay.silenceOpenConnections();
+        response.complete(AggregatedHttpResponse.of(ResponseHeaders.of(HttpStatus.OK), HttpData.ofUtf8("done")));
+        assertThat(status(headers)).isEqualTo(HttpStatus.OK);
+        assertThat(runs.get()).isEqualTo(1);
+    }
+
+    @Test
+    void requestsWithShortTimeoutsDoNotHideSilence() {
+        response.complete(AggregatedHttpResponse.of(ResponseHeaders.of(HttpStatus.OK), HttpData.ofUtf8("done")));
+        assertThat(status(call())).isEqualTo(HttpStatus.OK);
+        relay.silenceOpenConnections();
+        int lost = 0;
+        while (probe().handle((answer, failure) -> failure != null).join()) {
+            lost++;
+            assertThat(lost).isLessThan(40);
+        }
+        assertThat(relay.accepted()).isEqualTo(2);
+    }
+
+    private CompletableFuture<ProbeAnswer> probe() {
+        return client.request(relay.address(), FrameKind.PROBE, new ProbeQuestion().withService("s"), 50);
+    }
+
+    private CompletableFuture<AggregatedHttpResponse> run() {
+        runs.incrementAndGet();
+        arrivals.arrive();
+        return response;
+    }
+
+    private CompletableFuture<ResponseHeaders> call() {
+        RequestHeaders headers = RequestHeaders.builder(HttpMethod.POST, "/")
+                .set(CallHeaders.SERVICE, GateFixture.SERVICE)
+                .set(CallHeaders.TIMEOUT, Timeout.format(TIMEOUT_MILLIS * Clock.NANOS_PER_MILLI))
+                .build();
+        return link.send(HttpRequest.of(headers), TIMEOUT_MILLIS * Clock.NANOS_PER_MILLI, new CompletableFuture<>())
+                .headers();
+    }
+
+    private static HttpStatus status(CompletableFuture<ResponseHeaders> headers) {
+        return headers.join().status();
+    }
+}
