--- a/mustardusher-core/src/main/java/io/mustardusher/account/Account.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/account/Account.java
@@ -6,7 +6,7 @@
  * A client account of one version of the configuration.
  *
  * @param name          name of the account
- * @param priority      priority of the account's requests, which precedes the priority of their routes; 0 is the highest
+ * @param priority      priority of the account's requests, which precedes that of their routes; 0 is the highest
  * @param ratePerSecond requests per second that all nodes together serve for the account; 0 for no limit
  * @param burst         requests that may be served in addition to the rate after a pause
  */
