Renew a watch of the table service that may be silent, without further requests

Cause: the watch waits up to 30 s on one connection. If that goes silent, its node hears of changes from peers only, and all nodes begin their waits at the same time, so that if all connections go silent none notices for 31 s. Connections to services get keep-alive after 1 s, to the backend server after 5 s, to callers after 30 s, for losses that the kernel can see.

--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/RouteReplica.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/RouteReplica.java
@@ -45,6 +45,9 @@
 
     private boolean pullPending;
 
+    /** Called when a version came into force that a peer had before the table service reported it. */
+    private volatile Runnable pulledListener = () -> {};
+
     /**
      * Creates a replica without routes.
      *
@@ -73,6 +76,15 @@
         return current;
     }
 
+    /**
+     * Sets the listener for versions that come from a peer because the table service has not reported them.
+     *
+     * @param listener called after such a version has come into force
+     */
+    public void onPulledVersion(Runnable listener) {
+        pulledListener = listener;
+    }
+
     @Override
     public long revision() {
         return current.version();
@@ -147,10 +159,17 @@
         });
     }
 
-    private synchronized void offerPulled(RouteDocument pulled, MemberRecord peer) {
-        offer(pulled, peer.getId());
-        if (pulled.equals(undecodable)) {
-            undecodablePull = pulled.getVersion();
+    private void offerPulled(RouteDocument pulled, MemberRecord peer) {
+        boolean inForce;
+        synchronized (this) {
+            offer(pulled, peer.getId());
+            if (pulled.equals(undecodable)) {
+                undecodablePull = pulled.getVersion();
+            }
+            inForce = document == pulled;
+        }
+        if (inForce) {
+            pulledListener.run();
         }
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
+import io.mustardusher.frame.DeadPeerDetection;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.time.Clock;
@@ -86,7 +87,7 @@
                     TIMEOUT_CHECK_INTERVAL_MILLIS,
                     TimeUnit.MILLISECONDS);
         }
-        Channel bound = new ServerBootstrap()
+        ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loop)
                 .channel(Transport.of(group).serverChannelType())
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -97,10 +98,9 @@
                     protected void initChannel(Channel accepted) {
                         initialize(accepted, handler, limits);
                     }
-                })
-                .bind(address)
-                .syncUninterruptibly()
-                .channel();
+                });
+        DeadPeerDetection.configureCallers(bootstrap, Transport.of(group).serverChannelType());
+        Channel bound = bootstrap.bind(address).syncUninterruptibly().channel();
         listeningChannels.add(bound);
         return ((InetSocketAddress) bound.localAddress()).getPort();
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -91,6 +91,11 @@
     @Message(id = 1121, value = "connection to %s silent for %d ms; %d requests outstanding")
     void connectionSilent(String address, long millis, int outstanding);
 
+    /** A newer configuration came from a peer while the watch of the table service waited, so that it starts anew. */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 1122, value = "watch of the table service renewed, since a peer had a newer version")
+    void watchRenewed();
+
     /**
      * The state of a member changed.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
@@ -35,6 +35,12 @@
      */
     void watchRoutes(Consumer<RouteDocument> listener);
 
+    /**
+     * Watches the operator's configuration over another connection if the present one may be silent, because a peer had
+     * a version before the watch reported it.
+     */
+    default void renewWatch() {}
+
     /**
      * Decodes a version of the operator's configuration.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -151,6 +151,7 @@
         listen(address(settings.getPorts().getGate()), this::handleStreamedCall);
         listener.bind(address(settings.getPorts().getCaller()), entry, protocol::limits);
         addresses.forEach((address, handler) -> listener.bind(address, handler, () -> RequestLimits.NONE));
+        routes.onPulledVersion(environment::renewWatch);
         environment.watchRoutes(document -> routes.offer(document, "store"));
         core.measureEventLoopDelay();
         NodeEnvironment.LocalServer localServer = environment.localServer();
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -92,6 +92,7 @@
                         channel.pipeline().addLast(new HttpClientCodec(config, true, false));
                     }
                 });
+        DeadPeerDetection.configure(bootstrap, Transport.of(group).socketChannelType());
     }
 
     /**
@@ -124,7 +125,8 @@
     public static BufferedServerLink toService(EventLoopGroup group, InetSocketAddress address, Clock clock) {
         BufferedServerLink link = new BufferedServerLink(
                 group, address, null, ServerDialect.Plain.INSTANCE, ServerReports.Discarding.INSTANCE, clock);
-        DeadPeerDetection.configure(link.bootstrap, Transport.of(group).socketChannelType());
+        DeadPeerDetection.configureForService(
+                link.bootstrap, Transport.of(group).socketChannelType());
         return link;
     }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/RouteReplicaTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/RouteReplicaTest.java
@@ -71,6 +71,19 @@
         assertThat(pulls.get()).isEqualTo(1);
     }
 
+    /** Guards against a silent watch of the table service that nobody notices while peers deliver. */
+    @Test
+    void reportsVersionThatOnlyPeerDelivered() {
+        AtomicInteger reports = new AtomicInteger();
+        routes.onPulledVersion(reports::incrementAndGet);
+        offer(4);
+        assertThat(reports.get()).isEqualTo(0);
+        servePeer("text");
+        gossip(5);
+        gossip(5);
+        assertThat(reports.get()).isEqualTo(1);
+    }
+
     /** A text that only this node cannot decode is not transferred again with each gossip message. */
     @Test
     void pullsUnreadableTextOnce() {
