--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -80,6 +80,22 @@
     @Message(id = 1007, value = "request rejected with status %d: %s")
     void requestRejected(int status, String cause);
 
+    /**
+     * A connection to another node carried no more bytes while the node answered on another one, and was given up.
+     *
+     * @param address     address of the node
+     * @param millis      time for which nothing arrived, in milliseconds
+     * @param outstanding number of requests without a reply on the connection
+     */
+    @LogMessage(level = Logger.Level.WARN)
+    @Message(id = 1131, value = "connection to %s silent for %d ms; %d requests outstanding")
+    void connectionSilent(String address, long millis, int outstanding);
+
+    /** A newer configuration came from a peer while the watch of the table service waited, so that it starts anew. */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 1132, value = "watch of the table service renewed, since a peer had a newer version")
+    void watchRenewed();
+
     /**
      * The state of a member changed.
      *
@@ -383,4 +399,14 @@
     @LogMessage(level = Logger.Level.INFO)
     @Message(id = 2021, value = "call %s: nested call to %s by a request of %s")
     void nestedCall(String call, String service, String parent);
+
+    /**
+     * The gate told over another connection what became of a call whose connection was lost.
+     *
+     * @param address address of the gate's node
+     * @param found   whether the gate had received the call
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 2022, value = "call resumed over another connection to %s: %s")
+    void callResumed(String address, String found);
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -162,6 +162,7 @@
         listener.bind(address(settings.getPorts().getCaller()), entry, protocol::limits);
         addresses.forEach((address, handler) -> listener.bind(address, handler, () -> RequestLimits.NONE));
         environment.watchEvacuation(core::offerEvacuation);
+        routes.onPulledVersion(environment::renewWatch);
         environment.watchRoutes(document -> routes.offer(document, "store"));
         core.measureEventLoopDelay();
         NodeEnvironment.LocalServer localServer = environment.localServer();
