--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
@@ -153,8 +153,8 @@
      * @return age in nanoseconds, or {@link Long#MAX_VALUE} before the first report
      */
     public long reportAgeNanos(long now) {
-        long received = lastReport.receivedNanos;
-        return received == Long.MIN_VALUE ? Long.MAX_VALUE : now - received;
+        ReportedLoad last = lastReport;
+        return last.isReceived() ? now - last.receivedNanos : Long.MAX_VALUE;
     }
 
     /**
@@ -173,13 +173,14 @@
     }
 
     /**
-     * Returns whether the server is expected to start a new call at once.
+     * Returns whether the server is expected to start a new call at once. Nothing is expected of a server that has not
+     * sent a report: after a restart of all nodes, calls would be sent on from one unknown server to the next.
      *
      * @param now current time, in nanoseconds
-     * @return {@code true} if it has a free slot and is not known to be slow
+     * @return {@code true} if it has reported a free slot and is not known to be slow
      */
     boolean startsCallsAtOnce(long now) {
-        return now - slowUntilNanos >= 0 && estimatedCalls(now) + 1 <= lastReport.limit;
+        return lastReport.isReceived() && now - slowUntilNanos >= 0 && estimatedCalls(now) + 1 <= lastReport.limit;
     }
 
     /**
@@ -246,5 +247,10 @@
      * @param serviceNanos  smoothed service time, in nanoseconds
      * @param receivedNanos time at which the report was received, in nanoseconds, or {@link Long#MIN_VALUE} without one
      */
-    private record ReportedLoad(int otherCalls, int limit, long serviceNanos, long receivedNanos) {}
+    private record ReportedLoad(int otherCalls, int limit, long serviceNanos, long receivedNanos) {
+
+        boolean isReceived() {
+            return receivedNanos != Long.MIN_VALUE;
+        }
+    }
 }
