Give the lab's loopback calls a route priority

CallOptions has a component for the priority of the route since the authentication of accounts, and the lab's own protocol did not pass it, so that the lab did not compile.

--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/profile/LoopbackEnvironment.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/profile/LoopbackEnvironment.java
@@ -129,7 +129,8 @@
                     Optional.empty(),
                     0,
                     false,
-                    new CallOptions(headers.path(), route.maxAttempts(), route.targetLatencyNanos(), Optional.empty()));
+                    new CallOptions(
+                            headers.path(), route.maxAttempts(), route.targetLatencyNanos(), Optional.empty(), 0));
         }
 
         @Override
