Refuse revoked keys within a bound on every node

A node that is cut off from the store and from its peers, or whose VM was suspended, kept accepting the keys of an old manifest for as long as it ran.

Where the settings have strictRevocation, a node accepts keys only while it can prove that its routes were the newest at most `revoke` less 300 ms ago. FreshnessLease holds the moment of the proof, which is that of the sending of a read of the store's feed, and the newest version at that moment; it is not renewed while that version is not in force. ElapsedTime adds forward jumps of the wall clock relative to the monotonic clock, beyond 20 ms of rounding, so that suspensions count. FreshnessRenewal lets max(2, N/32) readers read every 1.2 s; the others ask a reader each second with the new frame FRESHNESS, and read themselves from an age of 2.8 to 3.4 s. A newer version at a peer is fetched and applied first. Without a lease, calls with a key get 503 (code 2016), and public routes take them as calls without a key. A read proves nothing if the feed's answer is truncated, goes backwards or has a manifest that cannot be read. Nothing of this runs without the setting or without accounts in the manifest.

FreshnessHistoriesTest runs 100,000 histories with cut and one-way links, freezes, suspensions, restarts, clock steps, lost and late answers, rejected members, undecodable versions and revocations in a row; no revoked key is accepted after the bound, and each of six deliberate defects is detected. Histories do not contain a backward step of the wall clock that hides a suspension between the same two samples, which no member could detect.

--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/profile/LoopbackEnvironment.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/profile/LoopbackEnvironment.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 
 import com.linecorp.armeria.common.HttpResponse;
@@ -77,7 +78,7 @@
     }
 
     @Override
-    public CallerProtocol callerProtocol(Supplier<RouteTable> routes) {
+    public CallerProtocol callerProtocol(Supplier<RouteTable> routes, LongPredicate acceptsKeys) {
         return new RouteProtocol(routes);
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
@@ -5,6 +5,7 @@
 import io.mustardusher.generated.ClaimGroupRecord;
 import io.mustardusher.generated.ConfirmReply;
 import io.mustardusher.generated.ConfirmRequest;
+import io.mustardusher.generated.FreshnessRecord;
 import io.mustardusher.generated.Gossip;
 import io.mustardusher.generated.ProbeAnswer;
 import io.mustardusher.generated.ProbeQuestion;
@@ -49,7 +50,10 @@
     RESUME(CallMessage.class, CallMessage.class),
 
     /** Cancels a call; the reply holds the same message. */
-    CANCEL(CallMessage.class, CallMessage.class);
+    CANCEL(CallMessage.class, CallMessage.class),
+
+    /** Requests the age of the routes of the receiver; the request holds that of the sender. */
+    FRESHNESS(FreshnessRecord.class, FreshnessRecord.class);
 
     private final MessageCodec requestCodec;
 
--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/RouteReplica.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/RouteReplica.java
@@ -140,14 +140,34 @@
             pullCompleted();
             return;
         }
+        request(peer).whenComplete((done, failure) -> pullCompleted());
+    }
+
+    /**
+     * Fetches a newer version from another node without the delay of a pull.
+     *
+     * @param peer     the node
+     * @param revision the version in force there
+     * @return completes when the answer has been applied, or when there is none; does not fail
+     */
+    public CompletableFuture<Void> fetch(MemberRecord peer, long revision) {
+        synchronized (this) {
+            if (revision <= revision() || revision == undecodablePull) {
+                return CompletableFuture.completedFuture(null);
+            }
+        }
+        return request(peer);
+    }
+
+    private CompletableFuture<Void> request(MemberRecord peer) {
         CataloguePull request = new CataloguePull().withSince(revision());
         CompletableFuture<RouteDocument> answer =
                 peers.request(CatalogueReplica.frameAddress(peer), FrameKind.ROUTES, request, REQUEST_TIMEOUT_MILLIS);
-        answer.whenComplete((found, failure) -> {
-            pullCompleted();
+        return answer.handle((found, failure) -> {
             if (failure == null && found.getText() != null) {
                 offerPulled(found, peer);
             }
+            return null;
         });
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -178,6 +178,25 @@
     @Message(id = 1206, value = "routes version %d revokes %d keys of client accounts")
     void keysRevoked(long version, int keys);
 
+    /**
+     * The routes in force were proved to be the newest a short time ago, so that keys of accounts are accepted.
+     *
+     * @param version version of the routes in force
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 1207, value = "routes version %d is proved to be recent; keys of client accounts are accepted")
+    void freshnessProven(long version);
+
+    /**
+     * It is too long ago that the routes in force were known to be the newest, so that keys of accounts are refused.
+     *
+     * @param version   version of the routes in force
+     * @param ageMillis time since they were known to be the newest, in milliseconds; -1 if they never were
+     */
+    @LogMessage(level = Logger.Level.WARN)
+    @Message(id = 1208, value = "routes version %d may be out of date after %d ms; keys of client accounts are refused")
+    void freshnessExpired(long version, long ageMillis);
+
     /**
      * The keepers of a service changed.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
@@ -2,7 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 
 import com.linecorp.armeria.common.RequestHeaders;
@@ -43,13 +46,34 @@
      */
     RouteTable decodeRoutes(RouteDocument document);
 
+    /**
+     * Returns the time within which each node refuses a key of an account after a version without it was confirmed.
+     *
+     * @return the bound, in nanoseconds, or empty if there is none, which costs no reads and no messages
+     */
+    default OptionalLong revocationBoundNanos() {
+        return OptionalLong.empty();
+    }
+
+    /**
+     * Reads the newest version of the operator's configuration without waiting for changes, and passes it to the
+     * listener of {@link #watchRoutes} if it changed. Only called where there is a bound of revocations.
+     *
+     * @return completes with the number of the version that was the newest at some time since the call, 0 if there was
+     *     none; fails if that is not known
+     */
+    default CompletableFuture<Long> readNewestVersion() {
+        return CompletableFuture.failedFuture(new UnsupportedOperationException("no bound of revocations"));
+    }
+
     /**
      * Returns the protocol of callers.
      *
-     * @param routes the routes in force
+     * @param routes      the routes in force
+     * @param acceptsKeys returns whether keys of accounts may be accepted by a version of the routes
      * @return the protocol
      */
-    CallerProtocol callerProtocol(Supplier<RouteTable> routes);
+    CallerProtocol callerProtocol(Supplier<RouteTable> routes, LongPredicate acceptsKeys);
 
     /**
      * Returns the protocol of backend servers.
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
@@ -25,7 +26,9 @@
 import io.mustardusher.gate.Gate;
 import io.mustardusher.generated.Announcement;
 import io.mustardusher.generated.CataloguePull;
+import io.mustardusher.generated.FreshnessRecord;
 import io.mustardusher.generated.NodeSettings;
+import io.mustardusher.gossip.RouteFreshness;
 import io.mustardusher.gossip.RouteReplica;
 import io.mustardusher.health.SuspectTable;
 import io.mustardusher.http.HttpListener;
@@ -77,6 +80,10 @@
     private final HttpListener listener;
     private final Map<InetSocketAddress, RequestHandler> addresses = new LinkedHashMap<>();
     private final ServerTracker serverTracker;
+
+    /** Present where revoked keys have to be refused within a bound. */
+    private final Optional<RouteFreshness> freshness;
+
     private volatile boolean stopping;
 
     /**
@@ -126,7 +133,12 @@
                 core.timers(),
                 clock,
                 core.metrics());
-        protocol = environment.callerProtocol(routes::current);
+        freshness = environment.revocationBoundNanos().stream()
+                .mapToObj(this::createFreshness)
+                .findFirst();
+        protocol = environment.callerProtocol(
+                routes::current,
+                version -> freshness.isEmpty() || freshness.get().acceptsKeys(version));
         entry = new Entry(router, null, protocol, call -> {}, core.eventLoopDelay(), clock, core.metrics());
         listener = new HttpListener(core.group(), clock, core.metrics());
         core.metrics().gauge("routes.version", () -> routes::revision);
@@ -160,6 +172,7 @@
         listener.bind(address(settings.getPorts().getCaller()), entry, protocol::limits);
         addresses.forEach((address, handler) -> listener.bind(address, handler, () -> RequestLimits.NONE));
         environment.watchRoutes(document -> routes.offer(document, "store"));
+        freshness.ifPresent(proof -> core.repeat(proof::tick, RouteFreshness.TICK_MILLIS, RouteFreshness.TICK_MILLIS));
         core.measureEventLoopDelay();
         NodeEnvironment.LocalServer localServer = environment.localServer();
         InitialServerProbe probe = new InitialServerProbe(
@@ -254,6 +267,22 @@
 
     private void routesChanged(RouteTable table) {
         core.directory().refresh();
+        // Without waiting for the next tick: until the first proof, a node that has just started refuses all keys.
+        freshness.ifPresent(proof -> core.timers().execute(proof::tick));
+    }
+
+    private RouteFreshness createFreshness(long boundNanos) {
+        RouteFreshness created = new RouteFreshness(
+                core.members(),
+                core.frames(),
+                routes,
+                environment::readNewestVersion,
+                boundNanos,
+                clock,
+                core.random());
+        core.frameServer().on(FrameKind.FRESHNESS, (FreshnessRecord request) -> created.answer(request));
+        core.metrics().gauge("routes.freshnessMillis", () -> created::ageMillis);
+        return created;
     }
 
     private static void sleep(long millis) {
--- a/mustardusher-node/src/test/java/io/mustardusher/frame/FrameCodecTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/frame/FrameCodecTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Random;
 
+import io.mustardusher.generated.FreshnessRecord;
 import io.mustardusher.generated.Gossip;
 import io.mustardusher.generated.MemberRecord;
 import io.mustardusher.generated.WitnessReply;
@@ -44,6 +45,16 @@
         assertThat(read.getVerdict()).isEqualTo(WitnessReply.Verdict.STALE_EPOCH);
     }
 
+    // Guards against an age of 0, which is a fresh one, where the sender states none.
+    @Test
+    void ageIsAbsentUnlessStated() {
+        FreshnessRecord read = (FreshnessRecord)
+                roundTrip(new Frame(FrameKind.FRESHNESS, true, 1, new FreshnessRecord().withVersion(7)))
+                        .message();
+        assertThat(read.getVersion()).isEqualTo(7);
+        assertThat(read.getAgeMillis()).isEqualTo(-1);
+    }
+
     @Test
     void rejectsTooLargeFrameByItsLengthField() {
         EmbeddedChannel channel = new EmbeddedChannel(new FrameCodec());
--- a/mustardusher-node/src/test/java/io/mustardusher/node/RoutedNodeTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/node/RoutedNodeTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 
 import com.linecorp.armeria.common.HttpResponse;
@@ -103,7 +104,7 @@
         }
 
         @Override
-        public CallerProtocol callerProtocol(Supplier<RouteTable> routes) {
+        public CallerProtocol callerProtocol(Supplier<RouteTable> routes, LongPredicate acceptsKeys) {
             return new RejectingProtocol();
         }
 
