--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
@@ -5,6 +5,7 @@
 import io.mustardusher.generated.ClaimGroupRecord;
 import io.mustardusher.generated.ConfirmReply;
 import io.mustardusher.generated.ConfirmRequest;
+import io.mustardusher.generated.FreshnessRecord;
 import io.mustardusher.generated.Gossip;
 import io.mustardusher.generated.Ping;
 import io.mustardusher.generated.ProbeAnswer;
@@ -53,7 +54,10 @@
     CANCEL(CallMessage.class, CallMessage.class),
 
     /** Shows that a connection carries bytes; the reply holds the same message. */
-    PING(Ping.class, Ping.class);
+    PING(Ping.class, Ping.class),
+
+    /** Requests the age of the routes of the receiver; the request holds that of the sender. */
+    FRESHNESS(FreshnessRecord.class, FreshnessRecord.class);
 
     private final MessageCodec requestCodec;
 
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
@@ -26,7 +27,9 @@
 import io.mustardusher.gate.Gate;
 import io.mustardusher.generated.Announcement;
 import io.mustardusher.generated.CataloguePull;
+import io.mustardusher.generated.FreshnessRecord;
 import io.mustardusher.generated.NodeSettings;
+import io.mustardusher.gossip.RouteFreshness;
 import io.mustardusher.gossip.RouteReplica;
 import io.mustardusher.health.SuspectTable;
 import io.mustardusher.http.HttpListener;
@@ -78,6 +81,10 @@
     private final HttpListener listener;
     private final Map<InetSocketAddress, RequestHandler> addresses = new LinkedHashMap<>();
     private final ServerTracker serverTracker;
+
+    /** Present where revoked keys have to be refused within a bound. */
+    private final Optional<RouteFreshness> freshness;
+
     private volatile boolean stopping;
 
     /**
@@ -127,8 +134,13 @@
                 core.timers(),
                 clock,
                 core.metrics());
-        protocol = new NestedCallProtocol(
-                environment.callerProtocol(routes::current), core.gate().runningCalls(), core.metrics());
+        freshness = environment.revocationBoundNanos().stream()
+                .mapToObj(this::createFreshness)
+                .findFirst();
+        CallerProtocol callers = environment.callerProtocol(
+                routes::current,
+                version -> freshness.isEmpty() || freshness.get().acceptsKeys(version));
+        protocol = new NestedCallProtocol(callers, core.gate().runningCalls(), core.metrics());
         entry = new Entry(router, null, protocol, call -> {}, core.eventLoopDelay(), clock, core.metrics());
         listener = new HttpListener(core.group(), clock, core.metrics());
         core.metrics().gauge("routes.version", () -> routes::revision);
@@ -164,6 +176,7 @@
         environment.watchEvacuation(core::offerEvacuation);
         routes.onPulledVersion(environment::renewWatch);
         environment.watchRoutes(document -> routes.offer(document, "store"));
+        freshness.ifPresent(proof -> core.repeat(proof::tick, RouteFreshness.TICK_MILLIS, RouteFreshness.TICK_MILLIS));
         core.measureEventLoopDelay();
         NodeEnvironment.LocalServer localServer = environment.localServer();
         InitialServerProbe probe = new InitialServerProbe(
@@ -258,6 +271,22 @@
 
     private void routesChanged(RouteTable table) {
         core.directory().refresh();
+        // Without waiting for the next tick: until the first proof, a node that has just started refuses all keys.
+        freshness.ifPresent(proof -> core.timers().execute(proof::tick));
+    }
+
+    private RouteFreshness createFreshness(long boundNanos) {
+        RouteFreshness created = new RouteFreshness(
+                core.members(),
+                core.frames(),
+                routes,
+                environment::readNewestVersion,
+                boundNanos,
+                clock,
+                core.random());
+        core.frameServer().on(FrameKind.FRESHNESS, (FreshnessRecord request) -> created.answer(request));
+        core.metrics().gauge("routes.freshnessMillis", () -> created::ageMillis);
+        return created;
     }
 
     private static void sleep(long millis) {
