Let callers return at once after random refusals, and model capacity shortage

Cause: the model had no nested calls, refusing servers or accounts, so that the decisions on capacity shortage could not be measured together.

Nested calls below the highest class use three quarters of the retry budget. Roots are refused only while calls wait at the gate. The accepted share of a service has a longer half-life and one assumed call, because entries see few calls.

--- a/mustardusher-core/src/main/java/io/mustardusher/budget/WindowBudget.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/budget/WindowBudget.java
@@ -9,15 +9,19 @@
  * Budget over a sliding window: the extra attempts within any window stay below a fraction of the requests of that
  * window plus an allowance. Nodes that share one bound each use their share of the allowance.
  *
- * <p>Half of the budget is reserved for nested calls and for the highest class of the requests within the window.
+ * <p>A part of the budget is reserved for the highest class of the requests within the window, and another one for that
+ * class and for nested calls.
  */
 public final class WindowBudget implements RetryBudget {
 
     private static final int BUCKETS = 20;
     private static final double PERCENT = 100;
 
-    /** Fraction of the budget that calls below the highest class may use, together with the others. */
-    private static final double UNRESERVED_FRACTION = 0.5;
+    /** Fraction of the budget up to which nested calls below the highest class may use it. */
+    private static final double NESTED_FRACTION = 0.75;
+
+    /** Fraction of the budget up to which other calls below the highest class may use it. */
+    private static final double LOWER_FRACTION = 0.5;
 
     private final Clock clock;
     private final long bucketNanos;
@@ -78,8 +82,7 @@
             debit += spent[i];
             seen |= classes[i];
         }
-        boolean preferred = rank.nested() || (seen & (bit(rank.serviceClass()) - 1)) == 0;
-        if (debit * PERCENT > credit * (preferred ? 1 : UNRESERVED_FRACTION)) {
+        if (debit * PERCENT > credit * usableFraction(rank, seen)) {
             return false;
         }
         spent[index(currentBucket)] += attempts;
@@ -97,6 +100,14 @@
         currentBucket = Math.max(currentBucket, bucketNow);
     }
 
+    private static double usableFraction(SpendingRank rank, int classesSeen) {
+        boolean highest = (classesSeen & (bit(rank.serviceClass()) - 1)) == 0;
+        if (highest) {
+            return 1;
+        }
+        return rank.nested() ? NESTED_FRACTION : LOWER_FRACTION;
+    }
+
     // Higher classes have lower bits.
     private static int bit(ServiceClass serviceClass) {
         return 1 << serviceClass.ordinal();
--- a/mustardusher-core/src/main/java/io/mustardusher/health/ServiceShedding.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/health/ServiceShedding.java
@@ -26,11 +26,14 @@
     private static final double END_FRACTION = 0.25;
 
     /** Time in which a call loses half of its weight in the accepted share, in nanoseconds. */
-    private static final double HALF_LIFE_NANOS = 500e6;
+    private static final double HALF_LIFE_NANOS = 1e9;
 
     /** Accepted share below which a retry is not worth its price, because it would probably be refused as well. */
     private static final double MIN_ACCEPTED_SHARE = 0.25;
 
+    /** Accepted calls that are assumed in addition, because an entry that makes few calls knows little. */
+    private static final double ASSUMED_ACCEPTED = 1;
+
     private final Clock clock;
     private final Listener listener;
     private final Map<NodeId, UsedServer> used = new HashMap<>();
@@ -96,7 +99,8 @@
      */
     public synchronized boolean isRetryWorthwhile() {
         update();
-        return !shedding || accepted / (accepted + refused) >= MIN_ACCEPTED_SHARE;
+        return !shedding
+                || (accepted + ASSUMED_ACCEPTED) / (accepted + refused + ASSUMED_ACCEPTED) >= MIN_ACCEPTED_SHARE;
     }
 
     private void decay() {
--- a/mustardusher-model/src/main/java/io/mustardusher/model/Deployment.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/Deployment.java
@@ -24,7 +24,8 @@
     private Deployment(LoadPattern pattern, long seed) {
         this.pattern = pattern;
         this.simulation = new Simulation(seed);
-        pattern.serviceOfEachServer().forEach(service -> servers.add(new SimulatedServer(simulation, pattern)));
+        pattern.serviceOfEachServer()
+                .forEach(service -> servers.add(new SimulatedServer(simulation, pattern, service)));
     }
 
     /**
@@ -72,7 +73,7 @@
 
     private void scheduleNextCall(CallKind kind) {
         double millis = simulation.nanoTime() / (double) Clock.NANOS_PER_MILLI;
-        double perNano = kind.perSecond() * pattern.rateFactor(millis) / (1_000.0 * Clock.NANOS_PER_MILLI);
+        double perNano = kind.perSecond() * pattern.rateFactor(kind.name(), millis) / (1_000.0 * Clock.NANOS_PER_MILLI);
         simulation.schedule(-Math.log(1 - simulation.random().nextDouble()) / perNano, () -> {
             if (simulation.nanoTime() < pattern.lengthMillis() * Clock.NANOS_PER_MILLI) {
                 new SimulatedCall(this, kind).start();
--- a/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedServer.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedServer.java
@@ -18,14 +18,16 @@
 
     private final Simulation simulation;
     private final LoadPattern pattern;
+    private final String service;
     private boolean slow;
     private int busy;
     private int starts = 1;
     private long coldUntilNanos;
 
-    SimulatedServer(Simulation simulation, LoadPattern pattern) {
+    SimulatedServer(Simulation simulation, LoadPattern pattern, String service) {
         this.simulation = simulation;
         this.pattern = pattern;
+        this.service = service;
         if (pattern.slowShare() > 0) {
             changeSpeed();
         }
@@ -40,6 +42,27 @@
         return slow ? (int) (BASELINE_PERCENT * pattern.slowFactor()) : BASELINE_PERCENT;
     }
 
+    /**
+     * Decides whether the server refuses a call, whatever its load.
+     *
+     * @return {@code true} if it does
+     */
+    boolean refuses() {
+        double share = pattern.refusedShare(service, simulation);
+        return share > 0 && simulation.random().nextDouble() < share;
+    }
+
+    /**
+     * Holds the slot of a call that has been processed while its nested calls are made.
+     *
+     * @return frees the slot
+     */
+    Runnable hold() {
+        busy++;
+        int start = starts;
+        return () -> busy -= start == starts ? 1 : 0;
+    }
+
     /**
      * Processes a call.
      *
--- a/mustardusher-model/src/test/java/io/mustardusher/model/LoadPatternsTest.java
+++ b/mustardusher-model/src/test/java/io/mustardusher/model/LoadPatternsTest.java
@@ -93,6 +93,75 @@
         assertThat(mean(pattern, outcomes -> outcomes.worth(11, 14))).isAtLeast(0.9);
     }
 
+    /** All servers of a service refuse 55% of the calls for 8.5 s of a minute in which payouts also burst. */
+    @Test
+    void payoutsWhileServiceShedsMoreThanHalf() {
+        LoadPattern pattern = games(200)
+                .withRefusals("inner", 15_000, 23_500, 0.55)
+                .withBurstOf("payout", 40_000, 48_000, 2.4)
+                .withLength(60_000)
+                .build();
+        assertThat(mean(pattern, outcomes -> outcomes.worth("payout"))).isAtLeast(0.95);
+    }
+
+    /** Servers without a free slot must not lose it to runs whose nested calls are refused. */
+    @Test
+    void failingRunsTakeNothingFromOtherCalls() {
+        ToDoubleFunction<Outcomes> lookups = outcomes -> outcomes.worth("lookup", 5, 13);
+        LoadPattern.Builder busy = games(390);
+        double undisturbed = mean(busy.build(), lookups);
+        double shedding = mean(busy.withRefusals("inner", 5_000, 13_500, 0.7).build(), lookups);
+        assertThat(shedding).isAtLeast(undisturbed - 0.01);
+    }
+
+    /** A burst of payouts takes the capacity that the nested calls of standings need too. */
+    @Test
+    void payoutBurstBesideStandings() {
+        LoadPattern pattern =
+                games(200).withBurstOf("payout", 5_000, 13_000, 2.4).build();
+        assertThat(mean(pattern, outcomes -> outcomes.worth("payout", 5, 13))).isAtLeast(0.95);
+        assertThat(mean(pattern, Outcomes::wastedRuns)).isAtMost(0.02);
+    }
+
+    /** One account makes as many calls as 70 small ones together, which alone use seven tenths of the capacity of a gate. */
+    @Test
+    void hotAccountBesideSmallOnes() {
+        double alone = mean(tenants(0), Outcomes::worthOfWorstTenthOfAccounts);
+        double shared = mean(tenants(0.5), Outcomes::worthOfWorstTenthOfAccounts);
+        assertThat(shared).isAtLeast(0.8 * alone);
+    }
+
+    private static LoadPattern tenants(double hotShare) {
+        return LoadPattern.builder()
+                .withServers("inner", 1)
+                .withSlots(8, 1.7)
+                .withCalls(new CallKind(
+                        "payout", "inner", ServiceClass.CRITICAL, 31 / (1 - hotShare), 133, 410, 2_500, false, 5.1, 2))
+                .withAccounts("payout", 70, hotShare)
+                .withLength(15_000)
+                .build();
+    }
+
+    private static LoadPattern.Builder games(double lookupsPerSecond) {
+        return LoadPattern.builder()
+                .withServers("outer", 14)
+                .withServers("inner", 4)
+                .withSlots(8, 1.7)
+                .withCalls(new CallKind("payout", "inner", ServiceClass.CRITICAL, 50, 133, 410, 2_500, false, 5.1, 2))
+                .withCalls(
+                        new CallKind("decklist", "inner", ServiceClass.STANDARD, 30, 100, 500, 2_500, false, 0.89, 2))
+                .withCalls(new CallKind(
+                        "lookup", "outer", ServiceClass.STANDARD, lookupsPerSecond, 200, 700, 2_500, true, 0.89, 2))
+                .withCalls(
+                        new CallKind("standings", "outer", ServiceClass.STANDARD, 40, 200, 900, 3_000, true, 0.89, 2))
+                .withNestedCalls(
+                        "standings",
+                        new CallKind("rows", "inner", ServiceClass.STANDARD, 0, 60, 300, 1_000, true, 0, 0),
+                        2,
+                        0.7)
+                .withLength(15_000);
+    }
+
     @Test
     void sameSeedGivesSameOutcomes() {
         LoadPattern pattern = office(1.7).build();
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Problem.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Problem.java
@@ -62,11 +62,11 @@
     }
 
     /**
-     * Creates the response for a result code with the time until a gate expects room.
+     * Creates the response for a result code with the time after which its caller should return.
      *
      * @param code        the result code
      * @param detail      description of this occurrence
-     * @param delayMillis the time, in milliseconds; negative if it is unknown
+     * @param delayMillis shortest time, in milliseconds; negative if it is unknown
      * @return the response
      */
     public static HttpResponse response(ResultCode code, String detail, long delayMillis) {
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -15,6 +15,7 @@
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import io.mustardusher.admission.RetryDelay;
 import io.mustardusher.budget.SpendingRank;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
@@ -99,7 +100,7 @@
     /** Whether an attempt that ended without an answer may have run. */
     private boolean mayHaveRun;
 
-    /** Shortest time until a gate that refused the call expects room, in milliseconds; negative if none stated it. */
+    /** Shortest time after which the caller should return, in milliseconds; negative if no refusal stated one. */
     private long retryDelayMillis = -1;
 
     /** Server error that is returned if no retry gets a better answer; {@code null} if there is none. */
@@ -257,10 +258,7 @@
             return;
         }
         ResultCode code = codeOf(headers);
-        long delayMillis = headers.getLong(CallHeaders.RETRY_DELAY, -1);
-        if (delayMillis >= 0) {
-            retryDelayMillis = retryDelayMillis < 0 ? delayMillis : Math.min(retryDelayMillis, delayMillis);
-        }
+        recordRetryDelay(headers.getLong(CallHeaders.RETRY_DELAY, -1));
         boolean healthy = code.outcome() == Outcome.NOT_RUN && code != ResultCode.SERVER_UNREACHABLE;
         if (code == ResultCode.SERVER_UNREACHABLE) {
             server.ejection().recordUnreachable(now);
@@ -287,6 +285,15 @@
         if (shedding.isShedding()) {
             server.ejection().recordCall(true, now);
         }
+        if (shedding.isRetryWorthwhile()) {
+            recordRetryDelay(RetryDelay.IMMEDIATE_MILLIS);
+        }
+    }
+
+    private void recordRetryDelay(long millis) {
+        if (millis >= 0) {
+            retryDelayMillis = retryDelayMillis < 0 ? millis : Math.min(retryDelayMillis, millis);
+        }
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -20,6 +20,7 @@
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.admission.EventLoopDelay;
+import io.mustardusher.admission.RetryDelay;
 import io.mustardusher.admission.Ticket;
 import io.mustardusher.budget.TokenBucket;
 import io.mustardusher.call.CallHeaders;
@@ -285,7 +286,9 @@
         if (action == SuspectTable.Action.REJECT) {
             return reject(ResultCode.SUSPECT_REFUSED, request.headers());
         }
-        if (runningCalls.forecast().refuses(request.headers().get(CallHeaders.OWNER, ""))) {
+        // While slots are free, a run that may fail takes nothing from other calls.
+        if (load().queued() > 0
+                && runningCalls.forecast().refuses(request.headers().get(CallHeaders.OWNER, ""))) {
             rootsRefused.inc();
             return reject(ResultCode.DEPENDENCY_REFUSED, request.headers());
         }
@@ -433,8 +436,8 @@
         } else if (LACK_OF_ROOM.contains(code)) {
             long targetNanos =
                     Timeout.parse(headers.get(CallHeaders.TARGET, "0n")).orElse(0);
-            long delayNanos = admission.roomDelayNanos(headers.get(CallHeaders.OWNER, ""), targetNanos);
-            response.setLong(CallHeaders.RETRY_DELAY, delayNanos / Clock.NANOS_PER_MILLI);
+            long roomNanos = admission.roomDelayNanos(headers.get(CallHeaders.OWNER, ""), targetNanos);
+            response.setLong(CallHeaders.RETRY_DELAY, RetryDelay.untilRoom(roomNanos));
         }
         return HttpResponse.of(response.build());
     }
