Let a deferred call of a lower rank lose its turn out of order

Cause: a lower rank that is due after 15 dispatches of higher ones may have to wait for a slow server. The gate then dispatched nothing, also not the calls of higher ranks whose own wait was over.

Change: a call that was taken out of order and is deferred loses this turn, and the gate continues with the next call by order. A comment of the header for the return of callers no longer calls it internal to nodes: native callers see it.

Tested: TargetQueueTest (new case) and the other tests of admission.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -391,11 +391,11 @@
             if (ticket == null) {
                 return;
             }
-            if (shouldDefer(ticket)) {
-                queue.add(ticket);
+            if (!shouldDefer(ticket)) {
+                dispatchOrReject(ticket, notifications);
+            } else if (!queue.defer(ticket)) {
                 return;
             }
-            dispatchOrReject(ticket, notifications);
         }
     }
 
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/TargetQueue.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/TargetQueue.java
@@ -85,6 +85,16 @@
         return next;
     }
 
+    @Override
+    public boolean defer(Ticket ticket) {
+        boolean outOfTurn = passedOver.getOrDefault(Rank.of(ticket), 0) >= MAX_PASSED_OVER - 1
+                || accountsPreferred >= MAX_PASSED_OVER - 1;
+        passedOver.remove(Rank.of(ticket));
+        accountsPreferred = 0;
+        add(ticket);
+        return outOfTurn;
+    }
+
     @Override
     public Ticket findEvictionCandidate(Ticket newcomer) {
         ordersByPrecedence |= !newcomer.precedence.equals(Ticket.Precedence.NONE);
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/WaitingQueue.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/WaitingQueue.java
@@ -15,6 +15,13 @@
     // Removes and returns the call to dispatch next, or returns null if the queue is empty.
     Ticket removeNext(long now);
 
+    // Adds a removed call again because it is deferred. Returns whether it was removed out of turn; it then loses this
+    // turn, and the next call by order may be dispatched.
+    default boolean defer(Ticket ticket) {
+        add(ticket);
+        return false;
+    }
+
     // Returns the call to evict from a full queue in favour of a new one, or null if the new one is to be rejected.
     Ticket findEvictionCandidate(Ticket newcomer);
 
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/TargetQueueTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/TargetQueueTest.java
@@ -89,6 +89,21 @@
         assertThat(served).isIn(List.of(18, 19, 20));
     }
 
+    /** Guards against a lower rank that waits for a slow server and holds up higher ones with its turn. */
+    @Test
+    void deferredCallLosesTurnOutOfOrder() {
+        Ticket lower = add(ServiceClass.BACKGROUND, 1_000, 0, false, "a");
+        for (int i = 0; i < 15; i++) {
+            add(ServiceClass.CRITICAL, 500, 0, false, "a");
+            queue.onCompletion(dispatch(0));
+        }
+        Ticket higher = add(ServiceClass.CRITICAL, 500, 0, false, "a");
+        assertThat(queue.removeNext(0)).isEqualTo(lower);
+        assertThat(queue.defer(lower)).isTrue();
+        assertThat(queue.removeNext(0)).isEqualTo(higher);
+        assertThat(queue.defer(higher)).isFalse();
+    }
+
     /** Guards against a lower rank that never waits because a full queue evicts it at once. */
     @Test
     void fullQueueKeepsOnePlaceForEachLowerRank() {
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -77,7 +77,7 @@
     /** Priority of the call's route within its class, 0 is the highest and the default; only between nodes. */
     public static final AsciiString ROUTE_PRIORITY = AsciiString.cached("mustardusher-route-priority");
 
-    /** Shortest time after which a refused caller should return, in milliseconds; only between nodes. */
+    /** Shortest time after which a refused caller should return, in milliseconds. */
     public static final AsciiString RETRY_DELAY = AsciiString.cached("mustardusher-retry-delay");
 
     /** Value of {@link #ROLE} for the home of an idempotency key. */
