Pace calls to cold servers

Cause: a server that has just started, or turned cold without notice, crashes if it receives far more calls than it tolerates, and nothing limited them. Change: where the manifest states coldPerS for a service, the gate dispatches at that rate while the server is cold. While it is not, the calls since the last health answer are bounded as if it were, and a probe is sent before the bound is reached. A gate that starts dispatches nothing before the server has stated whether it is cold, and a fifth of the bound until a health answer. Without coldPerS nothing changes, except that a gate holds calls until its node has the first manifest, which alone tells whether servers turn cold. A queued exclusive call no longer waits for another call when only the rate held it back.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import io.mustardusher.result.ResultCode;
@@ -63,6 +64,9 @@
     /** Rate at which calls are dispatched. */
     private final CallRate rate;
 
+    /** Notified when a statement of the server is needed whether it is cold. */
+    private volatile Runnable statementListener = () -> {};
+
     /** Notified after each change that leaves calls deferred. */
     private volatile Runnable deferralListener = () -> {};
 
@@ -134,6 +138,67 @@
         });
     }
 
+    /**
+     * Sets how calls to a cold server are paced, and dispatches queued calls that are now permitted.
+     *
+     * @param policy the policy
+     */
+    public void configureColdStart(ColdPolicy policy) {
+        updateAndNotify(notifications -> {
+            rate.cold().configure(policy);
+            dispatch(notifications);
+        });
+    }
+
+    /**
+     * Records an announcement of the server.
+     *
+     * @param newServer      whether it is the first one of this server or of this process of the server
+     * @param remainingNanos time for which the server is still cold, in nanoseconds; 0 if it is not, empty if it does
+     *     not state it
+     */
+    public void recordAnnouncement(boolean newServer, OptionalLong remainingNanos) {
+        updateAndNotify(notifications -> {
+            if (newServer) {
+                rate.cold().recordNewServer();
+            }
+            remainingNanos.ifPresent(rate.cold()::recordAnnouncement);
+            dispatch(notifications);
+        });
+    }
+
+    /**
+     * Records the answer of the server to a health request.
+     *
+     * @param remainingNanos time for which the server is still cold, in nanoseconds; 0 if it is not
+     * @param sentNanos      time at which the request was sent, in nanoseconds
+     */
+    public void recordHealth(long remainingNanos, long sentNanos) {
+        updateAndNotify(notifications -> {
+            rate.cold().recordHealth(remainingNanos, sentNanos);
+            dispatch(notifications);
+        });
+    }
+
+    /**
+     * Returns whether the server is cold, as far as it is known.
+     *
+     * @return {@code true} if calls to it are paced
+     */
+    public synchronized boolean isCold() {
+        return rate.cold().isCold();
+    }
+
+    /**
+     * Sets the listener for calls whose dispatch depends on whether the server is cold.
+     *
+     * @param listener called, without a lock, after each change that leaves a statement of the server to be requested;
+     *     the answer has to be passed to {@link #recordHealth}
+     */
+    public void onStatementNeeded(Runnable listener) {
+        statementListener = listener;
+    }
+
     /**
      * Sets whether the failure domain of the server is evacuated. New and queued calls are then rejected; dispatched
      * calls continue. This is independent of {@link #close()}, and load reports do not show it: entries decide about
@@ -271,7 +336,8 @@
      * @return {@code true} if calls are being deferred
      */
     public synchronized boolean isDeferring() {
-        return queue.size() > 0 && busy < effectiveLimit();
+        boolean queued = queue.size() > 0 || !exclusiveQueue.isEmpty() && busy == 0;
+        return queued && busy < effectiveLimit();
     }
 
     /**
@@ -307,11 +373,16 @@
     private void updateAndNotify(Consumer<List<Runnable>> step) {
         List<Runnable> notifications = new ArrayList<>(2);
         boolean deferring;
+        boolean statementNeeded;
         synchronized (this) {
             step.accept(notifications);
             deferring = isDeferring();
+            statementNeeded = rate.cold().needsStatement();
         }
         notifications.forEach(Runnable::run);
+        if (statementNeeded) {
+            statementListener.run();
+        }
         if (deferring) {
             deferralListener.run();
         }
@@ -340,6 +411,10 @@
         if (ticket.latencyTarget.movable() && isWorthMoving(ticket, answerNanos, now)) {
             return ResultCode.SLOWER_THAN_TARGET;
         }
+        // A cold server has no room for the calls whose turn comes too late.
+        if (rate.cold().isCold() && now + rateDelayNanos > ticket.latencyTarget.targetNanos()) {
+            return ResultCode.OVERLOADED;
+        }
         boolean waits = busy > 0 || rateDelayNanos > 0;
         return waits && answerNanos > ticket.deadlineNanos ? ResultCode.DEADLINE_UNREACHABLE : null;
     }
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/CallRate.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/CallRate.java
@@ -3,7 +3,7 @@
 import io.mustardusher.budget.TokenBucket;
 import io.mustardusher.time.Clock;
 
-/** Paces calls to a server that accepts a maximum rate of them. Not thread-safe. */
+/** Paces calls to a server that accepts a maximum rate of them or is cold. Not thread-safe. */
 final class CallRate {
 
     /** Time whose calls may be dispatched at once after a pause, in seconds. */
@@ -13,10 +13,13 @@
 
     private final TokenBucket tokens;
 
+    private final ColdServerRate cold;
+
     private double maxPerSecond = Double.POSITIVE_INFINITY;
 
     CallRate(Clock clock) {
         tokens = new TokenBucket(clock, 0, 0);
+        cold = new ColdServerRate(clock);
     }
 
     /**
@@ -31,6 +34,15 @@
         }
     }
 
+    /**
+     * Returns the pacing of calls to a cold server.
+     *
+     * @return the rate for a cold server
+     */
+    ColdServerRate cold() {
+        return cold;
+    }
+
     boolean isLimited() {
         return maxPerSecond < Double.POSITIVE_INFINITY;
     }
@@ -42,7 +54,7 @@
      * @return time in nanoseconds; 0 if it may be dispatched now
      */
     double delayNanos(int ahead) {
-        return isLimited() ? tokens.nanosUntil(ahead + 1.0) : 0;
+        return Math.max(isLimited() ? tokens.nanosUntil(ahead + 1.0) : 0, cold.delayNanos(ahead));
     }
 
     /** Records that a call is dispatched, which has to be permitted now. */
@@ -50,6 +62,7 @@
         if (isLimited()) {
             tokens.tryTake();
         }
+        cold.recordDispatch();
     }
 
     /**
@@ -60,6 +73,6 @@
      */
     int concurrency(double serviceNanos) {
         double calls = Math.ceil(maxPerSecond * serviceNanos / NANOS_PER_SECOND);
-        return isLimited() ? (int) Math.max(1, calls) : Integer.MAX_VALUE;
+        return Math.min(isLimited() ? (int) Math.max(1, calls) : Integer.MAX_VALUE, cold.concurrency(serviceNanos));
     }
 }
--- a/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
@@ -21,6 +21,7 @@
     private final int unreadable;
     private final RequestLimits limits;
     private final Map<String, String> healthPaths;
+    private final Map<String, ColdStart> coldStarts;
 
     private RouteTable(Builder builder) {
         version = builder.version;
@@ -29,6 +30,7 @@
         unreadable = builder.unreadable;
         limits = builder.limits;
         healthPaths = Map.copyOf(builder.healthPaths);
+        coldStarts = Map.copyOf(builder.coldStarts);
     }
 
     /**
@@ -96,6 +98,16 @@
         return healthPaths.getOrDefault(service, DEFAULT_HEALTH_PATH);
     }
 
+    /**
+     * Returns what is stated of the servers of a service that have just started.
+     *
+     * @param service name of the service
+     * @return the statement; {@link ColdStart#NONE} if there is none
+     */
+    public ColdStart coldStart(String service) {
+        return coldStarts.getOrDefault(service, ColdStart.NONE);
+    }
+
     /**
      * Returns all routes.
      *
@@ -148,6 +160,7 @@
         private final Map<String, Map<String, RouteMatch>> hosts = new HashMap<>();
         private final Set<String> incompleteHosts = new HashSet<>();
         private final Map<String, String> healthPaths = new HashMap<>();
+        private final Map<String, ColdStart> coldStarts = new HashMap<>();
         private RouteMatch otherHosts = RouteMatch.Unmatched.ABSENT;
         private int unreadable;
         private RequestLimits limits = RequestLimits.DEFAULT;
@@ -235,6 +248,18 @@
             return this;
         }
 
+        /**
+         * Sets what is stated of the servers of a service that have just started.
+         *
+         * @param service name of the service
+         * @param start   the statement
+         * @return this builder
+         */
+        public Builder coldStart(String service, ColdStart start) {
+            coldStarts.put(service, start);
+            return this;
+        }
+
         /**
          * Builds the table.
          *
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -2,10 +2,12 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -15,6 +17,7 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
 import io.mustardusher.admission.Admission;
+import io.mustardusher.admission.ColdPolicy;
 import io.mustardusher.admission.EventLoopDelay;
 import io.mustardusher.admission.Ticket;
 import io.mustardusher.budget.TokenBucket;
@@ -64,6 +67,12 @@
     /** What the backend server states in its answers. */
     private final ConditionsTracker conditions = new ConditionsTracker();
 
+    /** Whether a health request is pending that asks whether the server is cold. */
+    private final AtomicBoolean statementRequested = new AtomicBoolean();
+
+    /** Whether the server was cold when that was last logged. */
+    private final AtomicBoolean loggedCold = new AtomicBoolean();
+
     /** Receives the instance of a server that states that it is leaving. */
     private volatile Consumer<String> leavingListener = instance -> {};
 
@@ -113,6 +122,7 @@
         metrics.gauge("gate.busy", () -> () -> load().busy());
         metrics.gauge("gate.queued", () -> () -> load().queued());
         metrics.gauge("gate.limit", () -> () -> load().limit());
+        metrics.gauge("gate.cold", () -> () -> admission.isCold() ? 1 : 0);
         metrics.gauge("gate.callsPerSecondLimit", () -> this::callsPerSecondLimit);
         metrics.gauge(
                 "gate.slots",
@@ -129,7 +139,8 @@
         Backend current = backend;
         conditions.setInstance(announcement.getInstance());
         admission.limitRate(conditions.current().maxCallsPerSecond());
-        if (current == null || !current.isSameServer(announcement)) {
+        boolean newServer = current == null || !current.isSameServer(announcement);
+        if (newServer) {
             backend = new Backend(announcement, links.open(announcement));
             if (current != null) {
                 current.link().close();
@@ -137,6 +148,10 @@
         } else {
             backend = new Backend(announcement, current.link());
         }
+        long coldMillis = announcement.getColdMillis();
+        admission.recordAnnouncement(
+                newServer, coldMillis < 0 ? OptionalLong.empty() : OptionalLong.of(coldMillis * Clock.NANOS_PER_MILLI));
+        logColdness();
         if (announcement.getState() == Announcement.State.SERVING) {
             crashDetector.recordRecovery();
             admission.open();
@@ -180,6 +195,54 @@
         }
     }
 
+    /**
+     * Sets how calls are paced while the backend server is cold.
+     *
+     * @param policy the policy
+     */
+    public void configureColdStart(ColdPolicy policy) {
+        admission.onStatementNeeded(this::requestStatement);
+        admission.configureColdStart(policy);
+    }
+
+    /**
+     * Records the answer of the backend server to a health request.
+     *
+     * @param coldMillis time for which the server is still cold, in milliseconds; 0 if it is not
+     * @param sentNanos  time at which the request was sent, in nanoseconds
+     */
+    public void recordHealth(long coldMillis, long sentNanos) {
+        admission.recordHealth(coldMillis * Clock.NANOS_PER_MILLI, sentNanos);
+        logColdness();
+    }
+
+    // Without an answer, calls wait until the bound permits them, and each poll requests a statement again.
+    private void requestStatement() {
+        Backend current = backend;
+        boolean permitted = current != null && !conditions.current().isLimited();
+        if (!permitted || statementRequested.get() || !probeBudget.tryTake()) {
+            return;
+        }
+        if (statementRequested.compareAndSet(false, true)) {
+            current.link()
+                    .probe(healthPaths.apply(current.announcement().getService()))
+                    .whenComplete((answered, failure) -> statementRequested.set(false));
+        }
+    }
+
+    private void logColdness() {
+        boolean cold = admission.isCold();
+        if (loggedCold.compareAndSet(!cold, cold)) {
+            String instance = announcement().map(Announcement::getInstance).orElse("-");
+            if (cold) {
+                NodeLog.LOG.serverCold(instance);
+                metrics.counter("gate.coldStarts").inc();
+            } else {
+                NodeLog.LOG.serverWarm(instance);
+            }
+        }
+    }
+
     /**
      * Counts a response of the backend server that was given up. The log line of its call names the reason.
      *
@@ -485,13 +548,19 @@
          * Returns whether an announcement describes the same server.
          *
          * @param other the announcement
-         * @return {@code true} if address, service and instance are the same
+         * @return {@code true} if address, service, instance and start are the same
          */
         boolean isSameServer(Announcement other) {
             return announcement.getHost().equals(other.getHost())
                     && announcement.getPort() == other.getPort()
                     && announcement.getService().equals(other.getService())
-                    && Objects.equals(announcement.getInstance(), other.getInstance());
+                    && Objects.equals(announcement.getInstance(), other.getInstance())
+                    && isSameStart(announcement.getStart(), other.getStart());
+        }
+
+        // An answer to a probe does not contain the start.
+        private static boolean isSameStart(long one, long other) {
+            return one == other || one == 0 || other == 0;
         }
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -142,6 +142,24 @@
     @Message(id = 1112, value = "evacuation order for unknown failure domain %s")
     void unknownDomainEvacuated(String domain);
 
+    /**
+     * The backend server beside the node is cold, so that calls to it are paced.
+     *
+     * @param instance identifier of the server instance
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 1113, value = "backend server %s is cold; calls are paced")
+    void serverCold(String instance);
+
+    /**
+     * The backend server beside the node is no longer cold.
+     *
+     * @param instance identifier of the server instance
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 1114, value = "backend server %s is warm")
+    void serverWarm(String instance);
+
     /**
      * A row of the table service was skipped because its value cannot be read.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/InitialServerProbe.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/InitialServerProbe.java
@@ -92,6 +92,7 @@
                         .withPort(localServer.address().getPort())
                         .withSlots(count)
                         .withConnections(ServerTracker.DEFAULT_CONNECTIONS)
-                        .withInstance(instance)));
+                        .withInstance(instance)
+                        .withColdMillis(dialect.coldMillis(answer.headers()).orElse(-1))));
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
@@ -6,9 +6,11 @@
 import java.util.function.Supplier;
 
 import com.linecorp.armeria.common.RequestHeaders;
+import io.mustardusher.admission.ColdPolicy;
 import io.mustardusher.call.CallerProtocol;
 import io.mustardusher.evacuation.EvacuationOrders;
 import io.mustardusher.generated.RouteDocument;
+import io.mustardusher.route.ColdStart;
 import io.mustardusher.route.RouteTable;
 import io.mustardusher.server.ServerDialect;
 import io.mustardusher.store.TableService;
@@ -46,6 +48,15 @@
         // Platforms without such orders have nothing to report.
     }
 
+    /**
+     * Returns the bounds on what a cold server may receive.
+     *
+     * @return the bounds
+     */
+    default ColdBounds coldBounds() {
+        return ColdBounds.DEFAULT;
+    }
+
     /**
      * Decodes a version of the operator's configuration.
      *
@@ -92,6 +103,25 @@
      */
     String callName(RequestHeaders call);
 
+    /**
+     * Bounds on what a cold server may receive, in terms of the rate of calls that it tolerates.
+     *
+     * @param overage factor of the rate
+     * @param slack   number of calls within a second in addition
+     */
+    record ColdBounds(double overage, double slack) {
+
+        /** Bounds of a deployment that states none. */
+        public static final ColdBounds DEFAULT = new ColdBounds(1.5, 8);
+
+        ColdPolicy policyFor(ColdStart start) {
+            return start.isPresent()
+                    ? new ColdPolicy(
+                            start.callsPerSecond(), start.durationNanos(), start.callsPerSecond() * overage + slack)
+                    : ColdPolicy.NONE;
+        }
+    }
+
     /**
      * The backend server beside a node.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -11,6 +11,7 @@
 import com.linecorp.armeria.common.HttpResponse;
 import io.mustardusher.admin.MetricsResource;
 import io.mustardusher.admission.Admission;
+import io.mustardusher.admission.ColdPolicy;
 import io.mustardusher.budget.SharedAllowance;
 import io.mustardusher.call.CallerProtocol;
 import io.mustardusher.call.HeaderPacking;
@@ -99,6 +100,7 @@
                 environment::callName);
         clock = core.clock();
         core.gate().enableProbes(service -> routes().current().healthPath(service), PROBES_PER_SECOND);
+        core.gate().configureColdStart(ColdPolicy.UNKNOWN);
         serverTracker = new ServerTracker(clock, this::handleAnnouncement);
         core.gate().onServerLeaving(serverTracker::recordLeaving);
         routes = new RouteReplica(environment::decodeRoutes, core.frames(), core.timers(), this::routesChanged);
@@ -247,6 +249,10 @@
 
     private void routesChanged(RouteTable table) {
         core.directory().refresh();
+        core.gate()
+                .configureColdStart(environment
+                        .coldBounds()
+                        .policyFor(table.coldStart(environment.localServer().service())));
     }
 
     private static void sleep(long millis) {
@@ -274,6 +280,11 @@
             gate.get().recordConditions(instance, conditions, sentNanos);
         }
 
+        @Override
+        public void onHealth(long coldMillis, long sentNanos) {
+            gate.get().recordHealth(coldMillis, sentNanos);
+        }
+
         @Override
         public void onResponseFault(ResponseFault fault) {
             gate.get().recordResponseFault(fault.label());
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
@@ -1,6 +1,7 @@
 package io.mustardusher.server;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
@@ -53,6 +54,16 @@
      */
     Optional<String> instance(ResponseHeaders response);
 
+    /**
+     * Reads for how long the server is still cold.
+     *
+     * @param response headers of a response to a health probe
+     * @return time in milliseconds; 0 if the server is not cold, empty if the response does not state it legibly
+     */
+    default OptionalLong coldMillis(ResponseHeaders response) {
+        return OptionalLong.empty();
+    }
+
     /** Dialect without headers of its own, for services that do not report their load. */
     enum Plain implements ServerDialect {
         /** The only instance. */
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -82,6 +82,9 @@
         if (kind != ServerDialect.ResponseKind.MISMATCHED) {
             dialect.load(headers).ifPresent(reports::onLoad);
         }
+        if (unmodified && headers.status().equals(HttpStatus.OK)) {
+            dialect.coldMillis(headers).ifPresent(millis -> reports.onHealth(millis, sentNanos));
+        }
         if (statesConditions(kind, headers)) {
             reports.onConditions(instance, dialect.conditions(headers), sentNanos);
         }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerReports.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerReports.java
@@ -21,6 +21,16 @@
      */
     void onConditions(String instance, ServerConditions conditions, long sentNanos);
 
+    /**
+     * Handles the answer of a healthy server to a probe.
+     *
+     * @param coldMillis time for which the server is still cold, in milliseconds; 0 if it is not
+     * @param sentNanos  time at which the probe was sent, in nanoseconds
+     */
+    default void onHealth(long coldMillis, long sentNanos) {
+        // Receivers that do not pace calls have no use for it.
+    }
+
     /**
      * Handles a response that was given up because it is malformed or has no end.
      *
--- a/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
@@ -6,7 +6,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import com.linecorp.armeria.common.HttpMethod;
@@ -17,6 +19,7 @@
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.generated.Announcement;
+import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
@@ -38,6 +41,7 @@
 
     private final EventLoopGroup group = EventLoopGroups.newEventLoopGroup(1, "garbled", true);
     private final AtomicInteger connections = new AtomicInteger();
+    private final List<Long> reportedColdMillis = new CopyOnWriteArrayList<>();
     private ServerSocket socket;
     private ServerLink link;
 
@@ -52,7 +56,7 @@
                 .withHost(socket.getInetAddress().getHostAddress())
                 .withPort(socket.getLocalPort())
                 .withInstance("i-1");
-        return BufferedServerLink.factory(group, EchoDialect.INSTANCE, ServerReports.Discarding.INSTANCE, clock)
+        return BufferedServerLink.factory(group, EchoDialect.INSTANCE, new HealthReports(), clock)
                 .open(announced);
     }
 
@@ -78,6 +82,19 @@
         assertThat(responseBody("two")).isEqualTo("own");
     }
 
+    // Guards against a refused probe, or an answer to a call, that is taken for the statement that a server is warm.
+    @Test
+    void onlyAnswersOfHealthyServerToProbesReportColdness() {
+        serve((number, id) -> (number == 0 ? "HTTP/1.1 503 Busy" : "HTTP/1.1 200 OK")
+                + "\r\nid: one\r\ncold: 70\r\ncontent-length: 0\r\n\r\n");
+        link.probe("/").join();
+        assertThat(reportedColdMillis).isEmpty();
+        responseBody("one");
+        assertThat(reportedColdMillis).isEmpty();
+        link.probe("/").join();
+        assertThat(reportedColdMillis).containsExactly(70L);
+    }
+
     @Test
     void truncatedResponseFails() {
         serve((number, id) -> "HTTP/1.1 200 OK\r\nid: " + id + "\r\ncontent-length: 10\r\n\r\nshort" + CLOSE);
@@ -123,6 +140,29 @@
     private static final String CLOSE = "\u0000close";
     private static final String RESET = "\u0000reset";
 
+    private final class HealthReports implements ServerReports {
+
+        @Override
+        public void onLoad(ReportedServerLoad load) {
+            // The load does not matter here.
+        }
+
+        @Override
+        public void onConditions(String instance, ServerConditions conditions, long sentNanos) {
+            // The conditions do not matter here.
+        }
+
+        @Override
+        public void onHealth(long coldMillis, long sentNanos) {
+            reportedColdMillis.add(coldMillis);
+        }
+
+        @Override
+        public void onResponseFault(ResponseFault fault) {
+            // The faults do not matter here.
+        }
+    }
+
     private interface ResponseScript {
         String response(int number, String id);
     }
--- a/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
@@ -1,6 +1,7 @@
 package io.mustardusher.server;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
@@ -21,6 +22,11 @@
         return request.get("id").equals(response.get("id")) ? ResponseKind.RAN : ResponseKind.MISMATCHED;
     }
 
+    @Override
+    public OptionalLong coldMillis(ResponseHeaders response) {
+        return OptionalLong.of(response.getLong("cold", 0));
+    }
+
     @Override
     public ServerConditions conditions(ResponseHeaders response) {
         return ServerConditions.NONE;
