--- a/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceTracker.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceTracker.java
@@ -9,7 +9,8 @@
 /**
  * Tracks the state of the backend server beside a node. A process that started later replaces an earlier one, in
  * whatever order their announcements arrive. Within one process, the sequence number increases and the phase never
- * reverts.
+ * reverts. A process with an earlier start time replaces a silent one only if it keeps announcing itself: it is then no
+ * late announcement, but the wall clock was set back before the process started.
  */
 public final class InstanceTracker {
 
@@ -19,6 +20,9 @@
      */
     private static final long REPLACEMENT_TIMEOUT_NANOS = 3_000 * Clock.NANOS_PER_MILLI;
 
+    /** Time for which a process with an earlier start time has to announce itself, in nanoseconds. */
+    private static final long EARLIER_START_PROOF_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
+
     /** Highest sequence number that shows that a process has just started. */
     private static final long MAX_INITIAL_SEQUENCE = 3;
 
@@ -30,6 +34,11 @@
     private InstanceState current;
     private long updatedNanos;
 
+    /** First of the latest announcements of a process with an earlier start time; {@code null} if there is none. */
+    private InstanceState earlier;
+
+    private long earlierSinceNanos;
+
     /**
      * Creates a tracker without a state.
      *
@@ -58,6 +67,7 @@
             }
         }
         updatedNanos = clock.nanoTime();
+        earlier = null;
         boolean reverts = sameProcess && announced.phase().compareTo(current.phase()) < 0;
         current = reverts
                 ? new InstanceState(
@@ -115,6 +125,22 @@
         return Optional.ofNullable(current);
     }
 
+    private boolean isCurrentSilent() {
+        return clock.nanoTime() - updatedNanos > REPLACEMENT_TIMEOUT_NANOS;
+    }
+
+    private boolean isProvenDespiteEarlierStart(InstanceState announced) {
+        long now = clock.nanoTime();
+        if (earlier == null || !earlier.isSameProcess(announced)) {
+            earlier = announced;
+            earlierSinceNanos = now;
+            return false;
+        }
+        return isCurrentSilent()
+                && announced.sequence() > earlier.sequence()
+                && now - earlierSinceNanos >= EARLIER_START_PROOF_NANOS;
+    }
+
     private boolean supersedesCurrent(InstanceState announced) {
         if (current == null) {
             return true;
@@ -123,12 +149,13 @@
             return announced.sequence() > current.sequence();
         }
         if (announced.startMillis() != current.startMillis()) {
-            return announced.startMillis() > current.startMillis();
+            return announced.startMillis() > current.startMillis() || isProvenDespiteEarlierStart(announced);
         }
         if (replaced.contains(announced.instance())) {
             return false;
         }
-        boolean timedOut = clock.nanoTime() - updatedNanos > REPLACEMENT_TIMEOUT_NANOS;
-        return timedOut || current.phase() == InstanceState.Phase.GONE || announced.sequence() <= MAX_INITIAL_SEQUENCE;
+        return isCurrentSilent()
+                || current.phase() == InstanceState.Phase.GONE
+                || announced.sequence() <= MAX_INITIAL_SEQUENCE;
     }
 }
--- a/mustardusher-core/src/test/java/io/mustardusher/instance/InstanceTrackerTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/instance/InstanceTrackerTest.java
@@ -29,6 +29,43 @@
         assertThat(current().phase()).isEqualTo(Phase.SERVING);
     }
 
+    @Test
+    void lateAnnouncementsOfEarlierStartUnderSameNameAreIgnored() {
+        tracker.update(new InstanceState("a", 200, 1, Phase.SERVING));
+        tracker.deregister("a", Optional.of(200L));
+        for (int sequence = 50; sequence < 54; sequence++) {
+            assertThat(tracker.update(new InstanceState("a", 100, sequence, Phase.SERVING)))
+                    .isFalse();
+        }
+        clock.advanceMillis(10_000);
+        assertThat(tracker.update(new InstanceState("a", 100, 50, Phase.SERVING)))
+                .isFalse();
+        assertThat(current().phase()).isEqualTo(Phase.GONE);
+    }
+
+    // Guards against a server that is never used again because the wall clock was set back before it restarted.
+    @Test
+    void processThatKeepsAnnouncingEarlierStartReplacesSilentOne() {
+        tracker.update(new InstanceState("a", 60_000, 9, Phase.SERVING));
+        boolean replaced = false;
+        for (int sequence = 1; sequence <= 4; sequence++) {
+            clock.advanceMillis(1_500);
+            replaced = tracker.update(new InstanceState("a", 100, sequence, Phase.SERVING));
+        }
+        assertThat(replaced).isTrue();
+        assertThat(current().startMillis()).isEqualTo(100);
+    }
+
+    @Test
+    void processThatAnnouncesEarlierStartDoesNotReplaceLiveOne() {
+        for (int sequence = 1; sequence <= 10; sequence++) {
+            tracker.update(new InstanceState("a", 60_000, sequence, Phase.SERVING));
+            assertThat(tracker.update(new InstanceState("a", 100, sequence, Phase.SERVING)))
+                    .isFalse();
+            clock.advanceMillis(1_500);
+        }
+    }
+
     @Test
     void processThatStatesThatItIsLeavingStaysSo() {
         tracker.update(new InstanceState("a", 0, 9, Phase.SERVING));
--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
@@ -18,6 +18,7 @@
 import io.mustardusher.store.Row;
 import io.mustardusher.store.TableService;
 import io.mustardusher.store.Transaction;
+import io.netty.util.NetUtil;
 
 /**
  * Finds other nodes of the deployment. Each node has a row in the table service, which it writes at its start and
@@ -181,19 +182,22 @@
     }
 
     /**
-     * Parses a row.
+     * Parses a row. A row that another program has written or damaged is logged and skipped.
      *
      * @param row the row
      * @return the address, or empty if the row is malformed
      */
     private static Optional<Address> parse(Row row) {
+        Optional<Address> address = parseTree(row).flatMap(Address::of);
+        if (address.isEmpty()) {
+            NodeLog.LOG.rowUnreadable(row.key(), "no address of a node");
+        }
+        return address;
+    }
+
+    private static Optional<JsonNode> parseTree(Row row) {
         try {
-            JsonNode tree = Schema.mapper().readTree(row.value());
-            return Optional.of(new Address(
-                    tree.path("host").asText(),
-                    tree.path("framePort").asInt(),
-                    tree.path("boot").asLong(),
-                    tree.path("domain").asText()));
+            return Optional.of(Schema.mapper().readTree(row.value()));
         } catch (JsonProcessingException e) {
             return Optional.empty();
         }
@@ -223,5 +227,34 @@
      * @param boot      start time of its process, in milliseconds since the Unix epoch
      * @param domain    region and failure domain of the node; empty in rows of an earlier version
      */
-    private record Address(String host, int framePort, long boot, String domain) {}
+    private record Address(String host, int framePort, long boot, String domain) {
+
+        private static final int MAX_PORT = 65_535;
+
+        /**
+         * Reads an address. The host has to be an IP address, because looking up a name would block the event loop.
+         *
+         * @param tree content of a row
+         * @return the address, or empty if a field is missing, mistyped or out of range
+         */
+        static Optional<Address> of(JsonNode tree) {
+            JsonNode host = tree.path("host");
+            JsonNode port = tree.path("framePort");
+            JsonNode boot = tree.path("boot");
+            boolean valid = host.isTextual()
+                    && NetUtil.createByteArrayFromIpAddressString(host.asText()) != null
+                    && port.isIntegralNumber()
+                    && port.canConvertToInt()
+                    && port.asInt() > 0
+                    && port.asInt() <= MAX_PORT
+                    && boot.isIntegralNumber();
+            return valid
+                    ? Optional.of(new Address(
+                            host.asText(),
+                            port.asInt(),
+                            boot.asLong(),
+                            tree.path("domain").asText()))
+                    : Optional.empty();
+        }
+    }
 }
--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/PeerDiscoveryTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/PeerDiscoveryTest.java
@@ -1,12 +1,21 @@
 package io.mustardusher.gossip;
 
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 
+import io.mustardusher.frame.FrameKind;
+import io.mustardusher.frame.Peers;
 import io.mustardusher.generated.MemberRecord;
+import io.mustardusher.health.SuspectTable;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
+import io.mustardusher.store.CatalogueStore;
 import io.mustardusher.store.TableService;
+import io.mustardusher.store.Transaction;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.api.Test;
 
@@ -45,4 +54,51 @@
         discovery.register().join();
         assertThat(table.read(ROW).join().isPresent()).isTrue();
     }
+
+    // Guards against a node that finds no peers because another program wrote one row among theirs.
+    @Test
+    void skipsRowsOfAnotherWriter() {
+        String[] spoiled = {
+            "",
+            "{",
+            "[]",
+            "7",
+            "null",
+            "\u0000\uffff",
+            "{}",
+            "{\"host\":\"127.0.0.1\",\"framePort\":70000,\"boot\":1}",
+            "{\"host\":\"127.0.0.1\",\"framePort\":0,\"boot\":1}",
+            "{\"host\":\"127.0.0.1\",\"framePort\":\"2\",\"boot\":1}",
+            "{\"host\":\"127.0.0.1\",\"framePort\":2.5,\"boot\":1}",
+            "{\"host\":7,\"framePort\":2,\"boot\":1}",
+            "{\"host\":\"example.invalid\",\"framePort\":2,\"boot\":1}",
+            "{\"host\":\"127.0.0.1\",\"framePort\":2}"
+        };
+        for (int i = 0; i < spoiled.length; i++) {
+            write("nodes/a" + i, spoiled[i]);
+        }
+        write("nodes/z", "{\"host\":\"127.0.0.1\",\"framePort\":9,\"boot\":1,\"domain\":\"r/d\"}");
+        List<InetSocketAddress> contacted = new ArrayList<>();
+        Peers peers = new Peers() {
+            @Override
+            public <A> CompletableFuture<A> request(
+                    InetSocketAddress address, FrameKind kind, Object request, long timeoutMillis) {
+                contacted.add(address);
+                return CompletableFuture.failedFuture(new TimeoutException());
+            }
+        };
+        Clock clock = new Clock.Manual();
+        SuspectReplicator suspects = new SuspectReplicator(new SuspectTable(clock), peers, members);
+        CatalogueReplica catalogue = new CatalogueReplica(
+                new CatalogueStore(table, clock), peers, members, clock, new Random(1), changed -> {});
+        Gossiper gossiper = new Gossiper(members, peers, catalogue, suspects, clock);
+        new PeerDiscovery(table, List.of(), members, gossiper, new Random(1))
+                .discover()
+                .join();
+        assertThat(contacted).containsExactly(new InetSocketAddress("127.0.0.1", 9));
+    }
+
+    private void write(String key, String value) {
+        table.commit(Transaction.builder().put(key, value).build()).join();
+    }
 }
