End the slow start of servers with their usual service time where servers turn cold

Cause: after the restart of a node beside a warm server, entries gave the server less than its share for 5 s, by the clock only. Change: for services with coldPerS, a starting server that reports the usual service time of its service (the average of those past their slow start) is no longer slow. While a server is cold its gate limits the calls. Other services keep the slow start by time. EvacuationOrders copies its domains.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/ColdServerRate.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/ColdServerRate.java
@@ -7,9 +7,10 @@
 import io.mustardusher.time.Clock;
 
 /**
- * Paces calls to a server that is cold, or that may have become cold since it last stated that it is not. A statement in
- * a health answer holds for all calls dispatched before the request for it was sent. Calls dispatched later count as if
- * the server were cold, and their number within a second is bounded; the next statement releases them. Not thread-safe.
+ * Paces calls to a server that is cold, or that may have become cold since it last stated that it is not. A statement
+ * in a health answer holds for all calls dispatched before the request for it was sent. Calls dispatched later count as
+ * if the server were cold, and their number within a second is bounded; the next statement releases them. Not
+ * thread-safe.
  */
 final class ColdServerRate {
 
--- a/mustardusher-core/src/main/java/io/mustardusher/evacuation/EvacuationOrders.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/evacuation/EvacuationOrders.java
@@ -1,6 +1,7 @@
 package io.mustardusher.evacuation;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.SortedSet;
 import java.util.TreeSet;
 
@@ -15,6 +16,11 @@
     /** No orders, with a revision below those of all tables. */
     public static final EvacuationOrders NONE = new EvacuationOrders(Revision.NONE, new TreeSet<>());
 
+    /** Copies the domains. */
+    public EvacuationOrders {
+        domains = Collections.unmodifiableSortedSet(new TreeSet<>(domains));
+    }
+
     /**
      * Creates orders.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
@@ -51,6 +51,11 @@
 
     private volatile ReportedLoad lastReport;
 
+    private final UsualServiceTime usualServiceTime;
+
+    /** Service time that was reported last, in nanoseconds; 0 before the first report of one. */
+    private volatile long measuredNanos;
+
     /** Whether the server accepts new calls according to the latest information. */
     private volatile boolean serving = true;
 
@@ -65,7 +70,22 @@
      * @param servingSinceNanos time at which the server started serving, in nanoseconds
      */
     public ServerLoad(NodeId node, int slots, long oneWayMicros, long servingSinceNanos) {
+        this(node, slots, oneWayMicros, servingSinceNanos, new UsualServiceTime(false));
+    }
+
+    /**
+     * Creates the load of a server that has not sent a report yet.
+     *
+     * @param node              node beside the server
+     * @param slots             slots that the server announced
+     * @param oneWayMicros      one-way network latency to the node, in microseconds
+     * @param servingSinceNanos time at which the server started serving, in nanoseconds
+     * @param usualServiceTime  usual service time of the servers of its service
+     */
+    public ServerLoad(
+            NodeId node, int slots, long oneWayMicros, long servingSinceNanos, UsualServiceTime usualServiceTime) {
         this.node = node;
+        this.usualServiceTime = usualServiceTime;
         this.roundTripNanos = 2 * oneWayMicros * Clock.NANOS_PER_MICRO;
         this.servingSinceNanos = servingSinceNanos;
         this.lastReport =
@@ -120,6 +140,12 @@
         long service =
                 report.serviceMicros() > 0 ? report.serviceMicros() * Clock.NANOS_PER_MICRO : lastReport.serviceNanos;
         lastReport = new ReportedLoad(otherCalls, Math.max(1, report.limit()), service, now);
+        if (report.serviceMicros() > 0) {
+            measuredNanos = service;
+            if (now - servingSinceNanos >= SLOW_START_NANOS) {
+                usualServiceTime.record(service);
+            }
+        }
         if (report.draining()) {
             serving = false;
         }
@@ -228,14 +254,18 @@
     }
 
     /**
-     * Returns the fraction of its limit that the server is assumed to have, which grows during its slow start.
+     * Returns the fraction of its limit that the server is assumed to have, which grows during its slow start. The slow
+     * start ends early if the server reports the usual service time. The report of a server that has started beside a
+     * running gate still contains earlier calls; its gate limits the calls itself while the server is cold.
      *
      * @param now current time, in nanoseconds
      * @return fraction between {@value #MIN_SLOW_START_FRACTION} and 1
      */
     private double slowStartFraction(long now) {
         double fraction = (now - servingSinceNanos) / SLOW_START_NANOS;
-        return fraction >= 1 ? 1 : Math.max(MIN_SLOW_START_FRACTION, fraction);
+        return fraction >= 1 || usualServiceTime.isUsual(measuredNanos)
+                ? 1
+                : Math.max(MIN_SLOW_START_FRACTION, fraction);
     }
 
     /**
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/ColdServerTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/ColdServerTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.function.Consumer;
 
 import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.result.ResultCode;
@@ -52,7 +53,7 @@
         server.play(2_000, 1_000);
         server.becomeCold();
         server.play(20, 1_000);
-        server.restartGate(0);
+        server.startGate();
         server.play(COLD_MILLIS, 1_000);
         assertThat(server.mostColdCalls()).isAtMost(server.bound());
     }
@@ -168,28 +169,38 @@
     }
 
     private TestCall offer(Admission admission, long targetMillis) {
-        TestCall call = new TestCall();
-        long now = clock.nanoTime();
+        return offer(admission, targetMillis, call -> {});
+    }
+
+    private TestCall offer(Admission admission, long targetMillis, Consumer<TestCall> server) {
+        TestCall call = new TestCall(server);
+        long targetNanos = clock.nanoTime() + targetMillis * Clock.NANOS_PER_MILLI;
         call.ticket = new Ticket(
                 "route",
                 ServiceClass.STANDARD,
-                now + 2 * targetMillis * Clock.NANOS_PER_MILLI,
+                targetNanos + 700 * Clock.NANOS_PER_MILLI,
                 false,
                 call,
-                new Ticket.LatencyTarget(now + targetMillis * Clock.NANOS_PER_MILLI, false));
+                new Ticket.LatencyTarget(targetNanos, false));
         admission.offer(call.ticket);
         return call;
     }
 
-    private static class TestCall implements AdmissionListener {
+    private static final class TestCall implements AdmissionListener {
 
+        private final Consumer<TestCall> server;
         private Ticket ticket;
         private boolean admitted;
         private ResultCode code;
 
+        private TestCall(Consumer<TestCall> server) {
+            this.server = server;
+        }
+
         @Override
         public void onAdmitted() {
             admitted = true;
+            server.accept(this);
         }
 
         @Override
@@ -211,7 +222,6 @@
         private final List<TestCall> running = new ArrayList<>();
         private Admission gate;
         private long coldUntilMillis;
-        private long coldSinceMillis = -WINDOW_MILLIS;
         private boolean answersProbes = true;
         private double probeBudget;
         private long gateStartMillis;
@@ -227,7 +237,7 @@
             return (int) (coldPerSecond * OVERAGE + SLACK);
         }
 
-        private void startGate() {
+        void startGate() {
             running.clear();
             gateStartMillis = nowMillis();
             gate = gate(new ColdPolicy(
@@ -236,13 +246,7 @@
             gate.recordAnnouncement(true, OptionalLong.empty());
         }
 
-        void restartGate(int offMillis) {
-            clock.advanceMillis(offMillis);
-            startGate();
-        }
-
         void becomeCold() {
-            coldSinceMillis = nowMillis();
             coldUntilMillis = nowMillis() + COLD_MILLIS;
         }
 
@@ -250,24 +254,16 @@
         void disturb() {
             boolean mayBecomeCold = nowMillis() - coldUntilMillis >= WINDOW_MILLIS;
             switch (random.nextInt(6)) {
-                case 0 -> {
-                    if (mayBecomeCold) {
-                        becomeCold();
-                    }
-                }
-                case 1 -> {
+                case 0, 1 -> {
                     if (mayBecomeCold) {
                         becomeCold();
-                        gate.recordAnnouncement(
-                                true,
-                                random.nextBoolean()
-                                        ? OptionalLong.empty()
-                                        : OptionalLong.of(COLD_MILLIS * Clock.NANOS_PER_MILLI));
+                        announceSometimes();
                     }
                 }
                 case 2 -> {
                     if (nowMillis() - gateStartMillis >= RESTART_MILLIS) {
-                        restartGate(random.nextInt(3) == 0 ? random.nextInt(RESTART_MILLIS) : 0);
+                        clock.advanceMillis(random.nextInt(3) == 0 ? random.nextInt(RESTART_MILLIS) : 0);
+                        startGate();
                     }
                 }
                 case 3 -> gate.recordAnnouncement(false, OptionalLong.of(0));
@@ -276,16 +272,28 @@
             }
         }
 
+        private void announceSometimes() {
+            switch (random.nextInt(4)) {
+                case 0 -> gate.recordAnnouncement(true, OptionalLong.empty());
+                case 1 -> gate.recordAnnouncement(true, OptionalLong.of(COLD_MILLIS * Clock.NANOS_PER_MILLI));
+                default -> {
+                    // It becomes cold unnoticed.
+                }
+            }
+        }
+
         /** Makes calls for some time. */
         void play(long millis, double callsPerSecond) {
             long end = nowMillis() + millis;
             while (nowMillis() < end) {
                 long step = nowMillis();
-                List.copyOf(running).forEach(this::answer);
+                List<TestCall> answered = List.copyOf(running);
+                running.clear();
+                answered.forEach(call -> gate.release(call.ticket, CallEnd.ANSWERED));
                 probeBudget = Math.min(7, probeBudget + 0.15);
                 due += callsPerSecond * STEP_MILLIS / 1_000;
                 for (; due >= 1; due--) {
-                    offer(gate);
+                    offer(gate, 300, this::arrive);
                 }
                 if (step % 20 < STEP_MILLIS) {
                     gate.poll();
@@ -294,24 +302,6 @@
             }
         }
 
-        private void offer(Admission to) {
-            TestCall call = new TestCall() {
-                @Override
-                public void onAdmitted() {
-                    arrive(this);
-                }
-            };
-            long now = clock.nanoTime();
-            call.ticket = new Ticket(
-                    "route",
-                    ServiceClass.STANDARD,
-                    now + 1_000 * Clock.NANOS_PER_MILLI,
-                    false,
-                    call,
-                    new Ticket.LatencyTarget(now + 300 * Clock.NANOS_PER_MILLI, false));
-            to.offer(call.ticket);
-        }
-
         private void arrive(TestCall call) {
             running.add(call);
             arrivalsMillis.add(nowMillis());
@@ -320,11 +310,6 @@
             }
         }
 
-        private void answer(TestCall call) {
-            running.remove(call);
-            gate.release(call.ticket, CallEnd.ANSWERED);
-        }
-
         private void probe() {
             if (probeBudget < 1) {
                 return;
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import com.linecorp.armeria.client.ClientFactory;
@@ -30,6 +31,7 @@
 import io.mustardusher.membership.NodeId;
 import io.mustardusher.routing.ServerLoad;
 import io.mustardusher.routing.ServerPool;
+import io.mustardusher.routing.UsualServiceTime;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.EventExecutor;
 
@@ -72,6 +74,11 @@
     /** Orders from which the directory was built. */
     private EvacuationOrders appliedOrders = EvacuationOrders.NONE;
 
+    /** Whether the slow start of a service's servers ends with the usual service time. */
+    private Predicate<ServiceName> measured = service -> false;
+
+    private final Map<ServiceName, UsualServiceTime> usualServiceTimes = new HashMap<>();
+
     private volatile Consumer<NodeId> evacuatedGateListener = node -> {};
 
     /** Transport of calls to other nodes; {@code null} if all calls are sent as HTTP streams. */
@@ -111,6 +118,16 @@
         transport = frames;
     }
 
+    /**
+     * Ends the slow start of servers of some services as soon as they report the usual service time of their service.
+     *
+     * @param services returns whether this applies to a service
+     */
+    public synchronized void endSlowStartWhenMeasured(Predicate<ServiceName> services) {
+        measured = services;
+        usualServiceTimes.forEach((service, usual) -> usual.setEnabled(services.test(service)));
+    }
+
     /**
      * Leaves out the servers of evacuated failure domains.
      *
@@ -215,11 +232,20 @@
                 NodeId.of(member.getId()),
                 (int) member.getSlots(),
                 failureDomain(members.self()).latencyMicrosTo(failureDomain(member), distances),
-                clock.nanoTime() - ageMillis * Clock.NANOS_PER_MILLI);
+                clock.nanoTime() - ageMillis * Clock.NANOS_PER_MILLI,
+                usualServiceTime(member));
         GateLink link = known == null ? createLink(member) : known.link;
         return new KnownNode(load, link, member.getSince());
     }
 
+    private UsualServiceTime usualServiceTime(MemberRecord member) {
+        if (member.getService() == null) {
+            return new UsualServiceTime(false);
+        }
+        return usualServiceTimes.computeIfAbsent(
+                ServiceName.of(member.getService()), service -> new UsualServiceTime(measured.test(service)));
+    }
+
     /**
      * Creates a link to the gate of a member.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -248,6 +248,8 @@
     }
 
     private void routesChanged(RouteTable table) {
+        core.directory().endSlowStartWhenMeasured(service -> table.coldStart(service.value())
+                .isPresent());
         core.directory().refresh();
         core.gate()
                 .configureColdStart(environment
--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/PeerDiscoveryTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/PeerDiscoveryTest.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
+import java.util.stream.Stream;
 
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.frame.Peers;
@@ -58,26 +59,19 @@
     // Guards against a node that finds no peers because another program wrote one row among theirs.
     @Test
     void skipsRowsOfAnotherWriter() {
-        String[] spoiled = {
-            "",
-            "{",
-            "[]",
-            "7",
-            "null",
-            "\u0000\uffff",
-            "{}",
-            "{\"host\":\"127.0.0.1\",\"framePort\":70000,\"boot\":1}",
-            "{\"host\":\"127.0.0.1\",\"framePort\":0,\"boot\":1}",
-            "{\"host\":\"127.0.0.1\",\"framePort\":\"2\",\"boot\":1}",
-            "{\"host\":\"127.0.0.1\",\"framePort\":2.5,\"boot\":1}",
-            "{\"host\":7,\"framePort\":2,\"boot\":1}",
-            "{\"host\":\"example.invalid\",\"framePort\":2,\"boot\":1}",
-            "{\"host\":\"127.0.0.1\",\"framePort\":2}"
-        };
+        String valid = "{'host':'127.0.0.1','framePort':9,'boot':1,'domain':'r/d'}".replace('\'', '"');
+        String[] spoiled = Stream.concat(
+                        Stream.of("", "{", "[]", "7", "null", "\u0000\uffff", "{}"),
+                        Stream.of("70000", "0", "-1", "'2'", "2.5", "null")
+                                .map(port -> valid.replace("9", port.replace('\'', '"'))))
+                .toArray(String[]::new);
         for (int i = 0; i < spoiled.length; i++) {
             write("nodes/a" + i, spoiled[i]);
         }
-        write("nodes/z", "{\"host\":\"127.0.0.1\",\"framePort\":9,\"boot\":1,\"domain\":\"r/d\"}");
+        write("nodes/b", valid.replace("127.0.0.1", "example.invalid"));
+        write("nodes/c", valid.replace("\"127.0.0.1\"", "7"));
+        write("nodes/d", valid.replace("\"boot\"", "\"other\""));
+        write("nodes/z", valid);
         List<InetSocketAddress> contacted = new ArrayList<>();
         Peers peers = new Peers() {
             @Override
