--- a/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/route/RouteTable.java
@@ -24,6 +24,7 @@
     private final RequestLimits limits;
     private final Map<String, String> healthPaths;
     private final AccountTable accounts;
+    private final Map<String, ColdStart> coldStarts;
 
     private RouteTable(Builder builder) {
         version = builder.version;
@@ -33,6 +34,7 @@
         limits = builder.limits;
         healthPaths = Map.copyOf(builder.healthPaths);
         accounts = builder.accounts;
+        coldStarts = Map.copyOf(builder.coldStarts);
     }
 
     /**
@@ -109,6 +111,16 @@
         return healthPaths.getOrDefault(service, DEFAULT_HEALTH_PATH);
     }
 
+    /**
+     * Returns what is stated of the servers of a service that have just started.
+     *
+     * @param service name of the service
+     * @return the statement; {@link ColdStart#NONE} if there is none
+     */
+    public ColdStart coldStart(String service) {
+        return coldStarts.getOrDefault(service, ColdStart.NONE);
+    }
+
     /**
      * Returns all routes.
      *
@@ -161,6 +173,7 @@
         private final Map<String, Map<String, RouteMatch>> hosts = new HashMap<>();
         private final Set<String> incompleteHosts = new HashSet<>();
         private final Map<String, String> healthPaths = new HashMap<>();
+        private final Map<String, ColdStart> coldStarts = new HashMap<>();
         private RouteMatch otherHosts = RouteMatch.Unmatched.ABSENT;
         private int unreadable;
         private RequestLimits limits = RequestLimits.DEFAULT;
@@ -260,6 +273,18 @@
             return this;
         }
 
+        /**
+         * Sets what is stated of the servers of a service that have just started.
+         *
+         * @param service name of the service
+         * @param start   the statement
+         * @return this builder
+         */
+        public Builder coldStart(String service, ColdStart start) {
+            coldStarts.put(service, start);
+            return this;
+        }
+
         /**
          * Builds the table.
          *
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import com.linecorp.armeria.client.ClientFactory;
@@ -30,6 +31,7 @@
 import io.mustardusher.membership.NodeId;
 import io.mustardusher.routing.ServerLoad;
 import io.mustardusher.routing.ServerPool;
+import io.mustardusher.routing.UsualServiceTime;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.EventExecutor;
 
@@ -72,6 +74,11 @@
     /** Orders from which the directory was built. */
     private EvacuationOrders appliedOrders = EvacuationOrders.NONE;
 
+    /** Whether the slow start of a service's servers ends with the usual service time. */
+    private Predicate<ServiceName> measured = service -> false;
+
+    private final Map<ServiceName, UsualServiceTime> usualServiceTimes = new HashMap<>();
+
     private volatile Consumer<NodeId> evacuatedGateListener = node -> {};
 
     /** Transport of calls to other nodes; {@code null} if all calls are sent as HTTP streams. */
@@ -111,6 +118,16 @@
         transport = frames;
     }
 
+    /**
+     * Ends the slow start of servers of some services as soon as they report the usual service time of their service.
+     *
+     * @param services returns whether this applies to a service
+     */
+    public synchronized void endSlowStartWhenMeasured(Predicate<ServiceName> services) {
+        measured = services;
+        usualServiceTimes.forEach((service, usual) -> usual.setEnabled(services.test(service)));
+    }
+
     /**
      * Leaves out the servers of evacuated failure domains.
      *
@@ -171,7 +188,9 @@
             return;
         }
         version = currentVersion;
+        EvacuationOrders previousOrders = appliedOrders;
         appliedOrders = orders;
+        List<ServerLoad> returned = new ArrayList<>();
         Map<String, KnownNode> nextNodes = new HashMap<>();
         Map<ServiceName, List<ServerLoad>> loadsByService = new HashMap<>();
         for (MemberRecord member : members.members()) {
@@ -187,17 +206,38 @@
                 loadsByService
                         .computeIfAbsent(ServiceName.of(member.getService()), name -> new ArrayList<>())
                         .add(node.load);
+                if (previousOrders.isEvacuated(member.getDomain())) {
+                    returned.add(node.load);
+                }
             }
         }
         nodes = nextNodes;
         Map<ServerLoad, GateLink> nextLinks = new IdentityHashMap<>();
         nextNodes.values().forEach(node -> nextLinks.put(node.load, node.link));
         links = nextLinks;
+        loadsByService.values().forEach(loads -> assumeServiceTimes(loads, returned, clock.nanoTime()));
         Map<ServiceName, ServerPool> nextPools = new HashMap<>();
         loadsByService.forEach((name, loads) -> nextPools.put(name, ServerPool.of(loads)));
         pools = nextPools;
     }
 
+    /**
+     * Assumes that servers whose domain is no longer evacuated take as long as the fastest other one of their service.
+     * Their last reports date from before the evacuation, and one that was slow then would not be chosen again.
+     *
+     * @param loads    servers of a service
+     * @param returned servers of all services whose domain is no longer evacuated
+     * @param now      current time, in nanoseconds
+     */
+    private static void assumeServiceTimes(List<ServerLoad> loads, List<ServerLoad> returned, long now) {
+        loads.stream()
+                .filter(load -> !returned.contains(load) && load.reportAgeNanos(now) != Long.MAX_VALUE)
+                .mapToLong(ServerLoad::serviceNanos)
+                .min()
+                .ifPresent(fastest ->
+                        loads.stream().filter(returned::contains).forEach(load -> load.assumeServiceTime(fastest)));
+    }
+
     /**
      * Returns the known node of a member, or a new one if the node was not known or its server has been replaced. The
      * link to the gate is kept as long as the node's process is the same.
@@ -215,11 +255,20 @@
                 NodeId.of(member.getId()),
                 (int) member.getSlots(),
                 failureDomain(members.self()).latencyMicrosTo(failureDomain(member), distances),
-                clock.nanoTime() - ageMillis * Clock.NANOS_PER_MILLI);
+                clock.nanoTime() - ageMillis * Clock.NANOS_PER_MILLI,
+                usualServiceTime(member));
         GateLink link = known == null ? createLink(member) : known.link;
         return new KnownNode(load, link, member.getSince());
     }
 
+    private UsualServiceTime usualServiceTime(MemberRecord member) {
+        if (member.getService() == null) {
+            return new UsualServiceTime(false);
+        }
+        return usualServiceTimes.computeIfAbsent(
+                ServiceName.of(member.getService()), service -> new UsualServiceTime(measured.test(service)));
+    }
+
     /**
      * Creates a link to the gate of a member.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -12,6 +12,7 @@
 import com.linecorp.armeria.common.HttpResponse;
 import io.mustardusher.admin.MetricsResource;
 import io.mustardusher.admission.Admission;
+import io.mustardusher.admission.ColdPolicy;
 import io.mustardusher.budget.SharedAllowance;
 import io.mustardusher.call.CallerProtocol;
 import io.mustardusher.call.HeaderPacking;
@@ -107,6 +108,7 @@
                 environment::callName);
         clock = core.clock();
         core.gate().enableProbes(service -> routes().current().healthPath(service), PROBES_PER_SECOND);
+        core.gate().configureColdStart(ColdPolicy.UNKNOWN);
         serverTracker = new ServerTracker(clock, this::handleAnnouncement);
         core.gate().onServerLeaving(serverTracker::recordLeaving);
         routes = new RouteReplica(environment::decodeRoutes, core.frames(), core.timers(), this::routesChanged);
@@ -270,7 +272,13 @@
     }
 
     private void routesChanged(RouteTable table) {
+        core.directory().endSlowStartWhenMeasured(service -> table.coldStart(service.value())
+                .isPresent());
         core.directory().refresh();
+        core.gate()
+                .configureColdStart(environment
+                        .coldBounds()
+                        .policyFor(table.coldStart(environment.localServer().service())));
         // Without waiting for the next tick: until the first proof, a node that has just started refuses all keys.
         freshness.ifPresent(proof -> core.timers().execute(proof::tick));
     }
@@ -314,6 +322,11 @@
             gate.get().recordConditions(instance, conditions, sentNanos);
         }
 
+        @Override
+        public void onHealth(long coldMillis, long sentNanos) {
+            gate.get().recordHealth(coldMillis, sentNanos);
+        }
+
         @Override
         public void onResponseFault(ResponseFault fault) {
             gate.get().recordResponseFault(fault.label());
--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/PeerDiscoveryTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/PeerDiscoveryTest.java
@@ -1,12 +1,22 @@
 package io.mustardusher.gossip;
 
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
+import java.util.stream.Stream;
 
+import io.mustardusher.frame.FrameKind;
+import io.mustardusher.frame.Peers;
 import io.mustardusher.generated.MemberRecord;
+import io.mustardusher.health.SuspectTable;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
+import io.mustardusher.store.CatalogueStore;
 import io.mustardusher.store.TableService;
+import io.mustardusher.store.Transaction;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.api.Test;
 
@@ -45,4 +55,44 @@
         discovery.register().join();
         assertThat(table.read(ROW).join().isPresent()).isTrue();
     }
+
+    // Guards against a node that finds no peers because another program wrote one row among theirs.
+    @Test
+    void skipsRowsOfAnotherWriter() {
+        String valid = "{'host':'127.0.0.1','framePort':9,'boot':1,'domain':'r/d'}".replace('\'', '"');
+        String[] spoiled = Stream.concat(
+                        Stream.of("", "{", "[]", "7", "null", "\u0000\uffff", "{}"),
+                        Stream.of("70000", "0", "-1", "'2'", "2.5", "null")
+                                .map(port -> valid.replace("9", port.replace('\'', '"'))))
+                .toArray(String[]::new);
+        for (int i = 0; i < spoiled.length; i++) {
+            write("nodes/a" + i, spoiled[i]);
+        }
+        write("nodes/b", valid.replace("127.0.0.1", "example.invalid"));
+        write("nodes/c", valid.replace("\"127.0.0.1\"", "7"));
+        write("nodes/d", valid.replace("\"boot\"", "\"other\""));
+        write("nodes/z", valid);
+        List<InetSocketAddress> contacted = new ArrayList<>();
+        Peers peers = new Peers() {
+            @Override
+            public <A> CompletableFuture<A> request(
+                    InetSocketAddress address, FrameKind kind, Object request, long timeoutMillis) {
+                contacted.add(address);
+                return CompletableFuture.failedFuture(new TimeoutException());
+            }
+        };
+        Clock clock = new Clock.Manual();
+        SuspectReplicator suspects = new SuspectReplicator(new SuspectTable(clock), peers, members);
+        CatalogueReplica catalogue = new CatalogueReplica(
+                new CatalogueStore(table, clock), peers, members, clock, new Random(1), changed -> {});
+        Gossiper gossiper = new Gossiper(members, peers, catalogue, suspects, clock);
+        new PeerDiscovery(table, List.of(), members, gossiper, new Random(1))
+                .discover()
+                .join();
+        assertThat(contacted).containsExactly(new InetSocketAddress("127.0.0.1", 9));
+    }
+
+    private void write(String key, String value) {
+        table.commit(Transaction.builder().put(key, value).build()).join();
+    }
 }
