Transfer responses above 64 kB from gate to entry in parts

Cause: a response travelled as one frame, so that other frames on the connection waited for all of it (540 kB are 0.6 s at 7 Mbit/s), one above 1 MiB could not be sent at all and its call waited for its time limit, and a gate kept up to 600 responses of any size for 5 s. Change: the gate answers with the headers and the first 8 KiB, and the entry requests the rest in parts of 8 KiB, two at a time for all responses from that gate together, up to eight while parts arrive within 12 ms. Responses take turns. The gate keeps the body until the entry has it or cancels, or for 5 s after the last request, within 10 MiB; retained small responses take 6 MiB at most, and responses arriving at an entry 8 MiB, beyond which transfers wait. A part that is lost with its connection is requested again, so that a transfer goes on from what was received; what the gate no longer has fails the call (2xxx, may have run), before any byte went to the caller. An answer that cannot be decoded now fails its call at once. Event 2022, gauge entry.streamedResponses.

--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -65,6 +65,9 @@
     /** Conditions that the backend server stated in an answer; only between nodes. */
     public static final AsciiString CONDITIONS = AsciiString.cached("mustardusher-conditions");
 
+    /** Size of the whole response if only its first part follows, in bytes; only between nodes. */
+    public static final AsciiString LENGTH = AsciiString.cached("mustardusher-length");
+
     /** Class of the call; only between nodes. */
     public static final AsciiString CLASS = AsciiString.cached("mustardusher-class");
 
@@ -90,7 +93,8 @@
     private static final List<AsciiString> NATIVE_PROTOCOL_HEADERS = List.of(SERVICE, OWNER, DEPTH, ATTEMPT, TIMEOUT);
 
     /** Response headers that only nodes may set. */
-    private static final List<AsciiString> NODE_RESPONSE_HEADERS = List.of(OUTCOME, CODE, LOAD, CRASH, CONDITIONS);
+    private static final List<AsciiString> NODE_RESPONSE_HEADERS =
+            List.of(OUTCOME, CODE, LOAD, CRASH, CONDITIONS, LENGTH);
 
     private static final Set<AsciiString> STRIPPED_FROM_CALLER_REQUESTS = union(HOP_BY_HOP, NODE_REQUEST_HEADERS);
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/FramedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/FramedCall.java
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Timeout;
 import io.mustardusher.frame.CallMessage;
@@ -39,6 +40,9 @@
     private byte[] body;
     private boolean sentAgain;
 
+    /** Transfer of a large response; {@code null} before its first part. */
+    private volatile PartFetcher.Transfer transfer;
+
     /** The last sending, which is the only one that may run. */
     private volatile Sending current;
 
@@ -78,11 +82,16 @@
 
     /** Cancels the call, unless it has been answered. */
     void abort() {
-        if (!answer.isDone()) {
+        if (answer.isDone()) {
+            return;
+        }
+        if (transfer == null) {
             CallMessage reference = CallMessage.referringTo(current.number);
             link.peers().request(link.address(), FrameKind.CANCEL, reference, CANCEL_TIMEOUT_MILLIS);
-            fail(ResultCode.CONNECTION_LOST, "cancelled");
+        } else {
+            transfer.fail();
         }
+        fail(ResultCode.CONNECTION_LOST, "cancelled");
     }
 
     private void request(FrameKind kind, CallMessage message) {
@@ -123,9 +132,34 @@
         } else if (response.head() == null) {
             fail(ResultCode.CONNECTION_LOST, "the gate has started anew or may have forgotten the call");
         } else {
-            answer.complete(AggregatedHttpResponse.of(
-                    link.packing().unpackResponse(response.head()), HttpData.wrap(response.body())));
+            onReceived(response);
+        }
+    }
+
+    private void onReceived(CallMessage response) {
+        ResponseHeaders received;
+        try {
+            received = link.packing().unpackResponse(response.head());
+        } catch (RuntimeException e) {
+            fail(ResultCode.CONNECTION_LOST, "the answer is malformed");
+            return;
+        }
+        byte[] bytes = response.body();
+        int length = received.getInt(CallHeaders.LENGTH, bytes.length);
+        if (length <= bytes.length || answer.isDone()) {
+            answer.complete(AggregatedHttpResponse.of(received, HttpData.wrap(bytes)));
+            return;
         }
+        ResponseHeaders whole =
+                received.toBuilder().removeAndThen(CallHeaders.LENGTH).build();
+        transfer = link.parts().fetch(current.number, bytes, length);
+        transfer.body().whenComplete((body, failure) -> {
+            if (failure == null) {
+                answer.complete(AggregatedHttpResponse.of(whole, HttpData.wrap(body)));
+            } else {
+                answer.completeExceptionally(failure);
+            }
+        });
     }
 
     // The gate has just answered over a new connection, so that it is the best one to send the call to again.
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
@@ -72,6 +72,7 @@
      * @param callNumbers supplies the number of each call
      * @param loop        executor that aggregates requests
      * @param clock       source of time
+     * @param parts       requests the rest of large responses
      * @param fallback    link for calls that do not fit into a frame
      */
     record ForFrames(
@@ -82,6 +83,7 @@
             LongSupplier callNumbers,
             EventExecutor loop,
             Clock clock,
+            PartFetcher parts,
             GateLink fallback)
             implements GateLink {
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -53,6 +53,9 @@
 
     private final Clock clock;
 
+    /** Memory for large responses that are arriving from other nodes. */
+    private final TransferMemory transferMemory = new TransferMemory();
+
     /** Present nodes by their process. */
     private Map<String, KnownNode> nodes = Map.of();
 
@@ -133,6 +136,15 @@
         return Optional.ofNullable(nodes.get(id + "@" + boot)).map(KnownNode::link);
     }
 
+    /**
+     * Returns the number of large responses that arrived whole in parts.
+     *
+     * @return number since the start of the process
+     */
+    public long streamedResponses() {
+        return transferMemory.transferred();
+    }
+
     /** Rebuilds the directory if the member table has changed. */
     public synchronized void refresh() {
         long currentVersion = members.version();
@@ -214,6 +226,7 @@
                 transport.callNumbers()::incrementAndGet,
                 transport.loop(),
                 clock,
+                new PartFetcher(transport.peers(), address, transferMemory, clock),
                 streams);
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/CallMessage.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/CallMessage.java
@@ -36,6 +36,27 @@
                 call, null, ByteBuffer.allocate(Long.BYTES).putLong(boot).array());
     }
 
+    /**
+     * Creates a request for a part of a response.
+     *
+     * @param call   number of the call
+     * @param offset position of the first byte of the part
+     * @return the message
+     */
+    public static CallMessage part(long call, long offset) {
+        return new CallMessage(
+                call, null, ByteBuffer.allocate(Long.BYTES).putLong(offset).array());
+    }
+
+    /**
+     * Returns the position of the part that this message requests.
+     *
+     * @return position of the first byte of the part, or -1 if this message requests no part
+     */
+    public long partOffset() {
+        return body.length == Long.BYTES ? ByteBuffer.wrap(body).getLong() : -1;
+    }
+
     /**
      * Returns whether this message confirms that a process has not received the call and will not run it. The answer of
      * a process with another start time, as after a restart, is no such confirmation.
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameClient.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameClient.java
@@ -50,7 +50,8 @@
             FrameKind.SUSPECT,
             FrameKind.ROUTES,
             FrameKind.RESUME,
-            FrameKind.CANCEL);
+            FrameKind.CANCEL,
+            FrameKind.PART);
 
     private final Bootstrap bootstrap;
 
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
@@ -53,7 +53,10 @@
     CANCEL(CallMessage.class, CallMessage.class),
 
     /** Shows that a connection carries bytes; the reply holds the same message. */
-    PING(Ping.class, Ping.class);
+    PING(Ping.class, Ping.class),
+
+    /** Requests a part of a large response; the reply holds the part, or no body if the response is not kept. */
+    PART(CallMessage.class, CallMessage.class);
 
     private final MessageCodec requestCodec;
 
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
@@ -1,17 +1,20 @@
 package io.mustardusher.gate;
 
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
+import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.call.Problem;
 import io.mustardusher.frame.CallMessage;
@@ -39,6 +42,12 @@
      */
     public static final long GUARANTEED_RETENTION_NANOS = RETENTION_NANOS - 1_000 * Clock.NANOS_PER_MILLI;
 
+    /** Size of a part of a large response, in bytes. */
+    public static final int PART_BYTES = LargeResponses.PART_BYTES;
+
+    /** Beyond this many bytes, the oldest responses are evicted: less than a tenth of a node's heap. */
+    private static final long MAX_RETAINED_BYTES = 6 << 20;
+
     /** Beyond this many, the oldest responses are evicted and only the numbers of their calls are retained. */
     private static final int MAX_RETAINED_RESPONSES = 600;
 
@@ -47,6 +56,7 @@
     private final long boot;
     private final EventExecutor loop;
     private final Clock clock;
+    private final LargeResponses largeResponses;
     private final Map<Long, RetainedCall> calls = new HashMap<>();
 
     /** Ended calls whose responses were evicted, ordered by end; all ended before those with responses. */
@@ -55,6 +65,9 @@
     /** Ended calls with their responses, ordered by end. */
     private final Deque<RetainedCall> withResponse = new ArrayDeque<>();
 
+    /** Size of the bodies of the responses that are retained, in bytes, without the rest of large ones. */
+    private long retainedBytes;
+
     /**
      * Creates a framed gate that retains no calls.
      *
@@ -70,6 +83,7 @@
         this.boot = boot;
         this.loop = loop;
         this.clock = clock;
+        this.largeResponses = new LargeResponses(clock);
     }
 
     /**
@@ -87,17 +101,35 @@
         RequestHeaders headers = packing.unpackRequest(message.head());
         HttpResponse response = gate.handle(HttpRequest.of(headers, HttpData.wrap(message.body())), received.cancelled);
         response.aggregate(loop).whenComplete((aggregated, failure) -> {
-            CallMessage reply = failure == null
-                    ? new CallMessage(
-                            message.call(),
-                            packing.pack(aggregated.headers()),
-                            aggregated.content().array())
-                    : responseUnavailable(message.call());
-            end(received, reply);
+            end(received, failure == null ? reply(message.call(), aggregated) : responseUnavailable(message.call()));
         });
         return received.response;
     }
 
+    // A large response is kept, and the entry requests what follows its first part.
+    private CallMessage reply(long call, AggregatedHttpResponse response) {
+        byte[] body = response.content().array();
+        if (body.length <= LargeResponses.MAX_WHOLE_BYTES) {
+            return new CallMessage(call, packing.pack(response.headers()), body);
+        }
+        largeResponses.put(call, body);
+        ResponseHeaders headers = response.headers().toBuilder()
+                .set(CallHeaders.LENGTH, Integer.toString(body.length))
+                .build();
+        return new CallMessage(call, packing.pack(headers), Arrays.copyOf(body, PART_BYTES));
+    }
+
+    /**
+     * Returns a part of a large response.
+     *
+     * @param request message with the number of the call and the position of the part
+     * @return the part; without a body if the response is not kept
+     */
+    public CompletableFuture<CallMessage> part(CallMessage request) {
+        byte[] part = largeResponses.part(request.call(), request.partOffset());
+        return CompletableFuture.completedFuture(new CallMessage(request.call(), null, part));
+    }
+
     /**
      * Returns the response to a call for an entry that lost the connection on which it sent the call.
      *
@@ -115,7 +147,7 @@
     }
 
     /**
-     * Cancels a call. Has no effect on an unknown call.
+     * Cancels a call, and drops what is kept of its response. Has no effect on an unknown call.
      *
      * @param message message with the number of the call
      * @return the same message, as an acknowledgement
@@ -128,6 +160,7 @@
         if (retained != null) {
             retained.cancelled.complete(null);
         }
+        largeResponses.remove(message.call());
         return CompletableFuture.completedFuture(message);
     }
 
@@ -142,8 +175,12 @@
         synchronized (this) {
             call.endedNanos = clock.nanoTime();
             withResponse.addLast(call);
-            if (withResponse.size() > MAX_RETAINED_RESPONSES) {
+            call.retainedBytes = response.body().length;
+            retainedBytes += call.retainedBytes;
+            while (withResponse.size() > MAX_RETAINED_RESPONSES || retainedBytes > MAX_RETAINED_BYTES) {
                 RetainedCall oldest = withResponse.removeFirst();
+                retainedBytes -= oldest.retainedBytes;
+                oldest.retainedBytes = 0;
                 oldest.response = CompletableFuture.completedFuture(responseUnavailable(oldest.number));
                 withoutResponse.addLast(oldest);
             }
@@ -161,7 +198,9 @@
         long now = clock.nanoTime();
         for (Deque<RetainedCall> ended : List.of(withoutResponse, withResponse)) {
             while (!ended.isEmpty() && now - ended.peekFirst().endedNanos > RETENTION_NANOS) {
-                calls.remove(ended.removeFirst().number);
+                RetainedCall expired = ended.removeFirst();
+                retainedBytes -= expired.retainedBytes;
+                calls.remove(expired.number);
             }
         }
     }
@@ -172,6 +211,7 @@
         private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
         private volatile CompletableFuture<CallMessage> response = new CompletableFuture<>();
         private long endedNanos;
+        private long retainedBytes;
 
         RetainedCall(long number) {
             this.number = number;
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -327,4 +327,15 @@
     @LogMessage(level = Logger.Level.INFO)
     @Message(id = 2021, value = "call resumed over another connection to %s: %s")
     void callResumed(String address, String found);
+
+    /**
+     * A large response has arrived whole from the gate of another node, in parts.
+     *
+     * @param address address of the gate's node
+     * @param bytes   size of the response, in bytes
+     * @param millis  time from its first part to its last, in milliseconds
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 2022, value = "response from %s streamed: %d bytes in %d ms")
+    void responseStreamed(String address, int bytes, long millis);
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -161,6 +161,7 @@
         metrics.gauge("frames.receivedBytes", () -> traffic::receivedBytes);
         metrics.gauge("frames.silentConnections", () -> traffic::silentConnections);
         metrics.gauge("frames.resumedCalls", () -> traffic::resumedCalls);
+        metrics.gauge("entry.streamedResponses", () -> directory::streamedResponses);
         metrics.gauge("members.known", () -> () -> members.members().size());
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -110,6 +110,7 @@
                 new FramedGate(core.gate(), packing, core.members().self().getBoot(), loop, clock);
         core.frameServer().on(FrameKind.CALL, (CallMessage call) -> gate.call(call));
         core.frameServer().on(FrameKind.RESUME, (CallMessage request) -> gate.resume(request));
+        core.frameServer().on(FrameKind.PART, (CallMessage request) -> gate.part(request));
         core.frameServer().on(FrameKind.CANCEL, (CallMessage call) -> gate.cancel(call));
         core.directory()
                 .useFrames(new ServerDirectory.FrameTransport(
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/ExchangeSimulation.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/ExchangeSimulation.java
@@ -100,7 +100,7 @@
 
     private void send(InetSocketAddress to, InetSocketAddress next) {
         GateLink link = new GateLink.ForFrames(
-                new Network(), to, gates.get(to).boot, packing, numbers::incrementAndGet, LOOP, clock, null);
+                new Network(), to, gates.get(to).boot, packing, numbers::incrementAndGet, LOOP, clock, null, null);
         RequestHeaders headers = RequestHeaders.builder(HttpMethod.POST, "/")
                 .set(CallHeaders.SERVICE, GateFixture.SERVICE)
                 .set(CallHeaders.TIMEOUT, Timeout.format(CALL_TIMEOUT_MILLIS * Clock.NANOS_PER_MILLI))
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/SilentConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/SilentConnectionTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -9,15 +10,18 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.Exchange;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.frame.CallMessage;
 import io.mustardusher.frame.Credential;
@@ -73,12 +77,21 @@
         server.on(FrameKind.CALL, (CallMessage call) -> gate.call(call))
                 .on(FrameKind.RESUME, (CallMessage call) -> gate.resume(call))
                 .on(FrameKind.CANCEL, (CallMessage call) -> gate.cancel(call))
+                .on(FrameKind.PART, (CallMessage call) -> gate.part(call))
                 .on(FrameKind.PROBE, (ProbeQuestion question) -> CompletableFuture.completedFuture(new ProbeAnswer()));
         int port = server.start("127.0.0.1", 0, group, Transport.of(group).serverChannelType());
         relay = new SilentRelay(new InetSocketAddress("127.0.0.1", port));
         client = new FrameClient(group, Transport.of(group).socketChannelType(), credential, traffic, CLOCK);
         link = new GateLink.ForFrames(
-                client, relay.address(), BOOT, packing, new AtomicLong()::incrementAndGet, group.next(), CLOCK, null);
+                client,
+                relay.address(),
+                BOOT,
+                packing,
+                new AtomicLong()::incrementAndGet,
+                group.next(),
+                CLOCK,
+                new PartFetcher(client, relay.address(), new TransferMemory(), CLOCK),
+                null);
     }
 
     @AfterEach
@@ -124,15 +137,30 @@
         assertThat(relay.accepted()).isEqualTo(2);
     }
 
+    @Test
+    void downloadGoesOnOverAnotherConnection() {
+        byte[] body = new byte[4 << 20];
+        Arrays.fill(body, (byte) 'x');
+        response.complete(AggregatedHttpResponse.of(ResponseHeaders.of(HttpStatus.OK), HttpData.wrap(body)));
+        Exchange exchange = send();
+        await(() -> traffic.receivedBytes() >= 50_000);
+        relay.silenceOpenConnections();
+        AggregatedHttpResponse received = exchange.headers()
+                .thenCompose(exchange::aggregate)
+                .thenCompose(HttpResponse::aggregate)
+                .join();
+        assertThat(received.content().array()).isEqualTo(body);
+        assertThat(traffic.silentConnections()).isEqualTo(1);
+        assertThat(runs.get()).isEqualTo(1);
+    }
+
     /** Guards against connections of a paused node that are given up although they carry bytes again. */
     @Test
     void pausedNodeKeepsItsConnection() {
         CompletableFuture<ResponseHeaders> headers = call();
         arrivals.awaitAdvance(0);
         relay.holdAll();
-        while (relay.accepted() < 2) {
-            Thread.onSpinWait();
-        }
+        await(() -> relay.accepted() == 2);
         relay.release(0);
         response.complete(AggregatedHttpResponse.of(ResponseHeaders.of(HttpStatus.OK), HttpData.ofUtf8("done")));
         assertThat(status(headers)).isEqualTo(HttpStatus.OK);
@@ -143,6 +171,14 @@
         assertThat(traffic.resumedCalls()).isEqualTo(0);
     }
 
+    private static void await(BooleanSupplier condition) {
+        long startNanos = CLOCK.nanoTime();
+        while (!condition.getAsBoolean()) {
+            assertThat(CLOCK.nanoTime() - startNanos).isLessThan(20_000 * Clock.NANOS_PER_MILLI);
+            Thread.onSpinWait();
+        }
+    }
+
     private CompletableFuture<ProbeAnswer> probe() {
         return client.request(relay.address(), FrameKind.PROBE, new ProbeQuestion().withService("s"), 50);
     }
@@ -154,12 +190,15 @@
     }
 
     private CompletableFuture<ResponseHeaders> call() {
+        return send().headers();
+    }
+
+    private Exchange send() {
         RequestHeaders headers = RequestHeaders.builder(HttpMethod.POST, "/")
                 .set(CallHeaders.SERVICE, GateFixture.SERVICE)
                 .set(CallHeaders.TIMEOUT, TIMEOUT_MILLIS + "m")
                 .build();
-        return link.send(HttpRequest.of(headers), TIMEOUT_MILLIS * Clock.NANOS_PER_MILLI, new CompletableFuture<>())
-                .headers();
+        return link.send(HttpRequest.of(headers), TIMEOUT_MILLIS * Clock.NANOS_PER_MILLI, new CompletableFuture<>());
     }
 
     private static HttpStatus status(CompletableFuture<ResponseHeaders> headers) {
