--- a/mustardusher-node/src/test/java/io/mustardusher/entry/SilentConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/SilentConnectionTest.java
@@ -139,12 +139,11 @@
 
     @Test
     void downloadGoesOnOverAnotherConnection() {
-        byte[] body = new byte[4 << 20];
+        relay.silenceFirstConnectionAfter(50_000);
+        byte[] body = new byte[540_000];
         Arrays.fill(body, (byte) 'x');
         response.complete(AggregatedHttpResponse.of(ResponseHeaders.of(HttpStatus.OK), HttpData.wrap(body)));
         Exchange exchange = send();
-        await(() -> traffic.receivedBytes() >= 50_000);
-        relay.silenceOpenConnections();
         AggregatedHttpResponse received = exchange.headers()
                 .thenCompose(exchange::aggregate)
                 .thenCompose(HttpResponse::aggregate)
--- a/mustardusher-node/src/test/java/io/mustardusher/frame/SilentRelay.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/frame/SilentRelay.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
@@ -25,6 +26,7 @@
     private final InetSocketAddress target;
     private final List<Relayed> relayed = new CopyOnWriteArrayList<>();
     private volatile boolean holding;
+    private volatile long firstConnectionBytes = Long.MAX_VALUE;
 
     /**
      * Starts a relay.
@@ -52,6 +54,15 @@
         relayed.forEach(connection -> connection.silent = true);
     }
 
+    /**
+     * Silences the first connection, which must not be open yet, once it has carried a number of bytes.
+     *
+     * @param bytes number of bytes in both directions together
+     */
+    public void silenceFirstConnectionAfter(long bytes) {
+        firstConnectionBytes = bytes;
+    }
+
     /** Holds back the bytes of all connections, also of new ones, until each is released. */
     public void holdAll() {
         holding = true;
@@ -89,6 +100,9 @@
         while (true) {
             Socket accepted = listening.accept();
             Relayed connection = new Relayed(accepted, new Socket(target.getAddress(), target.getPort()));
+            if (relayed.isEmpty()) {
+                connection.bytesLeft.set(firstConnectionBytes);
+            }
             if (holding) {
                 connection.held.set(new CountDownLatch(1));
             }
@@ -121,6 +135,7 @@
         private final Socket accepted;
         private final Socket outgoing;
         private final AtomicReference<CountDownLatch> held = new AtomicReference<>();
+        private final AtomicLong bytesLeft = new AtomicLong(Long.MAX_VALUE);
         private volatile boolean silent;
 
         Relayed(Socket accepted, Socket outgoing) {
@@ -135,6 +150,9 @@
             int length = in.read(buffer);
             while (length >= 0) {
                 awaitRelease();
+                if (bytesLeft.addAndGet(-length) < 0) {
+                    silent = true;
+                }
                 if (!silent) {
                     out.write(buffer, 0, length);
                 }
