Choose servers of large answers by their transfer, and keep them in their domain

Cause: the cost of leaving the failure domain is capped at 2.2 service times, which is right for 2 kB but not for 90 kB, and estimates knew nothing of the time that an answer takes on a slow link. Change: from 16 kB on, estimates include the transfer, learned from the parts of earlier answers (TransferRate), behind the bytes that are expected already; slowness counts with the length of a slow spell. While a server of the own domain can answer in time, leaving it costs 0.4 service times a kilobyte without a bound; if none can but another domain's can, that is chosen. Routes below 16 kB, calls without a target and other policies choose as before.

--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
@@ -33,6 +33,9 @@
     /** Penalty for a slow server, in service times; such a server takes about five times as long. */
     private static final double SLOW_PENALTY = 4;
 
+    /** Usual length of the time in which a server is slow, in nanoseconds. */
+    private static final double SLOW_SPELL_NANOS = 150.0 * Clock.NANOS_PER_MILLI;
+
     /** Number of calls per slot, running or queued, from which a server is expected to have no room. */
     private static final int MAX_CALLS_PER_SLOT = 2;
 
@@ -49,6 +52,8 @@
     /** Failure rate and ejection of the server as seen by this entry. */
     private final Ejection ejection = new Ejection();
 
+    private final TransferRate transferRate;
+
     private volatile ReportedLoad lastReport;
 
     /** Whether the server accepts new calls according to the latest information. */
@@ -65,6 +70,20 @@
      * @param servingSinceNanos time at which the server started serving, in nanoseconds
      */
     public ServerLoad(NodeId node, int slots, long oneWayMicros, long servingSinceNanos) {
+        this(node, slots, oneWayMicros, servingSinceNanos, new TransferRate());
+    }
+
+    /**
+     * Creates the load of a server that has not sent a report yet.
+     *
+     * @param node              node beside the server
+     * @param slots             slots that the server announced
+     * @param oneWayMicros      one-way network latency to the node, in microseconds
+     * @param servingSinceNanos time at which the server started serving, in nanoseconds
+     * @param transferRate      rate of large answers from the node
+     */
+    public ServerLoad(NodeId node, int slots, long oneWayMicros, long servingSinceNanos, TransferRate transferRate) {
+        this.transferRate = transferRate;
         this.node = node;
         this.roundTripNanos = 2 * oneWayMicros * Clock.NANOS_PER_MICRO;
         this.servingSinceNanos = servingSinceNanos;
@@ -81,6 +100,15 @@
         return node;
     }
 
+    /**
+     * Returns the rate of large answers from the node.
+     *
+     * @return the rate
+     */
+    public TransferRate transferRate() {
+        return transferRate;
+    }
+
     /**
      * Returns the failure rate and the ejection of the server as seen by this entry.
      *
@@ -199,13 +227,28 @@
      * @return time in nanoseconds
      */
     public double estimatedNanos(long now) {
+        return estimatedNanos(now, SLOW_PENALTY);
+    }
+
+    /**
+     * Estimates the response time for a new call that outlasts the spell in which the server is slow: the call takes
+     * longer by about the length of the spell, which is less than {@link #estimatedNanos} adds for long calls.
+     *
+     * @param now current time, in nanoseconds
+     * @return time in nanoseconds
+     */
+    double estimatedNanosBeyondSlowSpell(long now) {
+        return estimatedNanos(now, Math.min(SLOW_PENALTY, SLOW_SPELL_NANOS / lastReport.serviceNanos));
+    }
+
+    private double estimatedNanos(long now, double slownessPenalty) {
         ReportedLoad last = lastReport;
         double limit = Math.max(1, last.limit * slowStartFraction(now));
         double calls = estimatedCalls(now) + 1;
         double queueing = Math.max(0, calls - limit) / limit;
         double utilization = calls / limit;
         double failurePenalty = ejection.failureRate(now) * FAILURE_PENALTY;
-        double slowPenalty = now - slowUntilNanos < 0 ? SLOW_PENALTY : 0;
+        double slowPenalty = now - slowUntilNanos < 0 ? slownessPenalty : 0;
         return roundTripNanos + last.serviceNanos * (1 + queueing + utilization / 2 + failurePenalty + slowPenalty);
     }
 
@@ -223,6 +266,10 @@
         return roundTripNanos > minRoundTripNanos ? estimate + lastReport.serviceNanos * crossDomainCost : estimate;
     }
 
+    long serviceNanos() {
+        return lastReport.serviceNanos;
+    }
+
     long roundTripNanos() {
         return roundTripNanos;
     }
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerSelection.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerSelection.java
@@ -61,7 +61,7 @@
             slowServers.forEach(tried::remove);
             slowServers.clear();
         }
-        ServerLoad server = policy.choose(pool, tried, random, now, transferCost.cost());
+        ServerLoad server = choose(pool, random, now);
         if (server == null) {
             return Optional.empty();
         }
@@ -71,6 +71,16 @@
         return Optional.of(new Choice(server, movable));
     }
 
+    private ServerLoad choose(ServerPool pool, RandomGenerator random, long now) {
+        boolean byTransfer = policy == RoutingPolicy.LEAST_COST
+                && targetNanos != NO_TARGET
+                && transferCost.largeBytes() > 0
+                && pool.size() > 0;
+        ServerLoad chosen =
+                byTransfer ? LargeAnswerChoice.choose(pool, tried, random, now, transferCost, targetNanos) : null;
+        return chosen == null ? policy.choose(pool, tried, random, now, transferCost.cost()) : chosen;
+    }
+
     /**
      * Records that the gate of a server returned the call in favour of a faster server.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/TransferCost.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/TransferCost.java
@@ -18,6 +18,12 @@
      */
     private static final double MAX_COST = 2.2;
 
+    /**
+     * Average size of request and answer from which a call is large, in bytes. The bytes of one in another failure
+     * domain cost as much as an answer is worth, or more.
+     */
+    private static final double LARGE_BYTES = 16_000;
+
     /** Cost below which a call may be rerouted merely to start without waiting. */
     private static final double LIGHT_COST_LIMIT = 2;
 
@@ -46,7 +52,34 @@
      * @return cost in service times
      */
     public synchronized double cost() {
-        return Math.min(MAX_COST, BASE_COST + COST_PER_KILOBYTE * averageBytes / BYTES_PER_KILOBYTE);
+        return Math.min(MAX_COST, costOfBytes());
+    }
+
+    /**
+     * Returns the cost of sending a call to another failure domain, without an upper bound.
+     *
+     * @return cost in service times
+     */
+    synchronized double costOfBytes() {
+        return BASE_COST + COST_PER_KILOBYTE * averageBytes / BYTES_PER_KILOBYTE;
+    }
+
+    /**
+     * Returns the average size of request and answer.
+     *
+     * @return size in bytes; 0 before the first call
+     */
+    synchronized double averageBytes() {
+        return averageBytes;
+    }
+
+    /**
+     * Returns the size of the answer to expect of a large call, which its server has to transfer.
+     *
+     * @return size in bytes; 0 if calls are not large
+     */
+    public synchronized double largeBytes() {
+        return averageBytes >= LARGE_BYTES ? averageBytes : 0;
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/PartFetcher.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/PartFetcher.java
@@ -12,6 +12,7 @@
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
+import io.mustardusher.routing.TransferRate;
 import io.mustardusher.time.Clock;
 
 /**
@@ -42,12 +43,17 @@
     private final Peers peers;
     private final InetSocketAddress address;
     private final TransferMemory memory;
+    private final TransferRate rate;
     private final Clock clock;
 
     /** Transfers with parts to request, in the order of their next turns. */
     private final Deque<Transfer> queue = new ArrayDeque<>();
 
     private int underWay;
+
+    /** Time of the last part's arrival, or of the first request after a pause, in nanoseconds. */
+    private long busySinceNanos;
+
     private int window = MIN_WINDOW;
 
     /**
@@ -56,12 +62,14 @@
      * @param peers   client of other nodes
      * @param address frame address of the gate's node
      * @param memory  memory for the responses
+     * @param rate    learns from the transfers
      * @param clock   source of time
      */
-    PartFetcher(Peers peers, InetSocketAddress address, TransferMemory memory, Clock clock) {
+    PartFetcher(Peers peers, InetSocketAddress address, TransferMemory memory, TransferRate rate, Clock clock) {
         this.peers = peers;
         this.address = address;
         this.memory = memory;
+        this.rate = rate;
         this.clock = clock;
     }
 
@@ -107,6 +115,9 @@
         if (queue.isEmpty() || underWay >= window) {
             return null;
         }
+        if (underWay == 0) {
+            busySinceNanos = clock.nanoTime();
+        }
         underWay++;
         Transfer transfer = queue.removeFirst();
         int offset = transfer.nextOffset;
@@ -134,7 +145,10 @@
     private void end(Part part, byte[] bytes) {
         synchronized (this) {
             underWay--;
-            long nanos = clock.nanoTime() - part.startNanos;
+            long now = clock.nanoTime();
+            rate.recordTransfer(bytes.length, now - busySinceNanos, now);
+            busySinceNanos = now;
+            long nanos = now - part.startNanos;
             if (nanos <= FAST_PART_NANOS) {
                 window = Math.min(MAX_WINDOW, window + 1);
             } else if (nanos >= SLOW_PART_NANOS) {
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -193,14 +193,19 @@
             server.ejection().startTrial();
         }
         server.recordCallStart();
+        double largeBytes = transferCost.largeBytes();
+        server.transferRate().recordCallStart(largeBytes);
         Optional<InstanceConditions> conditions = router.statedConditions().of(server.node());
         RequestHeaders headersForNode = requestHeaders(remainingNanos, now, movable, conditions);
         Exchange exchange = link.send(body.toRequest(headersForNode), remainingNanos, cancelled);
         exchange.headers().whenComplete((headers, failure) -> {
             if (failure != null) {
                 server.recordCallEnd();
+                server.transferRate().recordCallEnd(largeBytes);
                 onFailure(server, failure);
             } else {
+                exchange.whenComplete()
+                        .whenComplete((ignored, cut) -> server.transferRate().recordCallEnd(largeBytes));
                 onHeaders(server, exchange, headers, conditions);
             }
         });
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -28,6 +28,7 @@
 import io.mustardusher.membership.NodeId;
 import io.mustardusher.routing.ServerLoad;
 import io.mustardusher.routing.ServerPool;
+import io.mustardusher.routing.TransferRate;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.EventExecutor;
 
@@ -189,12 +190,14 @@
             return known;
         }
         long ageMillis = clock.epochMillis() - member.getSince();
+        TransferRate rate = known == null ? new TransferRate() : known.load.transferRate();
         ServerLoad load = new ServerLoad(
                 NodeId.of(member.getId()),
                 (int) member.getSlots(),
                 failureDomain(members.self()).latencyMicrosTo(failureDomain(member), distances),
-                clock.nanoTime() - ageMillis * Clock.NANOS_PER_MILLI);
-        GateLink link = known == null ? createLink(member) : known.link;
+                clock.nanoTime() - ageMillis * Clock.NANOS_PER_MILLI,
+                rate);
+        GateLink link = known == null ? createLink(member, rate) : known.link;
         return new KnownNode(load, link, member.getSince());
     }
 
@@ -202,9 +205,10 @@
      * Creates a link to the gate of a member.
      *
      * @param member record of the gate's node
+     * @param rate   learns from transfers of large answers
      * @return the link
      */
-    private GateLink createLink(MemberRecord member) {
+    private GateLink createLink(MemberRecord member, TransferRate rate) {
         if (member.getId().equals(members.self().getId())) {
             return new GateLink.ForLocal(gate);
         }
@@ -226,7 +230,7 @@
                 transport.callNumbers()::incrementAndGet,
                 transport.loop(),
                 clock,
-                new PartFetcher(transport.peers(), address, transferMemory, clock),
+                new PartFetcher(transport.peers(), address, transferMemory, rate, clock),
                 streams);
     }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/LargeResponseTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/LargeResponseTest.java
@@ -28,6 +28,7 @@
 import io.mustardusher.frame.Peers;
 import io.mustardusher.gate.FramedGate;
 import io.mustardusher.gate.GateFixture;
+import io.mustardusher.routing.TransferRate;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.ImmediateEventExecutor;
 import org.junit.jupiter.api.AfterEach;
@@ -156,7 +157,7 @@
                 new AtomicLong()::incrementAndGet,
                 ImmediateEventExecutor.INSTANCE,
                 clock,
-                new PartFetcher(network, address, memory, clock),
+                new PartFetcher(network, address, memory, new TransferRate(), clock),
                 null);
     }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/SilentConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/SilentConnectionTest.java
@@ -35,6 +35,7 @@
 import io.mustardusher.generated.ProbeAnswer;
 import io.mustardusher.generated.ProbeQuestion;
 import io.mustardusher.http.Transport;
+import io.mustardusher.routing.TransferRate;
 import io.mustardusher.time.Clock;
 import io.netty.channel.EventLoopGroup;
 import org.junit.jupiter.api.AfterEach;
@@ -90,7 +91,7 @@
                 new AtomicLong()::incrementAndGet,
                 group.next(),
                 CLOCK,
-                new PartFetcher(client, relay.address(), new TransferMemory(), CLOCK),
+                new PartFetcher(client, relay.address(), new TransferMemory(), new TransferRate(), CLOCK),
                 null);
     }
 
