--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -65,6 +65,9 @@
     /** Conditions that the backend server stated in an answer; only between nodes. */
     public static final AsciiString CONDITIONS = AsciiString.cached("mustardusher-conditions");
 
+    /** Size of the whole response if only its first part follows, in bytes; only between nodes. */
+    public static final AsciiString LENGTH = AsciiString.cached("mustardusher-length");
+
     /** Class of the call; only between nodes. */
     public static final AsciiString CLASS = AsciiString.cached("mustardusher-class");
 
@@ -115,7 +118,7 @@
 
     /** Response headers that only nodes may set. */
     private static final List<AsciiString> NODE_RESPONSE_HEADERS =
-            List.of(OUTCOME, CODE, LOAD, CRASH, CONDITIONS, RETRY_DELAY);
+            List.of(OUTCOME, CODE, LOAD, CRASH, CONDITIONS, LENGTH, RETRY_DELAY);
 
     private static final Set<AsciiString> STRIPPED_FROM_CALLER_REQUESTS = union(HOP_BY_HOP, NODE_REQUEST_HEADERS);
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -31,6 +31,7 @@
 import io.mustardusher.membership.NodeId;
 import io.mustardusher.routing.ServerLoad;
 import io.mustardusher.routing.ServerPool;
+import io.mustardusher.routing.TransferRate;
 import io.mustardusher.routing.UsualServiceTime;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.EventExecutor;
@@ -57,6 +58,9 @@
 
     private final Clock clock;
 
+    /** Memory for large responses that are arriving from other nodes. */
+    private final TransferMemory transferMemory = new TransferMemory();
+
     /** Present nodes by their process. */
     private Map<String, KnownNode> nodes = Map.of();
 
@@ -180,6 +184,15 @@
         return Optional.ofNullable(nodes.get(id + "@" + boot)).map(KnownNode::link);
     }
 
+    /**
+     * Returns the number of large responses that arrived whole in parts.
+     *
+     * @return number since the start of the process
+     */
+    public long streamedResponses() {
+        return transferMemory.transferred();
+    }
+
     /** Rebuilds the directory if the member table or the evacuation orders have changed. */
     public synchronized void refresh() {
         long currentVersion = members.version();
@@ -251,13 +264,15 @@
             return known;
         }
         long ageMillis = clock.epochMillis() - member.getSince();
+        TransferRate rate = known == null ? new TransferRate() : known.load.transferRate();
         ServerLoad load = new ServerLoad(
                 NodeId.of(member.getId()),
                 (int) member.getSlots(),
                 failureDomain(members.self()).latencyMicrosTo(failureDomain(member), distances),
                 clock.nanoTime() - ageMillis * Clock.NANOS_PER_MILLI,
-                usualServiceTime(member));
-        GateLink link = known == null ? createLink(member) : known.link;
+                usualServiceTime(member),
+                rate);
+        GateLink link = known == null ? createLink(member, rate) : known.link;
         return new KnownNode(load, link, member.getSince());
     }
 
@@ -273,9 +288,10 @@
      * Creates a link to the gate of a member.
      *
      * @param member record of the gate's node
+     * @param rate   learns from transfers of large answers
      * @return the link
      */
-    private GateLink createLink(MemberRecord member) {
+    private GateLink createLink(MemberRecord member, TransferRate rate) {
         if (member.getId().equals(members.self().getId())) {
             return new GateLink.ForLocal(gate);
         }
@@ -297,6 +313,7 @@
                 transport.callNumbers()::incrementAndGet,
                 transport.loop(),
                 clock,
+                new PartFetcher(transport.peers(), address, transferMemory, rate, clock),
                 streams);
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
@@ -57,7 +57,10 @@
     PING(Ping.class, Ping.class),
 
     /** Requests the age of the routes of the receiver; the request holds that of the sender. */
-    FRESHNESS(FreshnessRecord.class, FreshnessRecord.class);
+    FRESHNESS(FreshnessRecord.class, FreshnessRecord.class),
+
+    /** Requests a part of a large response; the reply holds the part, or no body if the response is not kept. */
+    PART(CallMessage.class, CallMessage.class);
 
     private final MessageCodec requestCodec;
 
