Limit the calls of client accounts over all nodes

Cause: an account's ratePerS and burst were decoded but limited nothing. A static part of 1/N at each node refuses most calls of an account whose calls arrive at few nodes; free counting exceeds the bound in a partition.

Change: each node delegates its share of every limit to a coordinator for about a second at a time. Coordinators grant tokens within the shares that they hold; entries hold a call for at most 100 ms until its token arrives, and answer 429 with the time of the next token otherwise. Nothing is sent and no timer runs while no account is limited.

Not measured on a deployment in this commit.

--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -41,6 +41,9 @@
     /** Number of the result code. */
     public static final AsciiString CODE = AsciiString.cached("mustardusher-code");
 
+    /** Time after which a refused call may be sent again, in the format of gRPC; absent if it is not known. */
+    public static final AsciiString RETRY_AFTER = AsciiString.cached("mustardusher-retry-after");
+
     /** Load of the gate that sends the answer. */
     public static final AsciiString LOAD = AsciiString.cached("mustardusher-load");
 
@@ -80,7 +83,7 @@
     /** Priority of the call's route within its class, 0 is the highest and the default; only between nodes. */
     public static final AsciiString ROUTE_PRIORITY = AsciiString.cached("mustardusher-route-priority");
 
-    /** Shortest time after which a refused caller should return, in milliseconds. */
+    /** Shortest time after which a refused caller should return, in milliseconds, to which a random part is added. */
     public static final AsciiString RETRY_DELAY = AsciiString.cached("mustardusher-retry-delay");
 
     /** Value of {@link #ROLE} for the home of an idempotency key. */
@@ -118,7 +121,7 @@
 
     /** Response headers that only nodes may set. */
     private static final List<AsciiString> NODE_RESPONSE_HEADERS =
-            List.of(OUTCOME, CODE, LOAD, CRASH, CONDITIONS, LENGTH, RETRY_DELAY);
+            List.of(OUTCOME, CODE, RETRY_AFTER, LOAD, CRASH, CONDITIONS, LENGTH, RETRY_DELAY);
 
     private static final Set<AsciiString> STRIPPED_FROM_CALLER_REQUESTS = union(HOP_BY_HOP, NODE_REQUEST_HEADERS);
 
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Problem.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Problem.java
@@ -32,6 +32,8 @@
     /** Value of the retry-after header, in seconds. */
     private static final String RETRY_AFTER_SECONDS = "1";
 
+    private static final double NANOS_PER_SECOND = 1e9;
+
     /**
      * Creates the problem details of a result code.
      *
@@ -102,11 +104,27 @@
     public static HttpResponse response(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         if (cause instanceof MustardusherException coded) {
-            return response(coded.code(), coded.getMessage());
+            ResponseHeadersBuilder headers = headers(coded.code());
+            coded.retryAfterNanos().ifPresent(nanos -> setRetryAfter(headers, nanos));
+            return HttpResponse.of(
+                    headers.build(), HttpData.ofUtf8(Schema.write(of(coded.code(), coded.getMessage()))));
         }
         return response(ResultCode.CONNECTION_LOST, "internal failure");
     }
 
+    /**
+     * Sets the time after which a refused call may be sent again: in whole seconds for callers, and exactly for the
+     * protocols that allow fractions of a second.
+     *
+     * @param headers headers of the response
+     * @param nanos   the time, in nanoseconds
+     */
+    public static void setRetryAfter(ResponseHeadersBuilder headers, long nanos) {
+        long seconds = Math.max(1, (long) Math.ceil(nanos / NANOS_PER_SECOND));
+        headers.set(HttpHeaderNames.RETRY_AFTER, Long.toString(seconds));
+        headers.set(CallHeaders.RETRY_AFTER, Timeout.format(nanos));
+    }
+
     /**
      * Creates the headers of the response for a result code.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -1,6 +1,7 @@
 package io.mustardusher.entry;
 
 import java.util.EnumSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
@@ -15,6 +16,7 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
+import io.mustardusher.account.Account;
 import io.mustardusher.admission.EventLoopDelay;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
@@ -74,6 +76,9 @@
     /** Time from the arrival of a call to the end of its response. */
     private final Timer served;
 
+    /** Limits the calls of client accounts; {@code null} if nothing does. */
+    private AccountAllowances allowances;
+
     /** Whether further calls are rejected. */
     private volatile boolean stopping;
 
@@ -119,6 +124,15 @@
         return callerConnections;
     }
 
+    /**
+     * Sets what limits the calls of client accounts. Called before the first call.
+     *
+     * @param accountAllowances the limits
+     */
+    public void limitAccounts(AccountAllowances accountAllowances) {
+        allowances = accountAllowances;
+    }
+
     /** Closes each caller's connection after its next response. Calls are still accepted. */
     public void drainConnections() {
         draining = true;
@@ -216,17 +230,32 @@
         if (keyed) {
             return acceptKeyed(exchange, call, request, length);
         }
-        CompletableFuture<Void> cancelled = exchange.cancelled();
         if (length == 0) {
             request.abort();
-            return router.route(call, CallBody.Buffered.EMPTY, idempotent, cancelled);
+            return route(exchange, call, request, CallBody.Buffered.EMPTY);
         }
         if (length > MAX_BUFFERED_BODY_BYTES) {
             abortAtDeadline(exchange, call, request);
-            return router.route(call, new CallBody.Streamed(request), idempotent, cancelled);
+            return route(exchange, call, request, new CallBody.Streamed(request));
         }
         return HttpResponse.of(bufferBody(exchange, call, request)
-                .thenApply(body -> router.route(call, body, idempotent, cancelled))
+                .thenApply(body -> route(exchange, call, request, body))
+                .exceptionally(failure -> rejectAfterBody(request, failure)));
+    }
+
+    // A limited call needs its token only now, so that a slow body does not hold one until it expires.
+    private HttpResponse route(RequestExchange exchange, Call call, HttpRequest request, CallBody body) {
+        boolean idempotent = call.isIdempotent();
+        CompletableFuture<Void> cancelled = exchange.cancelled();
+        Optional<Account> limited = call.options().account().filter(Account::isLimited);
+        if (limited.isEmpty() || allowances == null) {
+            return router.route(call, body, idempotent, cancelled);
+        }
+        CompletableFuture<Void> token = allowances.acquire(limited.get(), call.deadlineNanos(), cancelled);
+        if (token.isDone() && !token.isCompletedExceptionally()) {
+            return router.route(call, body, idempotent, cancelled);
+        }
+        return HttpResponse.of(token.thenApply(granted -> router.route(call, body, idempotent, cancelled))
                 .exceptionally(failure -> rejectAfterBody(request, failure)));
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameKind.java
@@ -1,5 +1,7 @@
 package io.mustardusher.frame;
 
+import io.mustardusher.generated.AllowanceReply;
+import io.mustardusher.generated.AllowanceRequest;
 import io.mustardusher.generated.CatalogueDelta;
 import io.mustardusher.generated.CataloguePull;
 import io.mustardusher.generated.ClaimGroupRecord;
@@ -60,7 +62,10 @@
     FRESHNESS(FreshnessRecord.class, FreshnessRecord.class),
 
     /** Requests a part of a large response; the reply holds the part, or no body if the response is not kept. */
-    PART(CallMessage.class, CallMessage.class);
+    PART(CallMessage.class, CallMessage.class),
+
+    /** Delegates a share of the limits of accounts, and requests tokens for their calls. */
+    ALLOWANCE(AllowanceRequest.class, AllowanceReply.class);
 
     private final MessageCodec requestCodec;
 
--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
@@ -53,6 +53,9 @@
     /** Generation of the table service in which the row of this node was written; negative if it was not written. */
     private volatile long registeredGeneration = -1;
 
+    /** Number of rows found by the last complete scan; 0 before the first. */
+    private volatile int registeredNodes;
+
     /**
      * Creates a discovery.
      *
@@ -116,6 +119,15 @@
         return logFailure(removed, "unregister");
     }
 
+    /**
+     * Returns the number of nodes that have a row in the table service, running or not.
+     *
+     * @return the number as of the last scan that found all rows; 0 before the first
+     */
+    public int registeredNodes() {
+        return registeredNodes;
+    }
+
     /**
      * Contacts a few nodes from the table service and the settings.
      *
@@ -130,7 +142,11 @@
                     NodeLog.LOG.storeFailed("peer discovery", String.valueOf(failure.getMessage()));
                     return List.of();
                 });
-        return rows.thenCompose(this::contactSome);
+        return rows.thenCompose(found -> {
+            boolean complete = !found.isEmpty() && found.size() < SCAN_LIMIT;
+            registeredNodes = complete ? found.size() : registeredNodes;
+            return contactSome(found);
+        });
     }
 
     // Without it, nodes of a large deployment would contact the first ones only.
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -372,6 +372,38 @@
     @Message(id = 2006, value = "call %s: server of %s gave no answer, code %d after %d ms: %s")
     void dispatchFailed(String call, String service, int code, long millis, String detail);
 
+    /**
+     * Another node coordinates a group of accounts.
+     *
+     * @param group       number of the group
+     * @param coordinator the coordinator
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 1401, value = "allowances of group %d are coordinated by %s")
+    void coordinatorChanged(int group, String coordinator);
+
+    /**
+     * Calls of an account exceeded its limit.
+     *
+     * @param account name of the account
+     * @param refused number of calls refused since the last report
+     * @param granted number of calls admitted since the last report
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 1402, value = "account %s exceeded its limit: %d calls refused, %d admitted")
+    void accountLimited(String account, long refused, long granted);
+
+    /**
+     * It could not be determined whether calls were within the limit of their account.
+     *
+     * @param account    name of the account
+     * @param unanswered number of calls refused since the last report
+     * @param coordinator coordinator of the account
+     */
+    @LogMessage(level = Logger.Level.WARN)
+    @Message(id = 1403, value = "allowance of account %s unknown: %d calls refused, coordinator %s")
+    void allowanceUnknown(String account, long unanswered, String coordinator);
+
     /**
      * The settings were reloaded, or could not be.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -426,6 +426,15 @@
         return directory;
     }
 
+    /**
+     * Returns the number of nodes that have a row in the table service.
+     *
+     * @return the number; 0 before the first complete scan
+     */
+    int registeredNodes() {
+        return discovery.registeredNodes();
+    }
+
     /**
      * Registers this node if it is not registered yet, and discovers peers if no other active member is known,
      * otherwise at random. The probability falls with the number of members, which bounds the load on the table service
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -13,11 +13,13 @@
 import io.mustardusher.admin.MetricsResource;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.admission.ColdPolicy;
+import io.mustardusher.allowance.AllowanceBounds;
 import io.mustardusher.budget.SharedAllowance;
 import io.mustardusher.call.CallerProtocol;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.call.NestedCallProtocol;
 import io.mustardusher.call.Problem;
+import io.mustardusher.entry.AccountAllowances;
 import io.mustardusher.entry.Entry;
 import io.mustardusher.entry.RetryPolicyFactory;
 import io.mustardusher.entry.Router;
@@ -26,6 +28,7 @@
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.gate.FramedGate;
 import io.mustardusher.gate.Gate;
+import io.mustardusher.generated.AllowanceRequest;
 import io.mustardusher.generated.Announcement;
 import io.mustardusher.generated.CataloguePull;
 import io.mustardusher.generated.FreshnessRecord;
@@ -86,16 +89,30 @@
     /** Present where revoked keys have to be refused within a bound. */
     private final Optional<RouteFreshness> freshness;
 
+    private final AccountAllowances allowances;
     private volatile boolean stopping;
 
     /**
-     * Creates a node without starting it.
+     * Creates a node without starting it, with the default bounds on the requests of client accounts.
      *
      * @param settings    the settings
      * @param bounds      bounds of retries
      * @param environment adapter to the platform
      */
     public RoutedNode(NodeSettings settings, RetryBounds bounds, NodeEnvironment environment) {
+        this(settings, bounds, AllowanceBounds.DEFAULT, environment);
+    }
+
+    /**
+     * Creates a node without starting it.
+     *
+     * @param settings        the settings
+     * @param bounds          bounds of retries
+     * @param allowanceBounds bound on the requests of a client account
+     * @param environment     adapter to the platform
+     */
+    public RoutedNode(
+            NodeSettings settings, RetryBounds bounds, AllowanceBounds allowanceBounds, NodeEnvironment environment) {
         this.settings = settings;
         this.environment = environment;
         this.bounds = bounds;
@@ -114,18 +131,7 @@
         routes = new RouteReplica(environment::decodeRoutes, core.frames(), core.timers(), this::routesChanged);
         TableService table = environment.openTable(core.group());
         core.configureGossip(routes, table);
-        HeaderPacking packing = new HeaderPacking(environment.frequentHeaders());
-        EventExecutor loop = core.group().next();
-        FramedGate gate =
-                new FramedGate(core.gate(), packing, core.members().self().getBoot(), loop, clock);
-        core.frameServer().on(FrameKind.CALL, (CallMessage call) -> gate.call(call));
-        core.frameServer().on(FrameKind.RESUME, (CallMessage request) -> gate.resume(request));
-        core.frameServer().on(FrameKind.PART, (CallMessage request) -> gate.part(request));
-        core.frameServer().on(FrameKind.CANCEL, (CallMessage call) -> gate.cancel(call));
-        core.directory()
-                .useFrames(new ServerDirectory.FrameTransport(
-                        core.frames(), packing, new AtomicLong(core.random().nextLong()), loop));
-        core.frameServer().on(FrameKind.ROUTES, (CataloguePull request) -> routes.answer(request));
+        serveCalls();
         Router router = new Router(
                 core.directory(),
                 core.suspects(),
@@ -145,17 +151,10 @@
                 version -> freshness.isEmpty() || freshness.get().acceptsKeys(version));
         protocol = new NestedCallProtocol(callers, core.gate().runningCalls(), core.metrics());
         entry = new Entry(router, null, protocol, call -> {}, core.eventLoopDelay(), clock, core.metrics());
+        allowances = createAllowances(allowanceBounds);
+        entry.limitAccounts(allowances);
         listener = new HttpListener(core.group(), clock, core.metrics());
-        core.metrics().gauge("routes.version", () -> routes::revision);
-        core.metrics().gauge("routes.unreadable", () -> () -> routes.current().unreadable());
-        core.metrics()
-                .gauge(
-                        "accounts.known",
-                        () -> () -> routes.current().accounts().accounts().size());
-        core.metrics()
-                .gauge(
-                        "accounts.unreadable",
-                        () -> () -> routes.current().accounts().unreadable());
+        registerGauges();
     }
 
     /**
@@ -276,6 +275,7 @@
         core.directory().endSlowStartWhenMeasured(service -> table.coldStart(service.value())
                 .isPresent());
         core.directory().refresh();
+        allowances.configure(table.version(), table.accounts().accounts());
         core.gate()
                 .configureColdStart(environment
                         .coldBounds()
@@ -284,6 +284,48 @@
         freshness.ifPresent(proof -> core.timers().execute(proof::tick));
     }
 
+    private void serveCalls() {
+        HeaderPacking packing = new HeaderPacking(environment.frequentHeaders());
+        EventExecutor loop = core.group().next();
+        FramedGate gate =
+                new FramedGate(core.gate(), packing, core.members().self().getBoot(), loop, clock);
+        core.frameServer().on(FrameKind.CALL, (CallMessage call) -> gate.call(call));
+        core.frameServer().on(FrameKind.RESUME, (CallMessage request) -> gate.resume(request));
+        core.frameServer().on(FrameKind.PART, (CallMessage request) -> gate.part(request));
+        core.frameServer().on(FrameKind.CANCEL, (CallMessage call) -> gate.cancel(call));
+        core.frameServer().on(FrameKind.ROUTES, (CataloguePull request) -> routes.answer(request));
+        core.directory()
+                .useFrames(new ServerDirectory.FrameTransport(
+                        core.frames(), packing, new AtomicLong(core.random().nextLong()), loop));
+    }
+
+    private void registerGauges() {
+        core.metrics().gauge("routes.version", () -> routes::revision);
+        core.metrics().gauge("routes.unreadable", () -> () -> routes.current().unreadable());
+        core.metrics()
+                .gauge(
+                        "accounts.known",
+                        () -> () -> routes.current().accounts().accounts().size());
+        core.metrics()
+                .gauge(
+                        "accounts.unreadable",
+                        () -> () -> routes.current().accounts().unreadable());
+    }
+
+    private AccountAllowances createAllowances(AllowanceBounds bound) {
+        AccountAllowances created = new AccountAllowances(
+                core.members(),
+                core::registeredNodes,
+                bound,
+                core.frames(),
+                core.group().next(),
+                clock,
+                core.random(),
+                core.metrics());
+        core.frameServer().on(FrameKind.ALLOWANCE, (AllowanceRequest request) -> created.answer(request));
+        return created;
+    }
+
     private RouteFreshness createFreshness(long boundNanos) {
         RouteFreshness created = new RouteFreshness(
                 core.members(),
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/ManualTimers.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/ManualTimers.java
@@ -31,6 +31,15 @@
         nowNanos = end;
     }
 
+    /**
+     * Returns the number of tasks that are scheduled.
+     *
+     * @return number of tasks that have neither run nor been cancelled
+     */
+    public int scheduled() {
+        return (int) tasks.stream().filter(task -> !task.isDone()).count();
+    }
+
     @Override
     public ScheduledFuture<?> schedule(Runnable command, long delay, TimeUnit unit) {
         return schedule(
--- a/mustardusher-node/src/test/java/io/mustardusher/frame/MessageCodecTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/frame/MessageCodecTest.java
@@ -6,6 +6,10 @@
 import java.util.Random;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.mustardusher.generated.AllowanceAsk;
+import io.mustardusher.generated.AllowanceGrant;
+import io.mustardusher.generated.AllowanceReply;
+import io.mustardusher.generated.AllowanceRequest;
 import io.mustardusher.generated.EvacuationRecord;
 import io.mustardusher.generated.Gossip;
 import io.mustardusher.generated.MemberRecord;
@@ -83,6 +87,43 @@
                 .isEqualTo(new Gossip().withFrom("a").withRevision(3));
     }
 
+    /** The cost that the design note of allowances works out is for messages of these sizes. */
+    @Test
+    void allowancesAreSmall() throws IOException {
+        AllowanceRequest delegation = new AllowanceRequest()
+                .withFrom("node-1234")
+                .withBoot(1_700_000_000_000L)
+                .withSequence(100_000)
+                .withGroup(7)
+                .withStampBoot(1_700_000_000_000L)
+                .withStamp(86_400_000_000_000L)
+                .withValidMillis(1_200)
+                .withMembers(2_000)
+                .withDivisor(2_000);
+        byte[] bare = encode(delegation);
+        delegation
+                .getAsks()
+                .add(new AllowanceAsk()
+                        .withAccount("account-12")
+                        .withNeeded(1)
+                        .withVersion(70_000)
+                        .withRate(284)
+                        .withBurst(142));
+        byte[] asking = encode(delegation);
+        AllowanceReply reply = new AllowanceReply()
+                .withBoot(1_700_000_000_000L)
+                .withStamp(86_400_000_000_000L)
+                .withMembers(2_000);
+        byte[] bareReply = encode(reply);
+        reply.getGrants().add(new AllowanceGrant().withTokens(1).withDelayMicros(66_000));
+        byte[] granting = encode(reply);
+        assertThat(decode(AllowanceRequest.class, asking)).isEqualTo(delegation);
+        assertThat(decode(AllowanceReply.class, granting)).isEqualTo(reply);
+        assertThat(List.of(bare.length, asking.length, bareReply.length, granting.length))
+                .containsExactly(56, 93, 23, 30)
+                .inOrder();
+    }
+
     @Test
     void rejectsListsThatClaimMoreThanTheMessageHolds() {
         byte[] endless = {(byte) 0x93, 1, (byte) 0xc6, 0x7f, 0, 0, 0};
