--- a/mustardusher-core/src/test/java/io/mustardusher/routing/SlowStartTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/routing/SlowStartTest.java
@@ -14,8 +14,9 @@
     private static final int USUAL_MICROS = 8_000;
 
     private final UsualServiceTime usual = new UsualServiceTime(true);
-    private final ServerLoad old = new ServerLoad(NodeId.of("old"), 10, 0, 0, usual);
-    private final ServerLoad starting = new ServerLoad(NodeId.of("new"), 10, 0, NOW - SECOND_NANOS, usual);
+    private final ServerLoad old = new ServerLoad(NodeId.of("old"), 10, 0, 0, usual, new TransferRate());
+    private final ServerLoad starting =
+            new ServerLoad(NodeId.of("new"), 10, 0, NOW - SECOND_NANOS, usual, new TransferRate());
 
     @Test
     void serverThatReportsUsualServiceTimeIsNotSlow() {
@@ -44,8 +45,8 @@
     @Test
     void slowStartDependsOnTimeWhereServersDoNotBecomeCold() {
         UsualServiceTime disabled = new UsualServiceTime(false);
-        ServerLoad other = new ServerLoad(NodeId.of("old"), 10, 0, 0, disabled);
-        ServerLoad timed = new ServerLoad(NodeId.of("new"), 10, 0, NOW - SECOND_NANOS, disabled);
+        ServerLoad other = new ServerLoad(NodeId.of("old"), 10, 0, 0, disabled, new TransferRate());
+        ServerLoad timed = new ServerLoad(NodeId.of("new"), 10, 0, NOW - SECOND_NANOS, disabled, new TransferRate());
         report(other, USUAL_MICROS);
         report(timed, USUAL_MICROS);
         assertThat(timed.estimatedNanos(NOW)).isEqualTo(timedEstimate(1));
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -25,7 +24,6 @@
 import io.mustardusher.admission.EventLoopDelay;
 import io.mustardusher.admission.RetryDelay;
 import io.mustardusher.admission.Ticket;
-import io.mustardusher.budget.TokenBucket;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.PrecedenceHeaders;
 import io.mustardusher.call.Problem;
@@ -64,12 +62,6 @@
      */
     private static final long DEPENDENCY_RETRY_MILLIS = 1_000;
 
-    /**
-     * Timeout of a probe that asks whether the server is cold, in nanoseconds. A server on a busy VM takes longer than
-     * the usual timeout of probes.
-     */
-    private static final long STATEMENT_TIMEOUT_NANOS = 200 * Clock.NANOS_PER_MILLI;
-
     private final Clock clock;
 
     private final Admission admission;
@@ -87,7 +79,7 @@
 
     private final EventLoopDelay eventLoopDelay;
 
-    private final TokenBucket probeBudget;
+    private final ServerProber prober;
 
     /** Calls at the backend server, by which the entry recognises their nested calls. */
     private final RunningCalls runningCalls;
@@ -95,19 +87,13 @@
     /** What the backend server states in its answers. */
     private final ConditionsTracker conditions = new ConditionsTracker();
 
-    /** Whether a health request is pending that asks whether the server is cold. */
-    private final AtomicBoolean statementRequested = new AtomicBoolean();
-
-    /** Whether the server was cold when that was last logged. */
-    private final AtomicBoolean loggedCold = new AtomicBoolean();
-
     /** Receives the instance of a server that states that it is leaving. */
     private volatile Consumer<String> leavingListener = instance -> {};
 
-    private volatile Function<String, String> healthPaths = service -> "/";
-
     private final MetricRegistry metrics;
 
+    private final ColdnessLog coldnessLog;
+
     private final Timer callTimer;
 
     /** Calls that were refused because their nested calls would be. */
@@ -145,11 +131,12 @@
         this.timers = timers;
         this.crashDetector = crashDetector;
         this.callNames = callNames;
-        this.probeBudget = new TokenBucket(clock, 0, 0);
+        this.prober = new ServerProber(clock, admission, conditions);
         this.runningCalls = new RunningCalls(new NestedCallForecast(clock, NodeLog.LOG::rootsRefused));
         this.admission = admission;
         this.eventLoopDelay = eventLoopDelay;
         this.metrics = metrics;
+        this.coldnessLog = new ColdnessLog(metrics);
         this.callTimer = metrics.timer("gate.calls");
         this.rootsRefused = metrics.counter("gate.rootsRefused");
         metrics.gauge("gate.busy", () -> () -> load().busy());
@@ -184,7 +171,7 @@
         long coldMillis = announcement.getColdMillis();
         admission.recordAnnouncement(
                 newServer, coldMillis < 0 ? OptionalLong.empty() : OptionalLong.of(coldMillis * Clock.NANOS_PER_MILLI));
-        logColdness();
+        coldnessLog.update(admission.isCold(), announcement.getInstance());
         if (announcement.getState() == Announcement.State.SERVING) {
             crashDetector.recordRecovery();
             admission.open();
@@ -246,33 +233,15 @@
      */
     public void recordHealth(long coldMillis, long sentNanos) {
         admission.recordHealth(coldMillis * Clock.NANOS_PER_MILLI, sentNanos);
-        logColdness();
+        coldnessLog.update(
+                admission.isCold(),
+                announcement().map(Announcement::getInstance).orElse("-"));
     }
 
-    // Without an answer, calls wait until the bound permits them, and each poll requests a statement again.
     private void requestStatement() {
         Backend current = backend;
-        boolean permitted = current != null && !conditions.current().isLimited();
-        if (!permitted || statementRequested.get() || !probeBudget.tryTake()) {
-            return;
-        }
-        if (statementRequested.compareAndSet(false, true)) {
-            current.link()
-                    .probe(healthPaths.apply(current.announcement().getService()), STATEMENT_TIMEOUT_NANOS)
-                    .whenComplete((answered, failure) -> statementRequested.set(false));
-        }
-    }
-
-    private void logColdness() {
-        boolean cold = admission.isCold();
-        if (loggedCold.compareAndSet(!cold, cold)) {
-            String instance = announcement().map(Announcement::getInstance).orElse("-");
-            if (cold) {
-                NodeLog.LOG.serverCold(instance);
-                metrics.counter("gate.coldStarts").inc();
-            } else {
-                NodeLog.LOG.serverWarm(instance);
-            }
+        if (current != null) {
+            prober.requestStatement(current.link(), current.announcement().getService());
         }
     }
 
@@ -400,8 +369,8 @@
             }
         };
         boolean hasTargetLatency = request.headers().contains(CallHeaders.TARGET);
-        if (hasTargetLatency && mayProbe()) {
-            current.link().probe(healthPaths.apply(service)).thenRun(offer);
+        if (hasTargetLatency && prober.mayProbe()) {
+            prober.probe(current.link(), service).thenRun(offer);
         } else {
             offer.run();
         }
@@ -417,8 +386,8 @@
             return;
         }
         Backend current = backend;
-        if (current != null && mayProbe()) {
-            current.link().probe(healthPaths.apply(current.announcement().getService()));
+        if (current != null && prober.mayProbe()) {
+            prober.probe(current.link(), current.announcement().getService());
         }
         admission.poll();
     }
@@ -448,13 +417,7 @@
      * @param perSecond maximum number of probes per second
      */
     public void enableProbes(Function<String, String> paths, double perSecond) {
-        healthPaths = paths;
-        probeBudget.resize(perSecond, perSecond / 4);
-    }
-
-    // A server that limits the rate of calls is not probed, because probes are requests too.
-    private boolean mayProbe() {
-        return !conditions.current().isLimited() && admission.isSlownessStale() && probeBudget.tryTake();
+        prober.enable(paths, perSecond);
     }
 
     // The metric of an unlimited server is 0, because not all readers of metrics understand infinity.
