--- a/mustardusher-node/src/main/java/io/mustardusher/entry/AccountAllowances.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/AccountAllowances.java
@@ -248,7 +248,7 @@
 
         @Override
         public void refused(long delayNanos) {
-            usage.recordRefused(account.name());
+            usage.recordRefused(account);
             fail(ResultCode.ALLOWANCE_EXCEEDED, "the account is above its limit", withJitter(delayNanos));
         }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/AccountUsage.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/AccountUsage.java
@@ -8,6 +8,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.mustardusher.account.Account;
 import io.mustardusher.account.AccountName;
 import io.mustardusher.allowance.NodeProcess;
 import io.mustardusher.log.NodeLog;
@@ -35,9 +36,11 @@
         counts(account).granted++;
     }
 
-    void recordRefused(AccountName account) {
+    void recordRefused(Account account) {
         metrics.counter("allowance.refused").inc();
-        counts(account).refused++;
+        Counts counts = counts(account.name());
+        counts.refused++;
+        counts.limit = account;
     }
 
     void recordUnanswered(AccountName account) {
@@ -59,6 +62,8 @@
             if (counts.refused > counts.reportedRefused) {
                 NodeLog.LOG.accountLimited(
                         account.value(),
+                        counts.limit.ratePerSecond(),
+                        counts.limit.burst(),
                         counts.refused - counts.reportedRefused,
                         counts.granted - counts.reportedGranted);
             }
@@ -104,6 +109,10 @@
 
         private volatile long granted;
         private volatile long refused;
+
+        /** Limits of the account when a call of it was refused last; {@code null} before that. */
+        private Account limit;
+
         private long unanswered;
         private long reportedGranted;
         private long reportedRefused;
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -385,13 +385,15 @@
     /**
      * Calls of an account exceeded its limit.
      *
-     * @param account name of the account
-     * @param refused number of calls refused since the last report
-     * @param granted number of calls admitted since the last report
+     * @param account       name of the account
+     * @param ratePerSecond limit of the account, in calls per second over all nodes
+     * @param burst         calls that may be served in addition
+     * @param refused       number of calls refused since the last report
+     * @param granted       number of calls admitted since the last report
      */
     @LogMessage(level = Logger.Level.INFO)
-    @Message(id = 1402, value = "account %s exceeded its limit: %d calls refused, %d admitted")
-    void accountLimited(String account, long refused, long granted);
+    @Message(id = 1402, value = "account %s exceeded its limit of %s calls/s, burst %s: %d calls refused, %d admitted")
+    void accountLimited(String account, double ratePerSecond, double burst, long refused, long granted);
 
     /**
      * It could not be determined whether calls were within the limit of their account.
