Refill allowances so that a caller that keeps sending reaches its limit

A bucket refilled at the rate admits rate x window of a caller that keeps sending, burst requests fewer than the limit of a window, so every refusal during an overload was below the limit. The refill is now 1.02 x (rate x window + burst) / window where the bound has room.

--- a/mustardusher-core/src/main/java/io/mustardusher/allowance/AllowanceBounds.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/allowance/AllowanceBounds.java
@@ -27,9 +27,21 @@
      */
     private static final double MIN_REFILL = 0.97;
 
+    /**
+     * Refill rate by which a caller that keeps sending exceeds the limit of each window. The excess covers tokens that
+     * expire unused.
+     */
+    private static final double REACH = 1.02;
+
     /** Capacity of the bucket of an account with a small burst, if the bound has room: few calls vary much. */
     private static final double MIN_CAPACITY = 20;
 
+    /** Largest part of the spare that is used as the advance. Accounts need the capacity every day. */
+    private static final double MAX_ADVANCE_PART = 0.5;
+
+    /** Time of calls that the advance covers, in seconds: the longest time for which no coordinator has the shares. */
+    private static final double ADVANCE_SECONDS = 1.2;
+
     private static final double NANOS_PER_SECOND = 1e9;
 
     /**
@@ -41,12 +53,24 @@
      * @return refill rate, capacity and advance for the sum of all shares
      */
     Plan plan(double ratePerSecond, double burst) {
-        double bound = (ratePerSecond * windowNanos / NANOS_PER_SECOND + burst) * (1 + overage) + slack;
+        double limit = ratePerSecond * windowNanos / NANOS_PER_SECOND + burst;
+        double bound = limit * (1 + overage) + slack;
         double seconds = grantWindowNanos() / NANOS_PER_SECOND;
-        double wanted = Math.max(1, burst);
+        double reaching = REACH * limit * NANOS_PER_SECOND / windowNanos;
+        double wanted = Math.max(1, Math.min(burst, MIN_CAPACITY));
+        double spare = bound - reaching * seconds;
+        if (spare >= wanted) {
+            double advance =
+                    Math.min(spare - wanted, Math.min(ADVANCE_SECONDS * ratePerSecond, MAX_ADVANCE_PART * spare));
+            return new Plan(reaching, spare - advance, advance);
+        }
+        return planWithoutRoom(ratePerSecond, Math.max(1, burst), bound, seconds);
+    }
+
+    private static Plan planWithoutRoom(double ratePerSecond, double wanted, double bound, double seconds) {
         double spare = bound - ratePerSecond * seconds;
         if (spare >= wanted) {
-            double capacity = Math.min(spare, Math.max(MIN_CAPACITY, burst));
+            double capacity = Math.min(spare, Math.max(MIN_CAPACITY, wanted));
             return new Plan(ratePerSecond, capacity, spare - capacity);
         }
         double spareAtLeast = bound - MIN_REFILL * ratePerSecond * seconds;
