Read and write JSON trees without an object mapper

The settings, the rows of the store, the manifest, announcements and problem details are trees, but were read and written by an object mapper, whose initialization (date formats, locales, annotations) took 59 of 234 samples of the main thread of a start. JsonTree reads and writes them with the streaming parser and generator; mappers are created where generated types are read, at first use.

--- a/mustardusher-core/src/main/java/io/mustardusher/schema/Schema.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/schema/Schema.java
@@ -3,8 +3,6 @@
 import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.StreamReadFeature;
-import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -39,12 +37,6 @@
     public static final Schema<Announcement> ANNOUNCEMENT =
             new Schema<>("announcement", Announcement.class, ResultCode.REQUEST_MALFORMED);
 
-    /** Accepts comments and trailing commas, and rejects duplicate keys. */
-    private static final ObjectMapper MAPPER = JsonMapper.builder()
-            .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS, JsonReadFeature.ALLOW_TRAILING_COMMA)
-            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-            .build();
-
     /** Name of the schema file without its extension. */
     private final String name;
 
@@ -75,7 +67,7 @@
      * @return the mapper
      */
     public static ObjectMapper mapper() {
-        return MAPPER;
+        return MapperHolder.MAPPER;
     }
 
     /**
@@ -87,7 +79,7 @@
      */
     public T read(String text) {
         try {
-            return read(MAPPER.readTree(text));
+            return read(JsonTree.read(text));
         } catch (JsonProcessingException e) {
             throw new MustardusherException(code, name + ": " + e.getMessage(), e);
         }
@@ -108,7 +100,7 @@
         if (!errors.isEmpty()) {
             throw new MustardusherException(code, name + ": " + errors);
         }
-        return MAPPER.convertValue(tree, type);
+        return MapperHolder.MAPPER.convertValue(tree, type);
     }
 
     /**
@@ -119,7 +111,7 @@
      */
     public static String write(Object value) {
         try {
-            return MAPPER.writeValueAsString(value);
+            return MapperHolder.MAPPER.writeValueAsString(value);
         } catch (JsonProcessingException e) {
             throw new MustardusherException(ResultCode.REQUEST_MALFORMED, e.getMessage(), e);
         }
@@ -133,6 +125,12 @@
         return compiled;
     }
 
+    /** Holds the mapper, whose initialization is slow, so that programs that only use trees do not initialize it. */
+    private static final class MapperHolder {
+
+        private static final ObjectMapper MAPPER = new JsonMapper(JsonTree.FACTORY);
+    }
+
     /** Holds the factory, whose initialization is slow, so that only programs that read a document initialize it. */
     private static final class FactoryHolder {
 
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Problem.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Problem.java
@@ -11,7 +11,7 @@
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
-import io.mustardusher.schema.Schema;
+import io.mustardusher.schema.JsonTree;
 
 /**
  * Problem details that describe a rejected or failed call to its caller, as in RFC 9457.
@@ -52,6 +52,17 @@
                 code.advice());
     }
 
+    private String toJson() {
+        return JsonTree.write(JsonTree.object()
+                .put("type", type)
+                .put("title", title)
+                .put("status", status)
+                .put("detail", detail)
+                .put("code", code)
+                .put("outcome", outcome)
+                .put("advice", advice));
+    }
+
     /**
      * Creates the response for a result code.
      *
@@ -60,7 +71,8 @@
      * @return the response
      */
     public static HttpResponse response(ResultCode code, String detail) {
-        return HttpResponse.of(headers(code).build(), HttpData.ofUtf8(Schema.write(of(code, detail))));
+        return HttpResponse.of(
+                headers(code).build(), HttpData.ofUtf8(of(code, detail).toJson()));
     }
 
     /**
@@ -107,7 +119,8 @@
             ResponseHeadersBuilder headers = headers(coded.code());
             coded.retryAfterNanos().ifPresent(nanos -> setRetryAfter(headers, nanos));
             return HttpResponse.of(
-                    headers.build(), HttpData.ofUtf8(Schema.write(of(coded.code(), coded.getMessage()))));
+                    headers.build(),
+                    HttpData.ofUtf8(of(coded.code(), coded.getMessage()).toJson()));
         }
         return response(ResultCode.CONNECTION_LOST, "internal failure");
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/MessageCodec.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/MessageCodec.java
@@ -60,23 +60,27 @@
      */
     record ForSchema(Class<?> type) implements MessageCodec {
 
-        private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory())
-                .setAnnotationIntrospector(new JsonArrayFormat())
-                .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
-
         @Override
         public void encode(Object message, ByteBuf out) throws IOException {
             try (OutputStream stream = new ByteBufOutputStream(out)) {
-                MAPPER.writeValue(stream, message);
+                MapperHolder.MAPPER.writeValue(stream, message);
             }
         }
 
         @Override
         public Object decode(ByteBuf in) throws IOException {
             try (InputStream stream = new ByteBufInputStream(in)) {
-                return MAPPER.readValue(stream, type);
+                return MapperHolder.MAPPER.readValue(stream, type);
             }
         }
+
+        /** Holds the mapper, whose initialization is slow, so that it takes place at the first rare message. */
+        private static final class MapperHolder {
+
+            private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory())
+                    .setAnnotationIntrospector(new JsonArrayFormat())
+                    .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+        }
     }
 
     /** Codec of calls, which most frames are. */
--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
@@ -11,10 +11,11 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.mustardusher.generated.MemberRecord;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.membership.MemberTable;
-import io.mustardusher.schema.Schema;
+import io.mustardusher.schema.JsonTree;
 import io.mustardusher.store.Row;
 import io.mustardusher.store.TableService;
 import io.mustardusher.store.Transaction;
@@ -88,7 +89,7 @@
         MemberRecord self = members.self();
         Address address = new Address(self.getHost(), (int) self.getFramePort(), self.getBoot(), domainOf(self));
         Transaction write = Transaction.builder()
-                .put(ROW_PREFIX + self.getId(), Schema.write(address))
+                .put(ROW_PREFIX + self.getId(), JsonTree.write(address.toTree()))
                 .build();
         CompletableFuture<Long> written = table.commit(write);
         // Before the first answer the generation is unknown, and the one of the answer is that of the row.
@@ -213,7 +214,7 @@
 
     private static Optional<JsonNode> parseTree(Row row) {
         try {
-            return Optional.of(Schema.mapper().readTree(row.value()));
+            return Optional.of(JsonTree.read(row.value()));
         } catch (JsonProcessingException e) {
             return Optional.empty();
         }
@@ -247,6 +248,14 @@
 
         private static final int MAX_PORT = 65_535;
 
+        ObjectNode toTree() {
+            return JsonTree.object()
+                    .put("host", host)
+                    .put("framePort", framePort)
+                    .put("boot", boot)
+                    .put("domain", domain);
+        }
+
         /**
          * Reads an address. The host has to be an IP address, because looking up a name would block the event loop.
          *
