Retry contacts with peers that do not listen yet after a start

Cause: a starting node contacted five nodes once. Those that did not listen yet were not tried again; a node without a peer waited for its next discovery, 1 s after the start, which also read the table service again. Failed attempts also used up the transmissions of the node's own record, so that later requests did not contain it and receivers did not learn of it.

Requests for full tables always contain the own record.

--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/Gossiper.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/Gossiper.java
@@ -144,32 +144,37 @@
      * Requests the full member table of a node and merges the answer.
      *
      * @param address address at which the node accepts frames
-     * @return completes when the node has responded or the request has failed
+     * @return completes with whether the node has responded
      */
-    public CompletableFuture<Void> requestFullTable(InetSocketAddress address) {
-        return exchange(address, createMessage(GossipRange.DOMAIN).withFull(true));
+    public CompletableFuture<Boolean> requestFullTable(InetSocketAddress address) {
+        return exchange(address, withSelf(createMessage(GossipRange.DOMAIN)).withFull(true));
     }
 
     /**
      * Announces this node to a node that may not know it, and merges its answer.
      *
      * @param address address at which the node accepts frames
-     * @return completes when the node has responded or the request has failed
+     * @return completes with whether the node has responded
      */
-    public CompletableFuture<Void> announceTo(InetSocketAddress address) {
-        Gossip message = createMessage(GossipRange.OTHER_DOMAINS);
+    public CompletableFuture<Boolean> announceTo(InetSocketAddress address) {
+        return exchange(address, withSelf(createMessage(GossipRange.OTHER_DOMAINS)));
+    }
+
+    // Attempts to reach nodes that do not listen yet use up the transmissions after which the record of this node is
+    // no longer part of messages.
+    private Gossip withSelf(Gossip message) {
         if (!message.getMembers().contains(members.self())) {
             message.getMembers().add(members.self());
         }
-        return exchange(address, message);
+        return message;
     }
 
-    private CompletableFuture<Void> exchange(InetSocketAddress address, Gossip message) {
+    private CompletableFuture<Boolean> exchange(InetSocketAddress address, Gossip message) {
         return send(address, message).handle((answer, failure) -> {
             if (failure == null) {
                 apply(answer);
             }
-            return null;
+            return failure == null;
         });
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
@@ -6,18 +6,24 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.mustardusher.generated.MemberRecord;
 import io.mustardusher.log.NodeLog;
+import io.mustardusher.membership.ContactSchedule;
+import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
 import io.mustardusher.schema.Schema;
 import io.mustardusher.store.Row;
 import io.mustardusher.store.TableService;
 import io.mustardusher.store.Transaction;
+import io.mustardusher.time.Clock;
 import io.netty.util.NetUtil;
 
 /**
@@ -27,18 +33,39 @@
  */
 public final class PeerDiscovery {
 
+    /** Interval between two calls of {@link #tick()}, in milliseconds. */
+    public static final long INTERVAL_MILLIS = 2_000;
+
+    /** Interval at which a starting node calls {@link #retryContacts()}, in milliseconds. */
+    public static final long RETRY_INTERVAL_MILLIS = 50;
+
     /** Key prefix of the rows. */
     private static final String ROW_PREFIX = "nodes/";
 
     /** Maximum number of rows read at once: what the table service returns at most. */
     private static final int SCAN_LIMIT = 500;
 
+    /**
+     * Average number of rounds between two discoveries of a node, to which the number of members is added. The sum
+     * keeps all nodes together below one discovery per round, whatever the size of the cluster.
+     */
+    private static final int BASE_ROUNDS = 15;
+
+    /** Time after a scan during which none is made at random, so that a start takes one scan, in nanoseconds. */
+    private static final long MIN_RANDOM_SCAN_INTERVAL_NANOS = 10_000 * Clock.NANOS_PER_MILLI;
+
     /** Maximum number of nodes of this failure domain whose full member tables are requested. */
     private static final int MAX_LOCAL_CONTACTS = 3;
 
     /** Maximum number of nodes of other failure domains that this node announces itself to. */
     private static final int MAX_REMOTE_CONTACTS = 2;
 
+    /** Maximum number of nodes of this failure domain that are tried. */
+    private static final int MAX_LOCAL_CANDIDATES = MAX_LOCAL_CONTACTS * ContactSchedule.CANDIDATES_PER_CONTACT;
+
+    /** Maximum number of nodes of other failure domains that are tried if this domain has others. */
+    private static final int MAX_REMOTE_CANDIDATES = MAX_REMOTE_CONTACTS * ContactSchedule.CANDIDATES_PER_CONTACT;
+
     private final TableService table;
 
     private final List<InetSocketAddress> seeds;
@@ -47,6 +74,8 @@
 
     private final Gossiper gossiper;
 
+    private final Clock clock;
+
     /** Selects the start of a scan and the nodes to contact. */
     private final Random random;
 
@@ -56,6 +85,12 @@
     /** Number of rows found by the last complete scan; 0 before the first. */
     private volatile int registeredNodes;
 
+    /** Time at which the last scan began, in nanoseconds. */
+    private volatile long lastScanNanos;
+
+    /** Nodes to contact in this failure domain and in others; {@code null} before the first scan. */
+    private volatile List<Contacts> contacts;
+
     /**
      * Creates a discovery.
      *
@@ -63,14 +98,22 @@
      * @param seeds    addresses from the settings
      * @param members  the cluster membership
      * @param gossiper contacts nodes
+     * @param clock    source of time
      * @param random   selects the start of a scan and the nodes to contact
      */
     public PeerDiscovery(
-            TableService table, List<InetSocketAddress> seeds, MemberTable members, Gossiper gossiper, Random random) {
+            TableService table,
+            List<InetSocketAddress> seeds,
+            MemberTable members,
+            Gossiper gossiper,
+            Clock clock,
+            Random random) {
         this.table = table;
         this.seeds = seeds;
         this.members = members;
         this.gossiper = gossiper;
+        this.clock = clock;
+        this.lastScanNanos = clock.nanoTime();
         this.random = random;
     }
 
@@ -134,6 +177,7 @@
      * @return completes when all of them have responded or failed
      */
     public CompletableFuture<Void> discover() {
+        lastScanNanos = clock.nanoTime();
         CompletableFuture<List<Row>> rows = table.scan(ROW_PREFIX, "", SCAN_LIMIT)
                 .thenCompose(found -> found.size() < SCAN_LIMIT
                         ? CompletableFuture.completedFuture(found)
@@ -172,7 +216,7 @@
         Collections.shuffle(shuffled, random);
         Collections.shuffle(remote, random);
         for (Row row : shuffled) {
-            if (local.size() >= MAX_LOCAL_CONTACTS && remote.size() >= MAX_REMOTE_CONTACTS) {
+            if (local.size() > MAX_LOCAL_CANDIDATES && remote.size() >= MAX_REMOTE_CANDIDATES) {
                 break;
             }
             parse(row).ifPresent(address -> {
@@ -184,13 +228,69 @@
         remote.removeIf(own::equals);
         boolean alone = local.isEmpty();
         int remoteContacts = alone ? MAX_LOCAL_CONTACTS + MAX_REMOTE_CONTACTS : MAX_REMOTE_CONTACTS;
-        Stream<CompletableFuture<Void>> contacts = Stream.concat(
-                local.stream().distinct().limit(MAX_LOCAL_CONTACTS).map(gossiper::requestFullTable),
-                remote.stream()
-                        .distinct()
-                        .limit(remoteContacts)
-                        .map(address -> alone ? gossiper.requestFullTable(address) : gossiper.announceTo(address)));
-        return CompletableFuture.allOf(contacts.toArray(CompletableFuture<?>[]::new));
+        contacts = List.of(
+                new Contacts(new ContactSchedule(clock, MAX_LOCAL_CONTACTS, local), gossiper::requestFullTable),
+                new Contacts(
+                        new ContactSchedule(clock, remoteContacts, remote),
+                        alone ? gossiper::requestFullTable : gossiper::announceTo));
+        return contactDue(contacts);
+    }
+
+    private CompletableFuture<Void> contactDue(List<Contacts> due) {
+        return CompletableFuture.allOf(due.stream().map(this::contactDue).toArray(CompletableFuture<?>[]::new));
+    }
+
+    private CompletableFuture<Void> contactDue(Contacts due) {
+        Stream<CompletableFuture<Void>> results = due.schedule.takeDue(activeAddresses()).stream()
+                .map(address -> due.request.apply(address).thenCompose(answered -> {
+                    due.schedule.recordResult(address, answered);
+                    return answered ? CompletableFuture.completedFuture(null) : contactDue(due);
+                }));
+        return CompletableFuture.allOf(results.toArray(CompletableFuture<?>[]::new));
+    }
+
+    private Set<InetSocketAddress> activeAddresses() {
+        return members.members().stream()
+                .filter(member -> MemberState.of(member).isActive())
+                .map(CatalogueReplica::frameAddress)
+                .collect(Collectors.toSet());
+    }
+
+    /**
+     * Contacts nodes again that could not be reached, if it is time to.
+     *
+     * @return whether nodes are left to be contacted, or are not known yet
+     */
+    public boolean retryContacts() {
+        List<Contacts> current = contacts;
+        if (current == null) {
+            return true;
+        }
+        contactDue(current);
+        return current.stream().anyMatch(range -> !range.schedule.isDone());
+    }
+
+    /**
+     * Registers this node if it is not registered yet, and discovers peers if no other active member is known,
+     * otherwise at random. The probability falls with the number of members, which bounds the load on the table service
+     * by all nodes together. The table service is not read again while nodes found before are still being contacted.
+     * Does nothing once the node is leaving. Called every {@value #INTERVAL_MILLIS} ms.
+     */
+    public void tick() {
+        int memberCount = members.members().size();
+        boolean alone = members.randomMembers(1, "").isEmpty();
+        boolean due = clock.nanoTime() - lastScanNanos >= MIN_RANDOM_SCAN_INTERVAL_NANOS
+                && random.nextInt(BASE_ROUNDS + memberCount) == 0;
+        boolean leaving = MemberState.of(members.self()) != MemberState.ALIVE;
+        if (leaving) {
+            return;
+        }
+        register();
+        List<Contacts> current = contacts;
+        boolean contacting = current != null && current.stream().anyMatch(range -> !range.schedule.isDone());
+        if (alone && !contacting || due) {
+            discover();
+        }
     }
 
     private static String domainOf(MemberRecord member) {
@@ -235,6 +335,15 @@
         });
     }
 
+    /**
+     * Contacts in one range.
+     *
+     * @param schedule decides which nodes to contact
+     * @param request  contacts a node; completes with whether it has responded
+     */
+    private record Contacts(
+            ContactSchedule schedule, Function<InetSocketAddress, CompletableFuture<Boolean>> request) {}
+
     /**
      * Address of a node.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -70,15 +70,6 @@
     /** Time after a change of the member table until the server directory reflects it, in milliseconds. */
     private static final long DIRECTORY_REFRESH_MILLIS = 50;
 
-    /** Interval between two rounds of peer discovery, in milliseconds. */
-    private static final long DISCOVERY_INTERVAL_MILLIS = 2_000;
-
-    /**
-     * Average number of rounds between two discoveries of a node, to which the number of members is added. The sum
-     * keeps all nodes together below one discovery per round, whatever the size of the cluster.
-     */
-    private static final int BASE_DISCOVERY_ROUNDS = 15;
-
     /** Number of members to which a change of this node's record is sent immediately. */
     private static final int CHANGE_FANOUT = 8;
 
@@ -175,7 +166,7 @@
      */
     void configureGossip(ReplicatedConfiguration configuration, TableService table) {
         gossiper = new Gossiper(members, frames, configuration, suspectReplicator, clock);
-        discovery = new PeerDiscovery(table, seeds(settings), members, gossiper, random);
+        discovery = new PeerDiscovery(table, seeds(settings), members, gossiper, clock, random);
         new EvacuationControl(settings.getFailureDomain(), gate, directory, members, gossiper, timers, clock, metrics);
     }
 
@@ -204,7 +195,8 @@
      */
     CompletableFuture<Void> start() {
         long gossip = settings.getGossipIntervalMillis();
-        repeat(this::discoverPeers, DISCOVERY_INTERVAL_MILLIS / 2, DISCOVERY_INTERVAL_MILLIS);
+        repeat(discovery::tick, PeerDiscovery.INTERVAL_MILLIS / 2, PeerDiscovery.INTERVAL_MILLIS);
+        repeatWhile(discovery::retryContacts, PeerDiscovery.RETRY_INTERVAL_MILLIS);
         // On the event loop, which sends the messages: another thread would have to wake it up.
         group.next().scheduleWithFixedDelay(logFailures(gossiper::tick), gossip, gossip, TimeUnit.MILLISECONDS);
         CoalescingTask refresh = new CoalescingTask(group.next(), DIRECTORY_REFRESH_MILLIS, directory::refresh);
@@ -435,25 +427,6 @@
         return discovery.registeredNodes();
     }
 
-    /**
-     * Registers this node if it is not registered yet, and discovers peers if no other active member is known,
-     * otherwise at random. The probability falls with the number of members, which bounds the load on the table service
-     * by all nodes together. Does nothing once the node is leaving.
-     */
-    private void discoverPeers() {
-        int memberCount = members.members().size();
-        boolean alone = members.randomMembers(1, "").isEmpty();
-        boolean due = random.nextInt(BASE_DISCOVERY_ROUNDS + memberCount) == 0;
-        boolean leaving = MemberState.of(members.self()) != MemberState.ALIVE;
-        if (leaving) {
-            return;
-        }
-        discovery.register();
-        if (alone || due) {
-            discovery.discover();
-        }
-    }
-
     private void handleServerCrash() {
         gate.close();
         members.updateSelf(self -> self.setServing(false));
--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/PeerDiscoveryTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/PeerDiscoveryTest.java
@@ -37,7 +37,8 @@
                     .withFramePort(1L),
             new Clock.Manual(),
             new Random(1));
-    private final PeerDiscovery discovery = new PeerDiscovery(table, List.of(), members, null, new Random(1));
+    private final PeerDiscovery discovery =
+            new PeerDiscovery(table, List.of(), members, null, new Clock.Manual(), new Random(1));
 
     @Test
     void writesRowOnce() {
@@ -86,7 +87,7 @@
         CatalogueReplica catalogue = new CatalogueReplica(
                 new CatalogueStore(table, clock), peers, members, clock, new Random(1), changed -> {});
         Gossiper gossiper = new Gossiper(members, peers, catalogue, suspects, clock);
-        new PeerDiscovery(table, List.of(), members, gossiper, new Random(1))
+        new PeerDiscovery(table, List.of(), members, gossiper, clock, new Random(1))
                 .discover()
                 .join();
         assertThat(contacted).containsExactly(new InetSocketAddress("127.0.0.1", 9));
--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/SimultaneousStartTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/SimultaneousStartTest.java
@@ -135,7 +135,7 @@
             SuspectReplicator suspects = new SuspectReplicator(new SuspectTable(clock), peers, table);
             gossiper = new Gossiper(table, peers, new NoConfiguration(), suspects, clock);
             discovery = new PeerDiscovery(
-                    SimultaneousStartTest.this.table, List.of(), table, gossiper, new Random(random.nextLong()));
+                    SimultaneousStartTest.this.table, List.of(), table, gossiper, clock, new Random(random.nextLong()));
             network.on(port, FrameKind.GOSSIP, (Gossip request) -> gossiper.answer(request));
         }
     }
