Serve a view of accounts, allowances, evacuations and servers at routed nodes

Cause: the admin port of a routed node served only metrics. Which accounts and limits are in force, which node coordinates an account, how old the configuration is, which failure domains are evacuated and which server is cold could only be found in the logs. Calls refused at a cold server and revoked keys had no counter.

Change: RoutedNodeResource serves /v1/accounts, /v1/allowances, /v1/evacuations and /v1/servers as JSON to holders of the shared credential, the metrics at all other paths as before. It is created by the first request for it. Keys and digests are no part of it. The counters gate.coldRefused and accounts.revokedKeys are new.

--- a/mustardusher-node/src/main/java/io/mustardusher/entry/AccountAllowances.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/AccountAllowances.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -34,7 +35,7 @@
 /**
  * Limits the calls of client accounts over all nodes: carries the messages of the {@link AccountLimiter}, and holds
  * calls until the decision. It sends nothing and has no timer while no account in force is limited. All methods but
- * {@link #configure} are called on the event loop.
+ * {@link #configure} and {@link #describe(Collection, int)} are called on the event loop.
  */
 public final class AccountAllowances {
 
@@ -157,6 +158,31 @@
         return CompletableFuture.completedFuture(limiter.answer(request));
     }
 
+    /**
+     * Describes the allowances of the accounts with the most calls at this node. May be called by any thread.
+     *
+     * @param accounts accounts to choose from; those without a limit are left out
+     * @param max      maximum number of accounts
+     * @return the allowances, those with the most calls first
+     */
+    public CompletableFuture<List<AllowanceState>> describe(Collection<Account> accounts, int max) {
+        Comparator<Account> byCalls = Comparator.<Account>comparingLong(account -> usage.calls(account.name()))
+                .reversed()
+                .thenComparing(account -> account.name().value());
+        return CompletableFuture.supplyAsync(
+                () -> accounts.stream()
+                        .filter(Account::isLimited)
+                        .sorted(byCalls)
+                        .limit(max)
+                        .map(this::describe)
+                        .toList(),
+                loop);
+    }
+
+    private AllowanceState describe(Account account) {
+        return usage.state(account, limiter.coordinator(account.name()), limiter.heldShare(account.name()));
+    }
+
     private void tick() {
         if (!limiter.isActive() || loop.isShutdown()) {
             ticking = false;
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/AccountUsage.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/AccountUsage.java
@@ -52,6 +52,38 @@
         metrics.counter("allowance.coordinatorChanged").inc();
     }
 
+    /**
+     * Returns the number of calls of an account since the start of the process.
+     *
+     * @param account name of the account
+     * @return number of calls, with those that were refused
+     */
+    long calls(AccountName account) {
+        Counts counts = accounts.get(account);
+        return counts == null ? 0 : counts.granted + counts.refused + counts.unanswered;
+    }
+
+    /**
+     * Returns the state of an account at this node.
+     *
+     * @param account     the account
+     * @param coordinator coordinator of the account; {@code null} if there is none yet
+     * @param heldShare   sum of the shares of the account that this node holds as a coordinator
+     * @return the state
+     */
+    AllowanceState state(Account account, NodeProcess coordinator, double heldShare) {
+        Counts counts = accounts.getOrDefault(account.name(), new Counts());
+        return new AllowanceState(
+                account.name().value(),
+                account.ratePerSecond(),
+                account.burst(),
+                counts.granted,
+                counts.refused,
+                counts.unanswered,
+                coordinator == null ? null : coordinator.id(),
+                heldShare);
+    }
+
     /**
      * Logs the accounts with refused calls since the last report, and selects the accounts with metrics of their own.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -465,6 +465,7 @@
      */
     HttpResponse reject(ResultCode code, RequestHeaders headers) {
         LoadReport load = load();
+        coldnessLog.recordRejection(code, admission);
         DecisionLog.INSTANCE.gateRefused(
                 callNames.apply(headers),
                 headers.get(CallHeaders.SERVICE, ""),
--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/RouteFreshness.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/RouteFreshness.java
@@ -35,6 +35,7 @@
     private final RouteReplica routes;
     private final FreshnessLease lease;
     private final FreshnessRenewal renewal;
+    private final long boundNanos;
 
     /**
      * Creates a proof that has yet to be obtained.
@@ -56,6 +57,7 @@
             Clock clock,
             RandomGenerator random) {
         this.routes = routes;
+        this.boundNanos = boundNanos;
         FreshnessLimits limits = FreshnessLimits.of(boundNanos);
         ElapsedTime time = new ElapsedTime(clock);
         lease = new FreshnessLease(time, limits);
@@ -96,6 +98,15 @@
         return toRecord(lease.state(routes.revision())).getAgeMillis();
     }
 
+    /**
+     * Returns the time after its removal from the routes from which a key must be refused.
+     *
+     * @return the bound, in milliseconds
+     */
+    public long boundMillis() {
+        return boundNanos / Clock.NANOS_PER_MILLI;
+    }
+
     private static FreshnessRecord toRecord(FreshnessStatement statement) {
         FreshnessRecord message = new FreshnessRecord().withVersion(statement.version());
         // Rounded up, because an age must never be too small.
--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/RouteReplica.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/RouteReplica.java
@@ -37,6 +37,9 @@
     private volatile RouteTable current = RouteTable.EMPTY;
     private RouteDocument document = new RouteDocument().withVersion(0);
 
+    /** Number of keys of accounts that later versions have removed. */
+    private volatile long revoked;
+
     /** Last document that could not be decoded. Another text of the same version may be intact. */
     private RouteDocument undecodable;
 
@@ -85,6 +88,15 @@
         pulledListener = listener;
     }
 
+    /**
+     * Returns the number of keys of accounts that later versions have removed.
+     *
+     * @return number of keys since the start of the process
+     */
+    public long revokedKeys() {
+        return revoked;
+    }
+
     @Override
     public long revision() {
         return current.version();
@@ -113,6 +125,7 @@
         current = table;
         NodeLog.LOG.routesInForce(table.version(), table.routes().size(), from);
         if (revokedKeys > 0) {
+            revoked += revokedKeys;
             NodeLog.LOG.keysRevoked(table.version(), revokedKeys);
         }
         try {
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -188,6 +188,15 @@
         gossiper.evacuation().offer(orders);
     }
 
+    /**
+     * Returns the evacuation orders in force.
+     *
+     * @return the orders
+     */
+    EvacuationOrders evacuationOrders() {
+        return gossiper.evacuation().current();
+    }
+
     /** Starts the listener for frames. */
     void listen() {
         frameServer.start(
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -10,13 +10,16 @@
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
+import io.mustardusher.admin.KnownServers;
 import io.mustardusher.admin.MetricsResource;
+import io.mustardusher.admin.RoutedNodeResource;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.admission.ColdPolicy;
 import io.mustardusher.allowance.AllowanceBounds;
 import io.mustardusher.budget.SharedAllowance;
 import io.mustardusher.call.CallerProtocol;
 import io.mustardusher.call.HeaderPacking;
+import io.mustardusher.call.Lazy;
 import io.mustardusher.call.NestedCallProtocol;
 import io.mustardusher.call.Problem;
 import io.mustardusher.entry.AccountAllowances;
@@ -26,6 +29,7 @@
 import io.mustardusher.entry.ServerDirectory;
 import io.mustardusher.frame.CallMessage;
 import io.mustardusher.frame.FrameKind;
+import io.mustardusher.gate.ColdState;
 import io.mustardusher.gate.FramedGate;
 import io.mustardusher.gate.Gate;
 import io.mustardusher.generated.AllowanceRequest;
@@ -170,8 +174,9 @@
     /** Starts the node: opens the listeners, joins the cluster and watches the operator's configuration. */
     public void start() {
         core.listen();
-        MetricsResource metrics = new MetricsResource(core.metrics());
-        listen(address(settings.getPorts().getAdmin()), (request, exchange) -> metrics.page());
+        Lazy<RoutedNodeResource> admin = new Lazy<>(this::createAdminResource);
+        listen(address(settings.getPorts().getAdmin()), (request, exchange) -> admin.get()
+                .handle(request));
         listen(address(settings.getPorts().getGate()), this::handleStreamedCall);
         listener.bind(address(settings.getPorts().getCaller()), entry, protocol::limits);
         addresses.forEach((address, handler) -> listener.bind(address, handler, () -> RequestLimits.NONE));
@@ -306,12 +311,32 @@
                 .gauge(
                         "accounts.known",
                         () -> () -> routes.current().accounts().accounts().size());
+        core.metrics().gauge("accounts.revokedKeys", () -> routes::revokedKeys);
         core.metrics()
                 .gauge(
                         "accounts.unreadable",
                         () -> () -> routes.current().accounts().unreadable());
     }
 
+    // Called by the first request of an operator.
+    private RoutedNodeResource createAdminResource() {
+        KnownServers servers = new KnownServers(
+                core.members(),
+                core.directory(),
+                core::evacuationOrders,
+                service -> routes.current().coldStart(service),
+                () -> ColdState.of(core.gate(), core.metrics()),
+                clock);
+        RoutedNodeResource.Sources sources = new RoutedNodeResource.Sources(
+                routes::current,
+                () -> freshness.map(proof -> new RoutedNodeResource.FreshnessView(
+                        proof.ageMillis(), proof.boundMillis(), proof.acceptsKeys(routes.revision()))),
+                allowances::describe,
+                core::evacuationOrders,
+                servers);
+        return new RoutedNodeResource(new MetricsResource(core.metrics()), core.credential(), sources);
+    }
+
     private AccountAllowances createAllowances(AllowanceBounds bound) {
         AccountAllowances created = new AccountAllowances(
                 core.members(),
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/AccountAllowancesTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/AccountAllowancesTest.java
@@ -135,6 +135,30 @@
         assertThat(granted).isAtMost(110);
     }
 
+    /** Guards against a list for operators that grows with the number of accounts, or omits the largest ones. */
+    @Test
+    void describesAccountsWithMostCallsFirst() {
+        Account idle = new Account(AccountName.of("a-idle"), OptionalInt.empty(), 5, 5);
+        AccountAllowances allowances = started();
+        allowances.configure(2, List.of(idle, ACCOUNT, UNLIMITED));
+        advance(1);
+        int granted = 0;
+        while (isGranted(allowances)) {
+            granted++;
+        }
+        AllowanceState state = describe(allowances, List.of(idle, ACCOUNT, UNLIMITED), 1);
+        assertThat(state).isEqualTo(new AllowanceState("account", 10, 4, granted, 1, 0, "node-0", state.heldShare()));
+        assertThat(state.heldShare()).isGreaterThan(0.0);
+        assertThat(describe(allowances, List.of(idle), 10).granted()).isEqualTo(0);
+    }
+
+    private AllowanceState describe(AccountAllowances allowances, List<Account> accounts, int max) {
+        CompletableFuture<List<AllowanceState>> states = allowances.describe(accounts, max);
+        loop.advance(0);
+        assertThat(states.join()).hasSize(1);
+        return states.join().get(0);
+    }
+
     private AccountAllowances create() {
         return new AccountAllowances(
                 members,
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/ColdServerGateTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/ColdServerGateTest.java
@@ -102,6 +102,20 @@
         assertThat(admission.isCold()).isFalse();
     }
 
+    // Guards against refusals at a cold server that operators cannot tell from those at a full one.
+    @Test
+    void countsCallsRefusedOnlyWhileServerIsCold() {
+        start("i-1");
+        answerProbes();
+        long before = ColdState.of(gate, GateFixture.METRICS).refused();
+        play(2_000);
+        assertThat(ColdState.of(gate, GateFixture.METRICS)).isEqualTo(new ColdState(false, before));
+        coldMillis = 3_000;
+        play(1_000);
+        assertThat(ColdState.of(gate, GateFixture.METRICS).cold()).isTrue();
+        assertThat(ColdState.of(gate, GateFixture.METRICS).refused() - before).isAtLeast(100);
+    }
+
     private void start(String instance) {
         gate = GateFixture.of(clock, timers, admission, instance, SLOTS, new Link());
         gate.enableProbes(service -> "/health", 30);
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/GateFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/GateFixture.java
@@ -25,7 +25,7 @@
     /** Header with the identifier of a call. */
     static final String CALL_ID = "x-call-id";
 
-    private static final MetricRegistry METRICS = new MetricRegistry();
+    static final MetricRegistry METRICS = new MetricRegistry();
 
     private GateFixture() {}
 
--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/RouteReplicaTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/RouteReplicaTest.java
@@ -2,9 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.mustardusher.account.Account;
+import io.mustardusher.account.AccountName;
+import io.mustardusher.account.AccountTable;
+import io.mustardusher.account.KeyDigest;
 import io.mustardusher.entry.ManualTimers;
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.generated.CataloguePull;
@@ -37,6 +42,27 @@
         assertThat(inForce).containsExactly(4L, 9L).inOrder();
     }
 
+    // Guards against a revocation that no metric shows.
+    @Test
+    void countsRevokedKeys() {
+        AccountTable.Builder accounts = AccountTable.builder();
+        Account account = new Account(AccountName.of("a"), OptionalInt.empty(), 0, 0);
+        accounts.add(account, List.of(KeyDigest.of("key-1"), KeyDigest.of("key-2")));
+        AccountTable table = accounts.build();
+        RouteReplica replica = new RouteReplica(
+                document -> RouteTable.builder(document.getVersion())
+                        .accounts(document.getVersion() == 1 ? table : AccountTable.DISABLED)
+                        .build(),
+                network.peersOf(SELF),
+                timers,
+                changed -> {});
+        replica.offer(new RouteDocument().withVersion(1), "test");
+        assertThat(replica.revokedKeys()).isEqualTo(0);
+        replica.offer(new RouteDocument().withVersion(2), "test");
+        replica.offer(new RouteDocument().withVersion(3), "test");
+        assertThat(replica.revokedKeys()).isEqualTo(2);
+    }
+
     @Test
     void keepsPreviousVersionWhenNewOneCannotBeDecoded() {
         offer(4);
--- a/mustardusher-node/src/test/java/io/mustardusher/node/RoutedNodeTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/node/RoutedNodeTest.java
@@ -13,8 +13,12 @@
 import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 
+import com.linecorp.armeria.client.BlockingWebClient;
+import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.auth.AuthToken;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallOptions;
 import io.mustardusher.call.CallerProtocol;
@@ -51,6 +55,31 @@
         assertThat(cutOff).isEqualTo(0);
     }
 
+    // Guards against a view that is open to anyone who reaches the port, or that fails before the node has routes.
+    @Test
+    void servesViewWithCredentialAndMetricsWithout() throws IOException {
+        NodeSettings settings = settings();
+        RoutedNode node =
+                new RoutedNode(settings, new RoutedNode.RetryBounds(1_000_000_000L, 0, 0), new SilentEnvironment());
+        node.start();
+        try {
+            String admin =
+                    "http://" + settings.getHost() + ":" + settings.getPorts().getAdmin();
+            BlockingWebClient anyone = BlockingWebClient.of(admin);
+            BlockingWebClient operator = WebClient.builder(admin)
+                    .auth(AuthToken.ofOAuth2("secret"))
+                    .build()
+                    .blocking();
+            assertThat(anyone.get("/metrics").contentUtf8()).contains("gate_coldRefused 0.0");
+            assertThat(anyone.get("/v1/accounts").status()).isEqualTo(HttpStatus.UNAUTHORIZED);
+            for (String path : List.of("accounts", "allowances", "evacuations", "servers")) {
+                assertThat(operator.get("/v1/" + path).status()).isEqualTo(HttpStatus.OK);
+            }
+        } finally {
+            node.close();
+        }
+    }
+
     private static NodeSettings settings() throws IOException {
         List<Integer> ports = freePorts();
         return new NodeSettings()
