Add commands for accounts, allowances and evacuations to musherctl

Cause: operators need the state of accounts, allowances, evacuations and cold servers without reading JSON.

Change: the commands accounts, allowances and evacuations read the view of a routed node; servers also shows failure domain, evacuation and coldness.

--- a/mustardusher-ctl/src/main/java/io/mustardusher/ctl/MusherCtl.java
+++ b/mustardusher-ctl/src/main/java/io/mustardusher/ctl/MusherCtl.java
@@ -2,9 +2,11 @@
 
 import java.io.PrintWriter;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.linecorp.armeria.common.QueryParams;
 import io.mustardusher.schema.Schema;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -26,6 +28,8 @@
             "  musherctl catalogue put clipserve.jsonc",
             "  musherctl catalogue status 0190f7a2-...",
             "  musherctl explain clipserve --output json",
+            "  musherctl allowances --limit 20",
+            "  musherctl evacuations",
             "  musherctl trace 9c41d07be2a35f68 logs/*.log",
             "  musherctl summary logs/*.log"
         },
@@ -114,7 +118,78 @@
      */
     @Command(name = "servers", description = "Lists the backend servers known to the queried node, with their load.")
     int servers() {
-        return fetchAndPrint("/v1/servers", "", serverColumns());
+        return fetchAndPrint("/v1/servers", "", knownServerColumns());
+    }
+
+    /**
+     * Lists the client accounts, and tells how recent the configuration is that they are part of.
+     *
+     * @return the exit code
+     */
+    @Command(
+            name = "accounts",
+            description = "Lists the client accounts in force at the queried node, with their limits.")
+    int accounts() {
+        AdminClient.Response response = adminClient().get("/v1/accounts");
+        if (response.isSuccess() && output == OutputFormat.TABLE) {
+            out().println(describeConfiguration(response.body()));
+        }
+        return print(
+                response,
+                output == OutputFormat.TABLE ? "accounts" : "",
+                List.of("/account", "/priority", "/ratePerSecond", "/burst"));
+    }
+
+    /**
+     * Lists the allowances of limited accounts.
+     *
+     * @param account name of the account, or {@code null} for those with the most calls
+     * @param limit   maximum number of accounts
+     * @return the exit code
+     */
+    @Command(
+            name = "allowances",
+            description = {
+                "Shows what the queried node granted and refused to limited client accounts since its start,",
+                "for the accounts with the most calls at that node."
+            })
+    int allowances(
+            @Parameters(paramLabel = "ACCOUNT", arity = "0..1", description = "Name of a single account.")
+                    String account,
+            @Option(
+                            names = "--limit",
+                            paramLabel = "N",
+                            defaultValue = "10",
+                            description = "Maximum number of accounts; 10 by default.")
+                    int limit) {
+        QueryParams query =
+                account == null ? QueryParams.of("limit", Integer.toString(limit)) : QueryParams.of("account", account);
+        return fetchAndPrint(
+                "/v1/allowances?" + query.toQueryString(),
+                "",
+                List.of(
+                        "/account",
+                        "/ratePerSecond",
+                        "/burst",
+                        "/granted",
+                        "/refused",
+                        "/unanswered",
+                        "/coordinator",
+                        "/heldShare"));
+    }
+
+    /**
+     * Lists the evacuated failure domains.
+     *
+     * @return the exit code
+     */
+    @Command(name = "evacuations", description = "Lists the failure domains that the queried node evacuates.")
+    int evacuations() {
+        AdminClient.Response response = adminClient().get("/v1/evacuations");
+        if (response.isSuccess() && output == OutputFormat.TABLE) {
+            out().println("orders of version " + response.body().path("version").asLong() + " of the table service");
+        }
+        return print(response, output == OutputFormat.TABLE ? "domains" : "", List.of("/domain"));
     }
 
     /**
@@ -233,6 +308,38 @@
         err.println("  " + problem.path("advice").asText(""));
     }
 
+    /**
+     * Describes the configuration that a list of accounts is part of.
+     *
+     * @param body the list, with its version and freshness
+     * @return a line of text
+     */
+    private static String describeConfiguration(JsonNode body) {
+        String line = "routes version " + body.path("version").asLong()
+                + (body.path("enabled").asBoolean() ? ", keys required" : ", no keys required");
+        if (body.path("unreadable").asInt() > 0) {
+            line += ", " + body.path("unreadable").asInt() + " accounts unreadable";
+        }
+        JsonNode freshness = body.path("freshness");
+        if (!freshness.isObject()) {
+            return line;
+        }
+        return line + ", keys " + (freshness.path("acceptsKeys").asBoolean() ? "accepted" : "refused")
+                + " at an age of " + freshness.path("ageMillis").asLong() + " ms of "
+                + freshness.path("boundMillis").asLong() + " ms";
+    }
+
+    /**
+     * Returns the columns for the backend servers that a node knows.
+     *
+     * @return JSON pointers of the columns; nodes with a catalogue state no failure domain and no coldness
+     */
+    private static List<String> knownServerColumns() {
+        List<String> columns = new ArrayList<>(serverColumns());
+        columns.addAll(List.of("/domain", "/evacuated", "/cold", "/coldCallsPerSecond", "/coldRefused"));
+        return columns;
+    }
+
     /**
      * Returns the columns for backend servers.
      *
