State in musherctl accounts that a version was never known to be the newest

Cause: a node that has never reached store or peers printed an age of -1 ms.

Change: the line says that keys are refused until the version is known to be the newest.

--- a/mustardusher-ctl/src/main/java/io/mustardusher/ctl/MusherCtl.java
+++ b/mustardusher-ctl/src/main/java/io/mustardusher/ctl/MusherCtl.java
@@ -324,6 +324,9 @@
         if (!freshness.isObject()) {
             return line;
         }
+        if (freshness.path("ageMillis").asLong() < 0) {
+            return line + ", keys refused until the version is known to be the newest";
+        }
         return line + ", keys " + (freshness.path("acceptsKeys").asBoolean() ? "accepted" : "refused")
                 + " at an age of " + freshness.path("ageMillis").asLong() + " ms of "
                 + freshness.path("boundMillis").asLong() + " ms";
--- a/mustardusher-lab/src/test/java/io/mustardusher/lab/cluster/MusherCtlOnRoutedNodeTest.java
+++ b/mustardusher-lab/src/test/java/io/mustardusher/lab/cluster/MusherCtlOnRoutedNodeTest.java
@@ -40,6 +40,7 @@
     private static final EventLoopGroup GROUP = new NioEventLoopGroup(1);
     private static final HttpListener LISTENER = new HttpListener(GROUP, new Clock.Manual(), new MetricRegistry());
     private static int port;
+    private static volatile long ageMillis;
 
     @BeforeAll
     static void start() {
@@ -52,7 +53,7 @@
                 new Credential("secret"),
                 new RoutedNodeResource.Sources(
                         () -> routes,
-                        () -> Optional.of(new RoutedNodeResource.FreshnessView(4_900, 5_000, false)),
+                        () -> Optional.of(new RoutedNodeResource.FreshnessView(ageMillis, 5_000, false)),
                         (all, max) -> CompletableFuture.completedFuture(all.stream()
                                 .map(account -> new AllowanceState(
                                         account.name().value(), 38, 19, 410, 17, 2, "node-" + max, 0.5))
@@ -75,6 +76,9 @@
 
     @Test
     void listsAccountsAndFreshness() {
+        ageMillis = -1;
+        assertThat(lines("accounts").get(0)).endsWith("keys refused until the version is known to be the newest");
+        ageMillis = 4_900;
         assertThat(lines("accounts"))
                 .containsExactly(
                         "routes version 12, keys required, keys refused at an age of 4900 ms of 5000 ms",
