Write infinite numbers of JSON trees as texts

JSON has no infinite numbers, and 1e400 in a document reads as one. JsonTree wrote it without quotes, which the object mapper does not; JsonTreeTest, which compares the two, found this.

--- a/mustardusher-core/src/main/java/io/mustardusher/schema/JsonTree.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/schema/JsonTree.java
@@ -129,7 +129,14 @@
             }
             case STRING -> generator.writeString(value.textValue());
             case BOOLEAN -> generator.writeBoolean(value.booleanValue());
-            case NUMBER -> generator.writeNumber(value.asText());
+            case NUMBER -> {
+                if (value.isDouble()) {
+                    // Writes an infinite number as a text, because JSON has none.
+                    generator.writeNumber(value.doubleValue());
+                } else {
+                    generator.writeNumber(value.asText());
+                }
+            }
             default -> generator.writeNull();
         }
     }
