--- a/mustardusher-core/src/main/java/io/mustardusher/allowance/AllowanceBounds.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/allowance/AllowanceBounds.java
@@ -35,11 +35,23 @@
      */
     private static final double REFILL = 0.72;
 
-    /** Largest part of the bound above the limit that is used as the advance; the rest keeps the limit in reach. */
-    private static final double MAX_ADVANCE_PART = 0.2;
+    /**
+     * Part of the bound above the limit that is the advance where the capacity is small. More of it puts the limit out
+     * of reach of a caller that keeps sending.
+     */
+    private static final double ADVANCE_PART = 0.2;
+
+    /** Largest part of the bound above the limit that is the advance. */
+    private static final double MAX_ADVANCE_PART = 0.35;
+
+    /**
+     * Time of calls that the advance covers, in seconds: twice the longest time for which no coordinator has the
+     * shares, because the calls of accounts with a small limit vary much.
+     */
+    private static final double ADVANCE_SECONDS = 2.4;
 
-    /** Time of calls that the advance covers, in seconds: the longest time for which no coordinator has the shares. */
-    private static final double ADVANCE_SECONDS = 1.2;
+    /** Capacity with which an account that uses 0.63 of its rate reaches a burst of one second, in seconds. */
+    private static final double AMPLE_CAPACITY_SECONDS = 3.2;
 
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -58,8 +70,11 @@
         double wanted = Math.max(1, burst);
         if (bound - ratePerSecond * seconds >= wanted) {
             double refill = REFILL * ratePerSecond;
-            double advance = Math.min(ADVANCE_SECONDS * ratePerSecond, MAX_ADVANCE_PART * (bound - limit));
-            return new Plan(refill, bound - refill * seconds - advance, advance);
+            double divided = bound - refill * seconds;
+            double excess = bound - limit;
+            double ample = Math.min(divided - AMPLE_CAPACITY_SECONDS * ratePerSecond, MAX_ADVANCE_PART * excess);
+            double advance = Math.min(ADVANCE_SECONDS * ratePerSecond, Math.max(ample, ADVANCE_PART * excess));
+            return new Plan(refill, divided - advance, advance);
         }
         double spareAtLeast = bound - MIN_REFILL * ratePerSecond * seconds;
         double capacity = Math.min(bound, Math.max(1, Math.min(wanted, spareAtLeast)));
