Tell refused callers of an account to return one after the other

All callers that an entry refused were told the time of the next token, so most of them were refused again. An entry now promises them times one after the other, for half of the tokens that it got recently or of its part of the limit, at most 20 s ahead.

AccountAllowancesTest checks the first refusal as before, and the times of the ten callers behind it.

--- a/mustardusher-core/src/main/java/io/mustardusher/allowance/AccountLimiter.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/allowance/AccountLimiter.java
@@ -114,6 +114,7 @@
      */
     public void setMembers(Collection<NodeProcess> live, int known, boolean complete) {
         share.update(known, complete);
+        pool.setNodes(share.known());
         members = List.copyOf(live);
         sortCandidates();
     }
--- a/mustardusher-core/src/main/java/io/mustardusher/allowance/AccountTokens.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/allowance/AccountTokens.java
@@ -21,6 +21,17 @@
     /** Longest time for which a refusal is remembered, in nanoseconds, because another coordinator may have tokens. */
     private static final long MAX_REFUSAL_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
 
+    /** Time over which the rate of tokens is averaged, in nanoseconds. */
+    private static final double MEAN_NANOS = 5_000 * Clock.NANOS_PER_MILLI;
+
+    /** Part of the tokens that refused callers are told to return for. New callers use the rest. */
+    private static final double RETURN_PART = 0.5;
+
+    /** Longest time that a refused caller is told to wait behind others, in nanoseconds. */
+    private static final long MAX_PROMISE_NANOS = 20_000 * Clock.NANOS_PER_MILLI;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private Account account;
 
     /** Tokens at hand that expire at the same time. */
@@ -34,6 +45,16 @@
     private long refusedUntilNanos;
     private boolean refused;
 
+    /** Last time at which a refused caller was told to return, in nanoseconds; valid if {@link #promised}. */
+    private long promisedNanos;
+
+    private boolean promised;
+
+    /** Tokens used, of which each loses its weight over {@link #MEAN_NANOS}. */
+    private double recentTokens;
+
+    private long recentNanos;
+
     /** Number of the current period of {@link #PREFETCH_NANOS}. */
     private long period;
 
@@ -62,6 +83,8 @@
             Batch first = batches.peek();
             if (first.count > 0 && now - first.endNanos < 0) {
                 first.count--;
+                decay(now);
+                recentTokens++;
                 return true;
             }
             batches.remove();
@@ -111,8 +134,31 @@
         return refused;
     }
 
-    long nanosUntilNext(long now) {
-        return Math.max(0, nextTokenNanos - now);
+    /**
+     * Returns the time after which a token for a refused caller is likely. Callers return one after the other, as fast
+     * as this entry got tokens, but no slower than an equal part of the limit.
+     *
+     * @param now   current time, in nanoseconds
+     * @param nodes number of nodes
+     * @return time in nanoseconds
+     */
+    long promise(long now, int nodes) {
+        decay(now);
+        double perNano =
+                Math.max(recentTokens / MEAN_NANOS, account.ratePerSecond() / NANOS_PER_SECOND / Math.max(1, nodes));
+        long next = Math.max(0, nextTokenNanos - now);
+        long behind = promised ? promisedNanos - now + (long) (1 / (RETURN_PART * perNano)) : 0;
+        long delay = Math.max(next, Math.min(behind, MAX_PROMISE_NANOS));
+        promised = true;
+        promisedNanos = now + delay;
+        return delay;
+    }
+
+    private void decay(long now) {
+        if (now != recentNanos) {
+            recentTokens *= Math.exp((recentNanos - now) / MEAN_NANOS);
+            recentNanos = now;
+        }
     }
 
     private void advance(long now) {
--- a/mustardusher-core/src/main/java/io/mustardusher/allowance/AllowancePool.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/allowance/AllowancePool.java
@@ -33,10 +33,17 @@
     /** Version of the configuration. */
     private long version;
 
+    /** Number of nodes. */
+    private int nodes;
+
     AllowancePool(Clock clock) {
         this.clock = clock;
     }
 
+    void setNodes(int known) {
+        nodes = known;
+    }
+
     void configure(long newVersion, Map<AccountName, Account> limited) {
         version = newVersion;
         accounts.values().removeIf(tokens -> {
@@ -67,7 +74,7 @@
             return false;
         }
         if (tokens.isRefused(now)) {
-            listener.refused(tokens.nanosUntilNext(now));
+            listener.refused(tokens.promise(now, nodes));
             return false;
         }
         tokens.waiting().add(listener);
@@ -188,7 +195,7 @@
         granted.forEach(TokenListener::granted);
         for (TokenListener listener : rejected) {
             if (delayNanos >= 0) {
-                listener.refused(delayNanos);
+                listener.refused(tokens.promise(now, nodes));
             } else {
                 listener.unavailable();
             }
--- a/mustardusher-core/src/test/java/io/mustardusher/allowance/AllowanceOverloadTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/allowance/AllowanceOverloadTest.java
@@ -29,6 +29,9 @@
     /** Refusals below the limit as a fraction of all refusals. */
     private static final double MAX_OWED = 0.1;
 
+    /** Callers that are refused when they return; most of those of a small limit are told the same time. */
+    private static final double MAX_REFUSED_AGAIN = 0.65;
+
     private int owed;
     private int refused;
     private int returned;
@@ -41,6 +44,7 @@
         simulation.run(END);
         // Those that remain arrive in the life of a token, by which the memory of coordinators exceeds the window.
         assertThat((double) owed).isAtMost(MAX_OWED * refused);
+        assertThat((double) returnedRefused).isAtMost(MAX_REFUSED_AGAIN * returned);
         assertThat((double) simulation.maxInWindow(5 * SECOND, 0)).isAtMost(rate * 6 * 1.1 + 20);
     }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/AccountAllowancesTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/AccountAllowancesTest.java
@@ -59,15 +59,22 @@
     }
 
     @Test
-    void refusalStatesWhenToReturn() {
+    void refusedCallersAreToldToReturnOneAfterTheOther() {
         AccountAllowances allowances = started();
-        while (isGranted(allowances)) {
-            // Takes the tokens at hand.
+        CompletableFuture<Void> call = acquire(allowances, NEVER);
+        while (isGranted(call)) {
+            call = acquire(allowances, NEVER);
         }
-        MustardusherException refusal = refusalOf(acquire(allowances, NEVER));
+        MustardusherException refusal = refusalOf(call);
         assertThat(refusal.code()).isEqualTo(ResultCode.ALLOWANCE_EXCEEDED);
         assertThat(refusal.retryAfterNanos().orElseThrow()).isGreaterThan(0);
         assertThat(refusal.retryAfterNanos().orElseThrow()).isLessThan(200 * Clock.NANOS_PER_MILLI);
+        for (int behind = 1; behind <= 10; behind++) {
+            long next = refusalOf(acquire(allowances, NEVER)).retryAfterNanos().orElseThrow();
+            // A node alone gets a token every 100 ms, half of them for callers that return.
+            assertThat(next).isAtLeast(behind * 200 * Clock.NANOS_PER_MILLI);
+            assertThat(next).isAtMost((100 + behind * 200) * 3 / 2 * Clock.NANOS_PER_MILLI);
+        }
     }
 
     /** Without a limit in force nothing may run, whatever the number of accounts. */
