Ask callers to return when a starting node is likely to know servers

Cause: a call to a service of which a node knows no server is refused at once as not run, with a Retry-After of 150 to 450 ms. After a loss of power, nodes start within 0.3 to 2 s of each other, so a caller of a node that starts early uses up its attempts before the servers are known.

Change: in the first second of a node, the shortest Retry-After after result code 2001 is the time until the node is one second old; later it is 150 ms as before. Calls to the server beside the node are served by it as before.

--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -184,6 +184,7 @@
         Optional<ServerSelection.Choice> choice = servers.next(pool, ThreadLocalRandom.current(), now);
         Optional<GateLink> link = choice.flatMap(chosen -> router.directory().link(chosen.server()));
         if (link.isEmpty()) {
+            recordRetryDelay(router.directory().retryDelayWithoutServer());
             fail(ResultCode.NO_SERVER, "no server left to try");
             return;
         }
@@ -484,12 +485,11 @@
             return;
         }
         long micros = expectedNanos / Clock.NANOS_PER_MICRO;
-        String policy = call.entry().policy().token();
         DecisionLog.INSTANCE.routed(
                 call.options().id(),
                 call.service().value(),
                 server.node().value(),
-                policy,
+                call.entry().policy().token(),
                 servers.attempt(),
                 micros,
                 pool.size());
