Revert "Bound the queue of a gate that has measured no service time"

Cause: the change applies to every deployment, while those that ask for nothing new are to be served as before.

ReturningCallersTest tested only what is reverted, and goes with it; NestedCallStarvationTest is as it was before the change.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -71,7 +71,6 @@
     private volatile Runnable deferralListener = () -> {};
 
     private final ServiceTimes times = new ServiceTimes();
-    private final UnmeasuredServer unmeasuredServer = new UnmeasuredServer();
 
     /** Slots that the server announced. */
     private int announcedSlots = 1;
@@ -367,17 +366,13 @@
 
     /**
      * Returns the time after which a call that is refused now is expected to meet its target here: the wait behind the
-     * queued calls, less the time that the call can wait. Each call gets a later time until a service time is measured.
+     * queued calls, less the time that the call can wait.
      *
      * @param kind        kind of call
      * @param targetNanos time within which the call is to be answered, in nanoseconds; 0 if it has no target
      * @return time in nanoseconds; 0 if the call could be queued now
      */
     public synchronized long roomDelayNanos(String kind, long targetNanos) {
-        if (times.smoothedNanos() == 0 && targetNanos > 0) {
-            long room = unmeasuredServer.roomDelayNanos(effectiveLimit(), targetNanos, clock.nanoTime());
-            return (long) Math.max(room, rate.delayNanos(queuedCalls()));
-        }
         int queuedNow = queuedCalls();
         double turnNanos = times.smoothedNanos() * queuedNow / effectiveLimit();
         double waitNanos = Math.max(turnNanos, rate.delayNanos(queuedNow));
@@ -467,9 +462,7 @@
      */
     private void enqueue(Ticket ticket, List<Runnable> notifications) {
         boolean blocked = busy >= effectiveLimit() || rate.delayNanos(0) > 0;
-        boolean unmeasured = times.smoothedNanos() == 0 && ticket.latencyTarget.isPresent();
-        int inTime = unmeasured ? UnmeasuredServer.queueCapacity(effectiveLimit()) : Integer.MAX_VALUE;
-        boolean full = blocked && queuedCalls() >= Math.min(inTime, limit.slots() * queuePerSlot);
+        boolean full = blocked && queuedCalls() >= limit.slots() * queuePerSlot;
         if (full) {
             ResultCode code = serviceLimitShare < limit.value() ? ResultCode.LIMIT_REACHED : ResultCode.OVERLOADED;
             Ticket evicted = queue.findEvictionCandidate(ticket);
