Revert "Ask callers to return when a starting node is likely to know servers"

Cause: the longer time also applied to calls that had tried all servers of a service within a second of the start, and to every deployment, while those that ask for nothing new are to be served as before.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/RetryDelay.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/RetryDelay.java
@@ -25,12 +25,6 @@
     /** Longest random part as a multiple of the shortest time. */
     private static final long JITTER_FACTOR = 2;
 
-    /**
-     * Time after the start of a node at which it is expected to know the servers of all services, in milliseconds.
-     * After a loss of power the nodes start within 0.3 to 2 s of each other, and most know each other after one second.
-     */
-    private static final long SERVERS_KNOWN_MILLIS = 1_000;
-
     private RetryDelay() {}
 
     /**
@@ -44,17 +38,6 @@
         return Math.min(MAX_MILLIS - MAX_JITTER_MILLIS, millis);
     }
 
-    /**
-     * Returns the shortest time after a refusal because a node knows no server of a service. A caller who returned to a
-     * node that has just started before the others have would use up its attempts.
-     *
-     * @param ageNanos time since the start of the node, in nanoseconds
-     * @return time in milliseconds, at least {@value #DEFAULT_MILLIS}
-     */
-    public static long untilServersKnown(long ageNanos) {
-        return Math.max(DEFAULT_MILLIS, SERVERS_KNOWN_MILLIS - ageNanos / Clock.NANOS_PER_MILLI);
-    }
-
     /**
      * Returns the time for one caller.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -184,7 +184,6 @@
         Optional<ServerSelection.Choice> choice = servers.next(pool, ThreadLocalRandom.current(), now);
         Optional<GateLink> link = choice.flatMap(chosen -> router.directory().link(chosen.server()));
         if (link.isEmpty()) {
-            recordRetryDelay(router.directory().retryDelayWithoutServer());
             fail(ResultCode.NO_SERVER, "no server left to try");
             return;
         }
@@ -485,11 +484,12 @@
             return;
         }
         long micros = expectedNanos / Clock.NANOS_PER_MICRO;
+        String policy = call.entry().policy().token();
         DecisionLog.INSTANCE.routed(
                 call.options().id(),
                 call.service().value(),
                 server.node().value(),
-                call.entry().policy().token(),
+                policy,
                 servers.attempt(),
                 micros,
                 pool.size());
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -16,7 +16,6 @@
 import com.linecorp.armeria.client.Endpoint;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.SessionProtocol;
-import io.mustardusher.admission.RetryDelay;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.call.Lazy;
 import io.mustardusher.catalogue.ServiceName;
@@ -59,9 +58,6 @@
 
     private final Clock clock;
 
-    /** Time at which this node started, in nanoseconds. */
-    private final long startNanos;
-
     /** Memory for large responses that are arriving from other nodes. */
     private final TransferMemory transferMemory = new TransferMemory();
 
@@ -115,7 +111,6 @@
         this.clientFactory = clientFactory;
         this.credential = credential;
         this.clock = clock;
-        this.startNanos = clock.nanoTime();
     }
 
     /**
@@ -168,15 +163,6 @@
         return pools.getOrDefault(service, ServerPool.EMPTY);
     }
 
-    /**
-     * Returns the shortest time after which a caller should return whose call found no server.
-     *
-     * @return time in milliseconds
-     */
-    long retryDelayWithoutServer() {
-        return RetryDelay.untilServersKnown(clock.nanoTime() - startNanos);
-    }
-
     /**
      * Returns the link to the gate of a server's node.
      *
