Count the discovery of the nodes from the creation of the allowances again

Cause: when the wait for earlier delegations came to count from the start of the process, the 2 s after which a node uses the members met so far as the number of nodes were shortened as well, by the time until the allowances exist. Where the table service does not answer, fewer members would be met by then, and shares of too few nodes add up to more than the limit.

Change: only the wait for earlier delegations counts from the start of the process.

No test shows the difference. Not measured on a deployment.

--- a/mustardusher-node/src/main/java/io/mustardusher/entry/AccountAllowances.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/AccountAllowances.java
@@ -65,7 +65,9 @@
     private final Random random;
     private final AccountLimiter limiter;
     private final AccountUsage usage;
-    private final long startNanos;
+
+    /** Time from which this node looks for the others, in nanoseconds. */
+    private final long createdNanos;
 
     /** Version of the member table that the limiter knows. */
     private long membersVersion = -1;
@@ -105,7 +107,7 @@
         this.clock = clock;
         this.random = random;
         this.usage = new AccountUsage(metrics);
-        this.startNanos = startNanos;
+        this.createdNanos = clock.nanoTime();
         this.limiter = new AccountLimiter(
                 processOf(members.self()), bounds, this::send, this::coordinatorChanged, clock, startNanos);
     }
@@ -201,7 +203,7 @@
 
     private void refreshMembers() {
         int rows = registeredNodes.getAsInt();
-        boolean nowDiscovered = rows > 0 || clock.nanoTime() - startNanos >= DISCOVERY_NANOS;
+        boolean nowDiscovered = rows > 0 || clock.nanoTime() - createdNanos >= DISCOVERY_NANOS;
         if (members.version() == membersVersion && rows == registered && discovered == nowDiscovered) {
             return;
         }
