Return a call that would wait for a slot to its entry

Cause: where many entries share few servers, an entry hears from each server every few seconds, so its reports are out of date and calls queue at one server while others are idle. A gate returned a call only if it was slow or would miss the target.

Change: a gate also returns a movable call that would wait for longer than half of its service time.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -23,6 +23,12 @@
     /** Age from which a report of the calls at the server is ignored, in nanoseconds. */
     private static final long SERVER_REPORT_EXPIRY_NANOS = 200 * Clock.NANOS_PER_MILLI;
 
+    /**
+     * Longest wait for a slot of a call that may be sent to another gate, in service times. Another attempt costs more
+     * processor time than a shorter wait is worth.
+     */
+    private static final double MAX_WAIT_FOR_SLOT = 0.5;
+
     private final Clock clock;
 
     /** Queued calls other than exclusive ones. */
@@ -428,7 +434,7 @@
         double rateDelayNanos = rate.delayNanos(ahead);
         double waitNanos = Math.max(times.smoothedNanos() * rounds, rateDelayNanos);
         double answerNanos = now + times.completionNanos(ticket.owner, now) + waitNanos;
-        if (ticket.latencyTarget.movable() && isWorthMoving(ticket, answerNanos, now)) {
+        if (ticket.latencyTarget.movable() && isWorthMoving(ticket, waitNanos, answerNanos, now)) {
             return ResultCode.SLOWER_THAN_TARGET;
         }
         // A cold server has no room for the calls whose turn comes too late.
@@ -440,18 +446,22 @@
     }
 
     /**
-     * Returns whether a call may meet its target at another gate, but probably not at this one. A call that is too late
-     * even for an idle server stays, because each further gate would cost time and work for nothing.
+     * Returns whether a call may be answered sooner at another gate. An entry that sees each server seldom chooses by
+     * reports that are out of date, so a call that would wait here is returned even if it could meet its target. A call
+     * that is too late even for an idle server stays, because each further gate would cost time and work for nothing.
      *
      * @param ticket      the call
+     * @param waitNanos   time that the call is expected to wait for a slot, in nanoseconds
      * @param answerNanos time at which this gate expects the answer, in nanoseconds
      * @param now         current time, in nanoseconds
      * @return {@code true} if the call should be sent to another gate
      */
-    private boolean isWorthMoving(Ticket ticket, double answerNanos, long now) {
+    private boolean isWorthMoving(Ticket ticket, double waitNanos, double answerNanos, long now) {
         long targetNanos = ticket.latencyTarget.targetNanos();
-        boolean reachable = now + times.baselineNanos(ticket.owner) <= targetNanos;
-        return reachable && (times.isSlow(now) || answerNanos > targetNanos);
+        double serviceNanos = times.baselineNanos(ticket.owner);
+        boolean reachable = now + serviceNanos <= targetNanos;
+        boolean waits = waitNanos > MAX_WAIT_FOR_SLOT * serviceNanos;
+        return reachable && (times.isSlow(now) || waits || answerNanos > targetNanos);
     }
 
     /**
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Ticket.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Ticket.java
@@ -111,7 +111,7 @@
      * Time by which an answer is desired; unlike a deadline it may be missed.
      *
      * @param targetNanos time by which the answer is desired, in nanoseconds of the clock
-     * @param movable     whether the call may be sent to another gate if it would miss its target at this one
+     * @param movable     whether the call may be sent to another gate if it would wait or miss its target at this one
      */
     public record LatencyTarget(long targetNanos, boolean movable) {
 
--- a/mustardusher-model/src/test/java/io/mustardusher/model/LoadPatternsTest.java
+++ b/mustardusher-model/src/test/java/io/mustardusher/model/LoadPatternsTest.java
@@ -59,6 +59,26 @@
         assertThat(mean(pattern, Outcomes::worth)).isAtLeast(0.9);
     }
 
+    /**
+     * Sixteen servers of four slots are called by 60 entries, so that each entry hears from each server every few
+     * seconds. Calls must not queue at one server while others are idle.
+     */
+    @Test
+    void smallServersSeenByManyEntries() {
+        LoadPattern pattern = fireball(1).build();
+        assertThat(mean(pattern, outcomes -> outcomes.worth("clip"))).isAtLeast(0.9);
+        assertThat(mean(pattern, Outcomes::worth)).isAtLeast(0.95);
+        assertThat(mean(pattern, Outcomes::attemptsPerCall)).isAtMost(3);
+    }
+
+    /** The same entries at 1.4 times the load must not ask so many gates that their own work delays the calls. */
+    @Test
+    void burstAtSmallServersSeenByManyEntries() {
+        LoadPattern pattern = fireball(1).withBurst(4_000, 9_000, 1.4).build();
+        assertThat(mean(pattern, outcomes -> outcomes.worth(4, 9))).isAtLeast(0.8);
+        assertThat(mean(pattern, Outcomes::wastedRuns)).isAtMost(0.02);
+    }
+
     /** Many users come at once for five seconds. */
     @Test
     void burst() {
@@ -188,6 +208,39 @@
                 .withLength(15_000);
     }
 
+    private static LoadPattern.Builder fireball(double load) {
+        CallKind lookup = nested("lookup", "ledger");
+        CallKind index = nested("index", "vault");
+        CallKind estimate = nested("estimate", "alerts");
+        return LoadPattern.builder()
+                .withServers("clips", 16)
+                .withServers("ledger", 26)
+                .withServers("vault", 14)
+                .withServers("alerts", 4)
+                .withSlots(4, 1.7)
+                .withCalls(
+                        new CallKind("clip", "clips", ServiceClass.BACKGROUND, 115 * load, 120, 400, 1_500, true, 1, 1))
+                .withCalls(new CallKind(
+                        "claim-at-clips", "clips", ServiceClass.STANDARD, 57 * load, 160, 600, 2_500, false, 2, 1))
+                .withCalls(
+                        new CallKind("claim", "ledger", ServiceClass.STANDARD, 70 * load, 160, 600, 2_500, false, 2, 1))
+                .withCalls(new CallKind(
+                        "archive", "vault", ServiceClass.BACKGROUND, 32 * load, 300, 800, 3_000, true, 1, 1))
+                .withCalls(new CallKind(
+                        "alert", "alerts", ServiceClass.BACKGROUND, 31.5 * load, 96, 250, 1_500, false, 1, 1))
+                .withNestedCalls("clip", lookup, 1, 0.7)
+                .withNestedCalls("claim-at-clips", index, 1, 0.7)
+                .withNestedCalls("claim", index, 1, 0.7)
+                .withNestedCalls("archive", estimate, 1, 0.7)
+                .withNoisyNeighbours(0.25, 5, 150)
+                .withProcessorTime(2, 1)
+                .withLength(15_000);
+    }
+
+    private static CallKind nested(String name, String service) {
+        return new CallKind(name, service, ServiceClass.STANDARD, 0, 30, 120, 400, true, 0, 0);
+    }
+
     private static double mean(LoadPattern pattern, ToDoubleFunction<Outcomes> figure) {
         return IntStream.rangeClosed(1, SEEDS)
                 .mapToObj(seed -> Deployment.simulate(pattern, seed))
