Prefer the idle server beside the node

Cause: the load of the own gate is known exactly, that of other gates only from reports that are seconds old in a large deployment, and a call to another node passes two processors of 0.3 cores. The choice treated both alike.

Change: the first choice of a call is the server beside the node if it can start the call at once, is healthy and is expected to take at most 1.5 times as long as the chosen one (a cold server takes twice as long).

--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerLoad.java
@@ -1,6 +1,7 @@
 package io.mustardusher.routing;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 import io.mustardusher.health.Ejection;
 import io.mustardusher.membership.NodeId;
@@ -66,6 +67,9 @@
 
     private volatile long slowUntilNanos = Long.MIN_VALUE / 2;
 
+    /** Current load of the gate if it belongs to the node of this entry; {@code null} for gates of other nodes. */
+    private volatile Supplier<LoadReport> ownGate;
+
     /**
      * Creates the load of a server that has not sent a report yet.
      *
@@ -175,6 +179,33 @@
         }
     }
 
+    /**
+     * Marks the server as the one beside the node of this entry, whose load is known exactly at any time.
+     *
+     * @param load supplies the current load of the node's gate
+     */
+    public void readLoadFrom(Supplier<LoadReport> load) {
+        ownGate = load;
+    }
+
+    /**
+     * Returns whether the server is beside the node of this entry.
+     *
+     * @return {@code true} if its load is read from the gate of this node
+     */
+    boolean isOwn() {
+        return ownGate != null;
+    }
+
+    /**
+     * Updates the load of the own server from its gate.
+     *
+     * @param now current time, in nanoseconds
+     */
+    void refresh(long now) {
+        update(ownGate.get(), now);
+    }
+
     /**
      * Replaces the last report, which is out of date, by an assumption.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
@@ -25,6 +25,9 @@
     /** Number of servers that are as near as the nearest one. */
     private final int nearCount;
 
+    /** The server beside the node of this entry; {@code null} if it is of another service. */
+    private final ServerLoad own;
+
     /** Starts at a random value, so that entries do not choose the same servers in step after a change. */
     private final AtomicInteger roundRobinCounter;
 
@@ -36,6 +39,7 @@
     private ServerPool(ServerLoad[] servers) {
         this.servers = servers;
         this.nearCount = countNearest(servers);
+        this.own = Arrays.stream(servers).filter(ServerLoad::isOwn).findFirst().orElse(null);
         this.roundRobinCounter = new AtomicInteger(ThreadLocalRandom.current().nextInt());
     }
 
@@ -111,6 +115,25 @@
         return false;
     }
 
+    /**
+     * Returns the server beside the node of this entry if it can start a call at once. Its load is exact, whereas those
+     * of other servers are only known from reports, and a call to it passes one node instead of two.
+     *
+     * @param excluded servers to skip
+     * @param now      current time, in nanoseconds
+     * @return the server, or {@code null} if this node has none of the service or it is busy, slow or not healthy
+     */
+    ServerLoad idleOwnServer(ExcludedServers excluded, long now) {
+        if (own == null || !own.isServing() || excluded.contains(own)) {
+            return null;
+        }
+        if (own.ejection().isEjected(now) || own.ejection().requiresTrial(now)) {
+            return null;
+        }
+        own.refresh(now);
+        return own.startsCallsAtOnce(now) ? own : null;
+    }
+
     /**
      * Returns the next index in round-robin order.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerSelection.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerSelection.java
@@ -16,6 +16,12 @@
     /** Time of a call without a latency target. */
     public static final long NO_TARGET = Long.MAX_VALUE;
 
+    /**
+     * Ratio of estimated response times up to which the idle server beside this node is preferred to the chosen one. A
+     * cold server takes twice as long as others.
+     */
+    private static final double MAX_OWN_ESTIMATE_RATIO = 1.5;
+
     private final RoutingPolicy policy;
     private final TransferCost transferCost;
     private final long targetNanos;
@@ -61,7 +67,7 @@
             slowServers.forEach(tried::remove);
             slowServers.clear();
         }
-        ServerLoad server = choose(pool, random, now);
+        ServerLoad server = preferOwn(choose(pool, random, now), pool, now);
         if (server == null) {
             return Optional.empty();
         }
@@ -71,6 +77,16 @@
         return Optional.of(new Choice(server, movable));
     }
 
+    private ServerLoad preferOwn(ServerLoad chosen, ServerPool pool, long now) {
+        if (chosen == null || policy != RoutingPolicy.LEAST_COST) {
+            return chosen;
+        }
+        ServerLoad own = pool.idleOwnServer(tried, now);
+        boolean comparable =
+                own != null && own.estimatedNanos(now) <= MAX_OWN_ESTIMATE_RATIO * chosen.estimatedNanos(now);
+        return comparable ? own : chosen;
+    }
+
     private ServerLoad choose(ServerPool pool, RandomGenerator random, long now) {
         boolean byTransfer = policy == RoutingPolicy.LEAST_COST
                 && targetNanos != NO_TARGET
--- a/mustardusher-core/src/test/java/io/mustardusher/routing/ServerSelectionTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/routing/ServerSelectionTest.java
@@ -54,6 +54,27 @@
         assertThat(selection.attempt()).isEqualTo(3);
     }
 
+    /** Guards against a detour over the network while the server beside the node has a free slot. */
+    @Test
+    void prefersOwnServerWithFreeSlot() {
+        report(0, false);
+        own(new LoadReport(SLOTS - 1, 0, SLOTS, 100_000, false));
+        assertThat(chosen()).isEqualTo(second);
+    }
+
+    /** Guards against a queue at the server beside the node while others are idle. */
+    @Test
+    void prefersNoOwnServerThatIsFullSlowOrCold() {
+        report(0, false);
+        for (LoadReport load : List.of(
+                new LoadReport(SLOTS, 0, SLOTS, 100_000, false),
+                new LoadReport(0, 0, SLOTS, 100_000, false, true),
+                new LoadReport(0, 0, SLOTS, 200_000, false))) {
+            own(load);
+            assertThat(chosen()).isEqualTo(first);
+        }
+    }
+
     @Test
     void asksNoFurtherGateAfterRejectionWhenServersAreFull() {
         ServerSelection selection = selection();
@@ -104,4 +125,16 @@
     private static ServerLoad server(String name) {
         return new ServerLoad(NodeId.of(name), SLOTS, 0, LONG_AGO_NANOS);
     }
+
+    private void own(LoadReport load) {
+        second.readLoadFrom(() -> load);
+    }
+
+    private ServerLoad chosen() {
+        ServerPool withOwn = ServerPool.of(List.of(first, second));
+        return selection()
+                .next(withOwn, new Random(1), 200_000_000)
+                .orElseThrow()
+                .server();
+    }
 }
--- a/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedNode.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedNode.java
@@ -95,6 +95,9 @@
             long servingSinceNanos = -100_000 * Clock.NANOS_PER_MILLI;
             ServerLoad load =
                     new ServerLoad(NodeId.of(node.name), deployment.pattern().slots(), 0, servingSinceNanos);
+            if (node == this) {
+                load.readLoadFrom(admission::load);
+            }
             gates.put(load, node);
             loads.computeIfAbsent(node.service, key -> new ArrayList<>()).add(load);
         }
--- a/mustardusher-model/src/test/java/io/mustardusher/model/LoadPatternsTest.java
+++ b/mustardusher-model/src/test/java/io/mustardusher/model/LoadPatternsTest.java
@@ -16,6 +16,9 @@
 
     private static final int SEEDS = 8;
 
+    /** Seeds of a comparison of two patterns, whose difference varies by 0.03 between groups of eight. */
+    private static final int MANY_SEEDS = 32;
+
     /** Noisy neighbours take a quarter of each server's time; nearly all calls can still be on time. */
     @Test
     void noisyNeighbours() {
@@ -129,8 +132,8 @@
     void failingRunsTakeNothingFromOtherCalls() {
         ToDoubleFunction<Outcomes> lookups = outcomes -> outcomes.worth("lookup", 5, 13);
         LoadPattern.Builder busy = games(390);
-        double undisturbed = mean(busy.build(), lookups);
-        double shedding = mean(busy.withRefusals("inner", 5_000, 13_500, 0.7).build(), lookups);
+        double undisturbed = mean(busy.build(), lookups, MANY_SEEDS);
+        double shedding = mean(busy.withRefusals("inner", 5_000, 13_500, 0.7).build(), lookups, MANY_SEEDS);
         assertThat(shedding).isAtLeast(undisturbed - 0.01);
     }
 
@@ -242,7 +245,11 @@
     }
 
     private static double mean(LoadPattern pattern, ToDoubleFunction<Outcomes> figure) {
-        return IntStream.rangeClosed(1, SEEDS)
+        return mean(pattern, figure, SEEDS);
+    }
+
+    private static double mean(LoadPattern pattern, ToDoubleFunction<Outcomes> figure, int seeds) {
+        return IntStream.rangeClosed(1, seeds)
                 .mapToObj(seed -> Deployment.simulate(pattern, seed))
                 .mapToDouble(figure)
                 .average()
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -272,10 +272,17 @@
                 clock.nanoTime() - ageMillis * Clock.NANOS_PER_MILLI,
                 usualServiceTime(member),
                 rate);
+        if (isSelf(member)) {
+            load.readLoadFrom(gate::load);
+        }
         GateLink link = known == null ? createLink(member, rate) : known.link;
         return new KnownNode(load, link, member.getSince());
     }
 
+    private boolean isSelf(MemberRecord member) {
+        return member.getId().equals(members.self().getId());
+    }
+
     private UsualServiceTime usualServiceTime(MemberRecord member) {
         if (member.getService() == null) {
             return new UsualServiceTime(false);
@@ -292,7 +299,7 @@
      * @return the link
      */
     private GateLink createLink(MemberRecord member, TransferRate rate) {
-        if (member.getId().equals(members.self().getId())) {
+        if (isSelf(member)) {
             return new GateLink.ForLocal(gate);
         }
         Endpoint endpoint = Endpoint.of(member.getHost(), (int) member.getGatePort());
