Return a waiting call only where another server is cheap to reach

Change: the entry states when a gate may return a call (Mobility): never, if it would miss its target, or also if it would wait. It permits the last only if another server that is as near is expected to be idle, or if leaving the domain costs at most as much as the wait that it avoids (half of a service time).

Also fixes the directory for nodes without a server, whose own gate has no load.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -434,7 +434,7 @@
         double rateDelayNanos = rate.delayNanos(ahead);
         double waitNanos = Math.max(times.smoothedNanos() * rounds, rateDelayNanos);
         double answerNanos = now + times.completionNanos(ticket.owner, now) + waitNanos;
-        if (ticket.latencyTarget.movable() && isWorthMoving(ticket, waitNanos, answerNanos, now)) {
+        if (isWorthMoving(ticket, waitNanos, answerNanos, now)) {
             return ResultCode.SLOWER_THAN_TARGET;
         }
         // A cold server has no room for the calls whose turn comes too late.
@@ -447,7 +447,7 @@
 
     /**
      * Returns whether a call may be answered sooner at another gate. An entry that sees each server seldom chooses by
-     * reports that are out of date, so a call that would wait here is returned even if it could meet its target. A call
+     * reports that are out of date, so it may have a call returned that would wait here even if it could meet its target. A call
      * that is too late even for an idle server stays, because each further gate would cost time and work for nothing.
      *
      * @param ticket      the call
@@ -461,7 +461,8 @@
         double serviceNanos = times.baselineNanos(ticket.owner);
         boolean reachable = now + serviceNanos <= targetNanos;
         boolean waits = waitNanos > MAX_WAIT_FOR_SLOT * serviceNanos;
-        return reachable && (times.isSlow(now) || waits || answerNanos > targetNanos);
+        boolean late = times.isSlow(now) || answerNanos > targetNanos;
+        return reachable && ticket.latencyTarget.mobility().permitsReturn(late, waits);
     }
 
     /**
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Ticket.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Ticket.java
@@ -1,6 +1,7 @@
 package io.mustardusher.admission;
 
 import io.mustardusher.catalogue.ServiceClass;
+import io.mustardusher.routing.Mobility;
 
 /** State of one call at a gate, from its arrival until it is answered, rejected or cancelled. */
 public final class Ticket {
@@ -111,12 +112,12 @@
      * Time by which an answer is desired; unlike a deadline it may be missed.
      *
      * @param targetNanos time by which the answer is desired, in nanoseconds of the clock
-     * @param movable     whether the call may be sent to another gate if it would wait or miss its target at this one
+     * @param mobility    when the call may be returned to be sent to another gate
      */
-    public record LatencyTarget(long targetNanos, boolean movable) {
+    public record LatencyTarget(long targetNanos, Mobility mobility) {
 
         /** No target: any answer before the deadline is equally useful, and the call stays at this gate. */
-        public static final LatencyTarget NONE = new LatencyTarget(Long.MAX_VALUE, false);
+        public static final LatencyTarget NONE = new LatencyTarget(Long.MAX_VALUE, Mobility.FIXED);
 
         boolean isPresent() {
             return targetNanos != Long.MAX_VALUE;
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerPool.java
@@ -95,6 +95,19 @@
         return hasServing(excluded, server -> server.startsCallsAtOnce(now));
     }
 
+    /**
+     * Returns whether any server that is not farther away than a given time is expected to start a new call at once.
+     *
+     * @param roundTripNanos longest round-trip time, in nanoseconds
+     * @param excluded       servers to ignore
+     * @param now            current time, in nanoseconds
+     * @return {@code true} if a server that is not excluded accepts calls, has a free slot and is not known to be slow
+     */
+    boolean hasIdleWithin(long roundTripNanos, ExcludedServers excluded, long now) {
+        return hasServing(
+                excluded, server -> server.roundTripNanos() <= roundTripNanos && server.startsCallsAtOnce(now));
+    }
+
     /**
      * Returns whether any server is expected to have room for a new call.
      *
--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ServerSelection.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ServerSelection.java
@@ -22,6 +22,12 @@
      */
     private static final double MAX_OWN_ESTIMATE_RATIO = 1.5;
 
+    /**
+     * Cost of leaving the failure domain up to which a call is sent to another one rather than wait for a slot, in
+     * service times; gates return calls that would wait for longer than this.
+     */
+    private static final double MAX_COST_TO_AVOID_WAIT = 0.5;
+
     private final RoutingPolicy policy;
     private final TransferCost transferCost;
     private final long targetNanos;
@@ -72,9 +78,19 @@
             return Optional.empty();
         }
         tried.add(server);
-        boolean movable =
-                targetNanos != NO_TARGET && !mustAccept && transferCost.mayReroute(attempt) && pool.hasIdle(tried, now);
-        return Optional.of(new Choice(server, movable));
+        return Optional.of(new Choice(server, mobility(server, pool, now)));
+    }
+
+    // A wait for a slot costs less than bytes between failure domains, unless the call has few.
+    private Mobility mobility(ServerLoad server, ServerPool pool, long now) {
+        boolean fixed = targetNanos == NO_TARGET || mustAccept || !transferCost.mayReroute(attempt);
+        if (fixed || !pool.hasIdle(tried, now)) {
+            return Mobility.FIXED;
+        }
+        boolean mayLeaveDomain = transferCost.cost() <= MAX_COST_TO_AVOID_WAIT;
+        return mayLeaveDomain || pool.hasIdleWithin(server.roundTripNanos(), tried, now)
+                ? Mobility.IF_WAITING
+                : Mobility.IF_LATE;
     }
 
     private ServerLoad preferOwn(ServerLoad chosen, ServerPool pool, long now) {
@@ -153,8 +169,8 @@
     /**
      * A server chosen for an attempt.
      *
-     * @param server  the server
-     * @param movable whether its gate may return the call in favour of a faster server
+     * @param server   the server
+     * @param mobility when its gate may return the call in favour of another server
      */
-    public record Choice(ServerLoad server, boolean movable) {}
+    public record Choice(ServerLoad server, Mobility mobility) {}
 }
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/ColdServerTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/ColdServerTest.java
@@ -8,6 +8,7 @@
 
 import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.result.ResultCode;
+import io.mustardusher.routing.Mobility;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -181,7 +182,7 @@
                 targetNanos + 700 * Clock.NANOS_PER_MILLI,
                 false,
                 call,
-                new Ticket.LatencyTarget(targetNanos, false));
+                new Ticket.LatencyTarget(targetNanos, Mobility.FIXED));
         admission.offer(call.ticket);
         return call;
     }
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/HotAccountTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/HotAccountTest.java
@@ -7,6 +7,7 @@
 
 import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.result.ResultCode;
+import io.mustardusher.routing.Mobility;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -114,7 +115,8 @@
                         (arrivedMillis + DEADLINE_MILLIS) * Clock.NANOS_PER_MILLI,
                         false,
                         this,
-                        new Ticket.LatencyTarget((arrivedMillis + TARGET_MILLIS) * Clock.NANOS_PER_MILLI, false),
+                        new Ticket.LatencyTarget(
+                                (arrivedMillis + TARGET_MILLIS) * Clock.NANOS_PER_MILLI, Mobility.FIXED),
                         new Ticket.Precedence(0, false, "account-" + account));
             }
 
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/NestedCallStarvationTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/NestedCallStarvationTest.java
@@ -5,6 +5,7 @@
 
 import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.result.ResultCode;
+import io.mustardusher.routing.Mobility;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -82,7 +83,8 @@
 
         Call(String kind, long now, long targetMillis, long deadlineMillis) {
             this.kind = kind;
-            Ticket.LatencyTarget target = new Ticket.LatencyTarget(now + targetMillis * Clock.NANOS_PER_MILLI, false);
+            Ticket.LatencyTarget target =
+                    new Ticket.LatencyTarget(now + targetMillis * Clock.NANOS_PER_MILLI, Mobility.FIXED);
             ticket = new Ticket(
                     kind, ServiceClass.STANDARD, now + deadlineMillis * Clock.NANOS_PER_MILLI, false, this, target);
         }
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/NoisyNeighbourTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/NoisyNeighbourTest.java
@@ -4,6 +4,7 @@
 
 import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.result.ResultCode;
+import io.mustardusher.routing.Mobility;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.api.Test;
 
@@ -189,8 +190,8 @@
         private ResultCode code;
 
         TestCall(long now, boolean movable) {
-            Ticket.LatencyTarget target =
-                    new Ticket.LatencyTarget(now + TARGET_MILLIS * Clock.NANOS_PER_MILLI, movable);
+            Ticket.LatencyTarget target = new Ticket.LatencyTarget(
+                    now + TARGET_MILLIS * Clock.NANOS_PER_MILLI, movable ? Mobility.IF_LATE : Mobility.FIXED);
             ticket = new Ticket(
                     "clips", ServiceClass.STANDARD, now + DEADLINE_MILLIS * Clock.NANOS_PER_MILLI, false, this, target);
         }
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/TargetQueueTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/TargetQueueTest.java
@@ -7,6 +7,7 @@
 
 import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.result.ResultCode;
+import io.mustardusher.routing.Mobility;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -162,7 +163,7 @@
                 10_000,
                 false,
                 new Ignoring(),
-                new Ticket.LatencyTarget(target, false),
+                new Ticket.LatencyTarget(target, Mobility.FIXED),
                 precedence);
     }
 
--- a/mustardusher-core/src/test/java/io/mustardusher/admission/UnusedSlotsTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/admission/UnusedSlotsTest.java
@@ -5,6 +5,7 @@
 
 import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.result.ResultCode;
+import io.mustardusher.routing.Mobility;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -105,7 +106,7 @@
             this.kneeFactor = kneeFactor;
             this.slots = slots;
             long now = clock.nanoTime();
-            Ticket.LatencyTarget target = new Ticket.LatencyTarget(now + 30 * SECOND_NANOS, false);
+            Ticket.LatencyTarget target = new Ticket.LatencyTarget(now + 30 * SECOND_NANOS, Mobility.FIXED);
             ticket = new Ticket("price", ServiceClass.STANDARD, now + 60 * SECOND_NANOS, false, this, target);
         }
 
--- a/mustardusher-core/src/test/java/io/mustardusher/routing/ServerSelectionTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/routing/ServerSelectionTest.java
@@ -42,6 +42,27 @@
         assertThat(next(selection())).isFalse();
     }
 
+    /** Guards against bytes between failure domains that cost more than the wait that they avoid. */
+    @Test
+    void permitsReturnOfWaitingCallOnlyWhereAnotherServerIsCheapToReach() {
+        ServerLoad far = new ServerLoad(NodeId.of("far"), SLOTS, 1_000, LONG_AGO_NANOS);
+        far.update(new LoadReport(0, 0, SLOTS, 100_000, false), 0);
+        report(1, false);
+        assertThat(mobility(2_000, first, far)).isEqualTo(Mobility.IF_LATE);
+        assertThat(mobility(300, first, far)).isEqualTo(Mobility.IF_WAITING);
+        assertThat(mobility(2_000, first, second, far)).isEqualTo(Mobility.IF_WAITING);
+    }
+
+    private static Mobility mobility(int bytes, ServerLoad... servers) {
+        TransferCost cost = new TransferCost();
+        cost.recordCall(bytes);
+        ServerSelection selection = new ServerSelection(RoutingPolicy.LEAST_COST, cost, TARGET_NANOS);
+        return selection
+                .next(ServerPool.of(List.of(servers)), new Random(1), 0)
+                .orElseThrow()
+                .mobility();
+    }
+
     @Test
     void choosesSlowServerAgainWhenNoOtherIsLeft() {
         ServerSelection selection = selection();
@@ -109,7 +130,7 @@
     }
 
     private boolean next(ServerSelection selection) {
-        return selection.next(pool, new Random(1), 0).orElseThrow().movable();
+        return selection.next(pool, new Random(1), 0).orElseThrow().mobility() != Mobility.FIXED;
     }
 
     private static ServerSelection selection() {
--- a/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedCall.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedCall.java
@@ -187,7 +187,7 @@
                     serviceClass,
                     precedence,
                     deadlineNanos,
-                    new Ticket.LatencyTarget(targetNanos, choice.get().movable()));
+                    new Ticket.LatencyTarget(targetNanos, choice.get().mobility()));
             SimulatedNode.GateListener listener =
                     (code, load, roomNanos) -> entry.processor().run(() -> onEnd(server, code, load, roomNanos));
             if (gate == entry) {
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -62,7 +62,7 @@
     /** Time until the target latency is exceeded, in the format of gRPC; only between nodes. */
     public static final AsciiString TARGET = AsciiString.cached("mustardusher-target");
 
-    /** Present if the entry can send the call to another gate instead; only between nodes. */
+    /** When the gate may return the call, see {@code Mobility}; only between nodes. */
     public static final AsciiString MOVABLE = AsciiString.cached("mustardusher-movable");
 
     /** Conditions that the backend server stated in an answer; only between nodes. */
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -34,6 +34,7 @@
 import io.mustardusher.retry.RetryPolicy;
 import io.mustardusher.routing.ExcludedServers;
 import io.mustardusher.routing.LoadReport;
+import io.mustardusher.routing.Mobility;
 import io.mustardusher.routing.ServerLoad;
 import io.mustardusher.routing.ServerPool;
 import io.mustardusher.routing.ServerSelection;
@@ -190,18 +191,18 @@
         ServerLoad server = choice.get().server();
         expectedNanos = (long) server.estimatedNanos(now);
         logChoice(server, pool);
-        sendTo(server, link.get(), now, choice.get().movable());
+        sendTo(server, link.get(), now, choice.get().mobility());
     }
 
     /**
      * Sends the call to the gate of a server.
      *
-     * @param server  the server
-     * @param link    link to the gate
-     * @param now     current time, in nanoseconds
-     * @param movable whether the gate may return the call in favour of a faster server
+     * @param server   the server
+     * @param link     link to the gate
+     * @param now      current time, in nanoseconds
+     * @param mobility when the gate may return the call in favour of another server
      */
-    private void sendTo(ServerLoad server, GateLink link, long now, boolean movable) {
+    private void sendTo(ServerLoad server, GateLink link, long now, Mobility mobility) {
         long remainingNanos = call.deadlineNanos() - now;
         if (server.ejection().requiresTrial(now)) {
             server.ejection().startTrial();
@@ -210,7 +211,7 @@
         double largeBytes = transferCost.largeBytes();
         server.transferRate().recordCallStart(largeBytes);
         Optional<InstanceConditions> conditions = router.statedConditions().of(server.node());
-        RequestHeaders headersForNode = requestHeaders(remainingNanos, now, movable, conditions);
+        RequestHeaders headersForNode = requestHeaders(remainingNanos, now, mobility, conditions);
         Exchange exchange = link.send(body.toRequest(headersForNode), remainingNanos, cancelled);
         exchange.headers().whenComplete((headers, failure) -> {
             if (failure != null) {
@@ -226,12 +227,12 @@
     }
 
     private RequestHeaders requestHeaders(
-            long remainingNanos, long now, boolean movable, Optional<InstanceConditions> conditions) {
+            long remainingNanos, long now, Mobility mobility, Optional<InstanceConditions> conditions) {
         RequestHeadersBuilder headers = call.headersForNode(servers.attempt(), remainingNanos, fingerprint);
         if (targetNanos != ServerSelection.NO_TARGET) {
             headers.set(CallHeaders.TARGET, Timeout.format(targetNanos - now));
-            if (movable && body.isReplayable()) {
-                headers.set(CallHeaders.MOVABLE, "1");
+            if (mobility != Mobility.FIXED && body.isReplayable()) {
+                headers.set(CallHeaders.MOVABLE, mobility.token());
             }
         }
         conditions.ifPresent(stated -> headers.set(CallHeaders.CONDITIONS, stated.toHeader()));
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -272,7 +272,7 @@
                 clock.nanoTime() - ageMillis * Clock.NANOS_PER_MILLI,
                 usualServiceTime(member),
                 rate);
-        if (isSelf(member)) {
+        if (isSelf(member) && member.getService() != null) {
             load.readLoadFrom(gate::load);
         }
         GateLink link = known == null ? createLink(member, rate) : known.link;
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -42,6 +42,7 @@
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.routing.LoadReport;
+import io.mustardusher.routing.Mobility;
 import io.mustardusher.server.ReportedServerLoad;
 import io.mustardusher.server.ServerLink;
 import io.mustardusher.time.Clock;
@@ -432,7 +433,7 @@
             return Ticket.LatencyTarget.NONE;
         }
         long targetNanos = Timeout.parse(target).orElse(0);
-        return new Ticket.LatencyTarget(now + targetNanos, "1".equals(headers.get(CallHeaders.MOVABLE)));
+        return new Ticket.LatencyTarget(now + targetNanos, Mobility.of(headers.get(CallHeaders.MOVABLE)));
     }
 
     private void removeWhenCancelledOrExpired(
