Read the load of the own gate only when the own server is considered

The fixture of RoutedCallTest has a directory without a gate, whose own server does not serve; creating the reference to the gate's load failed in all five tests of the class since. The reference is resolved when it is used.

--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -272,8 +272,8 @@
                 clock.nanoTime() - ageMillis * Clock.NANOS_PER_MILLI,
                 usualServiceTime(member),
                 rate);
-        if (isSelf(member) && member.getService() != null) {
-            load.readLoadFrom(gate::load);
+        if (isSelf(member)) {
+            load.readLoadFrom(() -> gate.load());
         }
         GateLink link = known == null ? createLink(member, rate) : known.link;
         return new KnownNode(load, link, member.getSince());
