Return the budget of hedges that no server received

Cause: EndToEndTest.returnsHedgedResponseWhenFirstServerIsSlow failed once beside load: the slow server's answer was returned. A hedge that is rejected (by a node behind with its work) was replaced after the same delay, and each one cost a hedge of the budget; once the balance of a few hedges was spent, later calls waited for the slow server. HedgedCallTest.rejectedHedgesLeaveBudgetToOtherCalls shows it without processes: it failed at the fourth call before.

Change: a hedge that is proven not to have run is returned to the budget, and the delay before the next one doubles. replacesRejectedHedgesOnlyWithinBudget assumed that rejected hedges use up the budget; it is replaced by two tests as strict: growing delays bound the replacements of one call, and hedges that servers receive stay within the budget.

--- a/mustardusher-core/src/main/java/io/mustardusher/budget/RatioBudget.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/budget/RatioBudget.java
@@ -22,6 +22,11 @@
         balance = Math.min(MAX_BALANCE, balance + percent / PERCENT);
     }
 
+    /** Returns an extra attempt that no server has received. */
+    public synchronized void refund() {
+        balance = Math.min(MAX_BALANCE, balance + 1);
+    }
+
     @Override
     public synchronized boolean trySpend(int attempts) {
         if (balance < attempts) {
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/HedgedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/HedgedCall.java
@@ -77,23 +77,23 @@
     HttpResponse start() {
         Attempt first = attempts.apply(firstCancelled);
         CompletableFuture<Reply> reply = first.startForReply();
-        scheduleHedge(first);
+        scheduleHedge(first, Math.max(MIN_HEDGE_DELAY_NANOS, HEDGE_DELAY_FACTOR * first.expectedNanos()));
         reply.thenAccept(firstReply -> onReply(firstReply, secondCancelled));
         return HttpResponse.of(answer);
     }
 
-    private void scheduleHedge(Attempt first) {
-        long delay = Math.max(MIN_HEDGE_DELAY_NANOS, HEDGE_DELAY_FACTOR * first.expectedNanos());
-        ScheduledFuture<?> timer = timers.schedule(() -> hedge(first), delay, TimeUnit.NANOSECONDS);
+    private void scheduleHedge(Attempt first, long delayNanos) {
+        ScheduledFuture<?> timer = timers.schedule(() -> hedge(first, delayNanos), delayNanos, TimeUnit.NANOSECONDS);
         answer.whenComplete((response, failure) -> timer.cancel(false));
     }
 
     /**
      * Starts the hedge, unless the call has ended or the budget is spent.
      *
-     * @param first the first attempt
+     * @param first      the first attempt
+     * @param delayNanos delay after which the hedge was due, in nanoseconds
      */
-    private void hedge(Attempt first) {
+    private void hedge(Attempt first, long delayNanos) {
         synchronized (this) {
             boolean ended = pendingAttempts == 0 || firstCancelled.isDone();
             if (ended || !budget.trySpend()) {
@@ -104,10 +104,15 @@
         Attempt second = attempts.apply(secondCancelled);
         second.excludeServersOf(first);
         second.startForReply().thenAccept(secondReply -> {
+            boolean rejected = secondReply.outcome() == Outcome.NOT_RUN;
+            if (rejected) {
+                budget.refund();
+            }
             onReply(secondReply, firstCancelled);
-            // No server has run the rejected hedge, so a later one can still be faster than the first attempt.
-            if (secondReply.outcome() == Outcome.NOT_RUN && !answer.isDone()) {
-                scheduleHedge(first);
+            // No server has run the rejected hedge, so a later one can still be faster than the first attempt. The
+            // delay grows, because the node that rejected it may be behind with its work.
+            if (rejected && !answer.isDone()) {
+                scheduleHedge(first, 2 * delayNanos);
             }
         });
     }
