Read the bound on health probes from the settings

Cause: the operator's bound on health requests (/bounds/probesPerS) was not read; a gate sent up to 30 a second even where the operator allows fewer.

Change: a gate sends half of what the operator allows, at most 30 a second.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -447,8 +447,9 @@
 
     /**
      * Returns whether a call may be answered sooner at another gate. An entry that sees each server seldom chooses by
-     * reports that are out of date, so it may have a call returned that would wait here even if it could meet its target. A call
-     * that is too late even for an idle server stays, because each further gate would cost time and work for nothing.
+     * reports that are out of date, so it may have a call returned that would wait here, even if it could meet its
+     * target. A call that is too late even for an idle server stays, because each further gate would cost time and work
+     * for nothing.
      *
      * @param ticket      the call
      * @param waitNanos   time that the call is expected to wait for a slot, in nanoseconds
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
@@ -27,6 +27,9 @@
  */
 public interface NodeEnvironment {
 
+    /** Health requests that a backend server may receive per second where the platform states no bound. */
+    double DEFAULT_PROBES_PER_SECOND = 60;
+
     /**
      * Opens the platform's table service.
      *
@@ -69,6 +72,15 @@
      */
     default void renewWatch() {}
 
+    /**
+     * Returns the number of health requests that a backend server may receive per second.
+     *
+     * @return the bound, on average over all nodes
+     */
+    default double probesPerSecond() {
+        return DEFAULT_PROBES_PER_SECOND;
+    }
+
     /**
      * Returns the bounds on what a cold server may receive.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -75,8 +75,11 @@
     /** Interval at which the gate checks calls that wait for a slow server, in milliseconds. */
     private static final long GATE_POLL_MILLIS = 20;
 
-    /** Maximum number of probes of a backend server per second: half of what its operator allows. */
-    private static final double PROBES_PER_SECOND = 30;
+    /** Part of the health requests that the operator allows which a gate sends; a starting node sends some in addition. */
+    private static final double PROBE_SHARE = 0.5;
+
+    /** Maximum number of probes of a backend server per second; more of them do not make choices better. */
+    private static final double MAX_PROBES_PER_SECOND = 30;
 
     private final NodeSettings settings;
     private final NodeEnvironment environment;
@@ -128,7 +131,10 @@
                 SuspectTable.Policy.REJECT_AFTER_THREE_CRASHES,
                 environment::callName);
         clock = core.clock();
-        core.gate().enableProbes(service -> routes().current().healthPath(service), PROBES_PER_SECOND);
+        core.gate()
+                .enableProbes(
+                        service -> routes().current().healthPath(service),
+                        Math.min(MAX_PROBES_PER_SECOND, PROBE_SHARE * environment.probesPerSecond()));
         core.gate().configureColdStart(ColdPolicy.UNKNOWN);
         serverTracker = new ServerTracker(clock, this::handleAnnouncement);
         core.gate().onServerLeaving(serverTracker::recordLeaving);
