--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -75,7 +75,7 @@
     /** Interval at which the gate checks calls that wait for a slow server, in milliseconds. */
     private static final long GATE_POLL_MILLIS = 20;
 
-    /** Part of the health requests that the operator allows which a gate sends; a starting node sends some in addition. */
+    /** Part of the health requests allowed by the operator that a gate sends; a starting node sends a few more. */
     private static final double PROBE_SHARE = 0.5;
 
     /** Maximum number of probes of a backend server per second; more of them do not make choices better. */
