Reject queued calls that are overdue

Cause: a call that was queued with a prospect to be served in time is overtaken by calls of higher ranks that arrive later, and was held until its deadline.

Nested calls are kept, since their runs would fail.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -29,6 +29,12 @@
      */
     private static final double MAX_WAIT_FOR_SLOT = 0.5;
 
+    /**
+     * Part of the time between its target and its deadline after which a queued call is rejected. Later, its caller
+     * would hardly have time to return, and until then a slot may become free.
+     */
+    private static final double MAX_OVERDUE_FRACTION = 0.4;
+
     private final Clock clock;
 
     /** Queued calls other than exclusive ones. */
@@ -500,6 +506,10 @@
      */
     private void dispatch(List<Runnable> notifications) {
         limit.resize(usableSlots.count(clock.nanoTime()));
+        if (busy >= effectiveLimit()) {
+            rejectOverdue(notifications);
+            return;
+        }
         while (!exclusiveRunning && busy < effectiveLimit() && rate.delayNanos(0) == 0) {
             if (!exclusiveQueue.isEmpty() && busy > 0) {
                 return;
@@ -517,6 +527,24 @@
         }
     }
 
+    // Calls of higher ranks that arrive later may keep a queued call waiting for longer than was expected on its
+    // arrival.
+    private void rejectOverdue(List<Runnable> notifications) {
+        long now = clock.nanoTime();
+        queue.removeIf(ticket -> isOverdue(ticket, now))
+                .forEach(ticket -> reject(ticket, ResultCode.OVERLOADED, notifications));
+    }
+
+    // A nested call is left to its deadline: without it, the run that made it fails.
+    private boolean isOverdue(Ticket ticket, long now) {
+        if (!ticket.latencyTarget.isPresent() || ticket.precedence.nested()) {
+            return false;
+        }
+        long targetNanos = ticket.latencyTarget.targetNanos();
+        double lateNanos = now + times.baselineNanos(ticket.owner) - targetNanos;
+        return lateNanos > MAX_OVERDUE_FRACTION * (ticket.deadlineNanos - targetNanos);
+    }
+
     private boolean shouldDefer(Ticket ticket) {
         long now = clock.nanoTime();
         return !ticket.exclusive
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/TargetQueue.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/TargetQueue.java
@@ -78,6 +78,13 @@
         return removed;
     }
 
+    @Override
+    public List<Ticket> removeIf(Predicate<Ticket> condition) {
+        List<Ticket> matching = queued.stream().filter(condition).toList();
+        matching.forEach(this::remove);
+        return matching;
+    }
+
     @Override
     public Ticket removeNext(long now) {
         Ticket next = next(now);
--- a/mustardusher-core/src/main/java/io/mustardusher/admission/WaitingQueue.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/WaitingQueue.java
@@ -1,5 +1,8 @@
 package io.mustardusher.admission;
 
+import java.util.List;
+import java.util.function.Predicate;
+
 /** Calls queued at a gate, and the order in which they are dispatched. Not thread-safe. */
 interface WaitingQueue {
 
@@ -22,6 +25,11 @@
         return false;
     }
 
+    // Removes and returns the calls that meet a condition. Queues without latency targets have no overdue calls.
+    default List<Ticket> removeIf(Predicate<Ticket> condition) {
+        return List.of();
+    }
+
     // Returns the call to evict from a full queue in favour of a new one, or null if the new one is to be rejected.
     Ticket findEvictionCandidate(Ticket newcomer);
 
