Compare fewer servers in large pools

Cause: where many entries share the servers of a service, reports are seconds old. Entries that compare many servers by such reports choose the same few that seem idle.

Change: in a pool of more than twelve servers, two of the own failure domain and one of the others are compared instead of eight and four. The model divides its nodes among three failure domains, as far as the choice is concerned.

--- a/mustardusher-core/src/main/java/io/mustardusher/routing/RoutingPolicy.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/RoutingPolicy.java
@@ -77,11 +77,14 @@
     /** Number of servers up to which all are compared by cost. */
     private static final int MAX_COST_CANDIDATES = 12;
 
-    /** Number of servers of the own failure domain that are compared by cost in a larger pool. */
-    private static final int NEAR_COST_CANDIDATES = 8;
+    /**
+     * Number of servers of the own failure domain that are compared by cost in a larger pool. Entries that compare more
+     * of them by reports that are out of date choose the same few that seem idle.
+     */
+    private static final int NEAR_COST_CANDIDATES = 2;
 
     /** Number of servers of other failure domains that are compared by cost in a larger pool. */
-    private static final int FAR_COST_CANDIDATES = 4;
+    private static final int FAR_COST_CANDIDATES = 1;
 
     /** Name in catalogue documents. */
     private final String token;
--- a/mustardusher-model/src/main/java/io/mustardusher/model/Deployment.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/Deployment.java
@@ -14,6 +14,9 @@
     /** One-way delay between two nodes, in nanoseconds. */
     static final double LINK_NANOS = 0.7 * Clock.NANOS_PER_MILLI;
 
+    /** Number of failure domains among which the nodes are divided. */
+    private static final int DOMAINS = 3;
+
     private final Simulation simulation;
     private final LoadPattern pattern;
     private final Outcomes outcomes = new Outcomes();
@@ -65,7 +68,8 @@
         List<String> services = pattern.serviceOfEachServer();
         List<SimulatedNode> started = new ArrayList<>();
         for (int i = 0; i < services.size(); i++) {
-            started.add(new SimulatedNode(this, "node-" + i, services.get(i), servers.get(i), coldFactor));
+            started.add(
+                    new SimulatedNode(this, "node-" + i, i % DOMAINS, services.get(i), servers.get(i), coldFactor));
         }
         nodes = started;
         started.forEach(node -> node.discover(started));
--- a/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedNode.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedNode.java
@@ -52,12 +52,19 @@
     /** Time until a server refuses a call, in nanoseconds. */
     private static final double REFUSAL_NANOS = Clock.NANOS_PER_MILLI;
 
+    /** One-way delay that entries assume to servers of their own failure domain, in microseconds. */
+    private static final long OWN_DOMAIN_MICROS = 100;
+
+    /** One-way delay that entries assume to servers of other failure domains, in microseconds. */
+    private static final long OTHER_DOMAIN_MICROS = 900;
+
     /** Time after which a caller returns whose call was refused because of its nested calls, in nanoseconds. */
     private static final long DEPENDENCY_RETRY_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
 
     private final Deployment deployment;
     private final Simulation simulation;
     private final String name;
+    private final int domain;
     private final String service;
     private final SimulatedServer server;
     private final Processor processor;
@@ -69,10 +76,17 @@
     private final RunningCalls runningCalls;
     private boolean running = true;
 
-    SimulatedNode(Deployment deployment, String name, String service, SimulatedServer server, double coldFactor) {
+    SimulatedNode(
+            Deployment deployment,
+            String name,
+            int domain,
+            String service,
+            SimulatedServer server,
+            double coldFactor) {
         this.deployment = deployment;
         this.simulation = deployment.simulation();
         this.name = name;
+        this.domain = domain;
         this.service = service;
         this.server = server;
         LoadPattern pattern = deployment.pattern();
@@ -93,8 +107,9 @@
         Map<String, List<ServerLoad>> loads = new HashMap<>();
         for (SimulatedNode node : nodes) {
             long servingSinceNanos = -100_000 * Clock.NANOS_PER_MILLI;
-            ServerLoad load =
-                    new ServerLoad(NodeId.of(node.name), deployment.pattern().slots(), 0, servingSinceNanos);
+            long oneWayMicros = node.domain == domain ? OWN_DOMAIN_MICROS : OTHER_DOMAIN_MICROS;
+            ServerLoad load = new ServerLoad(
+                    NodeId.of(node.name), deployment.pattern().slots(), oneWayMicros, servingSinceNanos);
             if (node == this) {
                 load.readLoadFrom(admission::load);
             }
