Split the decisions about latency targets from the admission

What a gate does with a call because of its target (return, defer, reject) is in LatencyTargetPolicy now; behaviour is unchanged.

--- a/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/admission/Admission.java
@@ -23,18 +23,6 @@
     /** Age from which a report of the calls at the server is ignored, in nanoseconds. */
     private static final long SERVER_REPORT_EXPIRY_NANOS = 200 * Clock.NANOS_PER_MILLI;
 
-    /**
-     * Longest wait for a slot of a call that may be sent to another gate, in service times. Another attempt costs more
-     * processor time than a shorter wait is worth.
-     */
-    private static final double MAX_WAIT_FOR_SLOT = 0.5;
-
-    /**
-     * Part of the time between its target and its deadline after which a queued call is rejected. Later, its caller
-     * would hardly have time to return, and until then a slot may become free.
-     */
-    private static final double MAX_OVERDUE_FRACTION = 0.4;
-
     private final Clock clock;
 
     /** Queued calls other than exclusive ones. */
@@ -84,6 +72,8 @@
 
     private final ServiceTimes times = new ServiceTimes();
 
+    private final LatencyTargetPolicy targets = new LatencyTargetPolicy(times);
+
     /** Slots that the server announced. */
     private int announcedSlots = 1;
 
@@ -440,7 +430,7 @@
         double rateDelayNanos = rate.delayNanos(ahead);
         double waitNanos = Math.max(times.smoothedNanos() * rounds, rateDelayNanos);
         double answerNanos = now + times.completionNanos(ticket.owner, now) + waitNanos;
-        if (isWorthMoving(ticket, waitNanos, answerNanos, now)) {
+        if (targets.isWorthMoving(ticket, waitNanos, answerNanos, now)) {
             return ResultCode.SLOWER_THAN_TARGET;
         }
         // A cold server has no room for the calls whose turn comes too late.
@@ -451,27 +441,6 @@
         return waits && answerNanos > ticket.deadlineNanos ? ResultCode.DEADLINE_UNREACHABLE : null;
     }
 
-    /**
-     * Returns whether a call may be answered sooner at another gate. An entry that sees each server seldom chooses by
-     * reports that are out of date, so it may have a call returned that would wait here, even if it could meet its
-     * target. A call that is too late even for an idle server stays, because each further gate would cost time and work
-     * for nothing.
-     *
-     * @param ticket      the call
-     * @param waitNanos   time that the call is expected to wait for a slot, in nanoseconds
-     * @param answerNanos time at which this gate expects the answer, in nanoseconds
-     * @param now         current time, in nanoseconds
-     * @return {@code true} if the call should be sent to another gate
-     */
-    private boolean isWorthMoving(Ticket ticket, double waitNanos, double answerNanos, long now) {
-        long targetNanos = ticket.latencyTarget.targetNanos();
-        double serviceNanos = times.baselineNanos(ticket.owner);
-        boolean reachable = now + serviceNanos <= targetNanos;
-        boolean waits = waitNanos > MAX_WAIT_FOR_SLOT * serviceNanos;
-        boolean late = times.isSlow(now) || answerNanos > targetNanos;
-        return reachable && ticket.latencyTarget.mobility().permitsReturn(late, waits);
-    }
-
     /**
      * Enqueues a call. If the queue is full, the call of the lowest precedence, which may be the new one, is rejected.
      *
@@ -519,7 +488,7 @@
             if (ticket == null) {
                 return;
             }
-            if (!shouldDefer(ticket)) {
+            if (!targets.shouldDefer(ticket, clock.nanoTime())) {
                 dispatchOrReject(ticket, notifications);
             } else if (!queue.defer(ticket)) {
                 return;
@@ -531,28 +500,10 @@
     // arrival.
     private void rejectOverdue(List<Runnable> notifications) {
         long now = clock.nanoTime();
-        queue.removeIf(ticket -> isOverdue(ticket, now))
+        queue.removeIf(ticket -> targets.isOverdue(ticket, now))
                 .forEach(ticket -> reject(ticket, ResultCode.OVERLOADED, notifications));
     }
 
-    // A nested call is left to its deadline: without it, the run that made it fails.
-    private boolean isOverdue(Ticket ticket, long now) {
-        if (!ticket.latencyTarget.isPresent() || ticket.precedence.nested()) {
-            return false;
-        }
-        long targetNanos = ticket.latencyTarget.targetNanos();
-        double lateNanos = now + times.baselineNanos(ticket.owner) - targetNanos;
-        return lateNanos > MAX_OVERDUE_FRACTION * (ticket.deadlineNanos - targetNanos);
-    }
-
-    private boolean shouldDefer(Ticket ticket) {
-        long now = clock.nanoTime();
-        return !ticket.exclusive
-                && ticket.latencyTarget.isPresent()
-                && times.isSlow(now)
-                && now - ticket.arrivedNanos < times.maxDeferralNanos(ticket.owner, now);
-    }
-
     /**
      * Dispatches a call, or rejects it if its deadline can no longer be met.
      *
--- a/mustardusher-model/src/main/java/io/mustardusher/model/Deployment.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/Deployment.java
@@ -68,8 +68,7 @@
         List<String> services = pattern.serviceOfEachServer();
         List<SimulatedNode> started = new ArrayList<>();
         for (int i = 0; i < services.size(); i++) {
-            started.add(
-                    new SimulatedNode(this, "node-" + i, i % DOMAINS, services.get(i), servers.get(i), coldFactor));
+            started.add(new SimulatedNode(this, "node-" + i, i % DOMAINS, services.get(i), servers.get(i), coldFactor));
         }
         nodes = started;
         started.forEach(node -> node.discover(started));
--- a/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedNode.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedNode.java
@@ -77,12 +77,7 @@
     private boolean running = true;
 
     SimulatedNode(
-            Deployment deployment,
-            String name,
-            int domain,
-            String service,
-            SimulatedServer server,
-            double coldFactor) {
+            Deployment deployment, String name, int domain, String service, SimulatedServer server, double coldFactor) {
         this.deployment = deployment;
         this.simulation = deployment.simulation();
         this.name = name;
@@ -108,8 +103,8 @@
         for (SimulatedNode node : nodes) {
             long servingSinceNanos = -100_000 * Clock.NANOS_PER_MILLI;
             long oneWayMicros = node.domain == domain ? OWN_DOMAIN_MICROS : OTHER_DOMAIN_MICROS;
-            ServerLoad load = new ServerLoad(
-                    NodeId.of(node.name), deployment.pattern().slots(), oneWayMicros, servingSinceNanos);
+            ServerLoad load =
+                    new ServerLoad(NodeId.of(node.name), deployment.pattern().slots(), oneWayMicros, servingSinceNanos);
             if (node == this) {
                 load.readLoadFrom(admission::load);
             }
