Add musherctl profile

Cause: whether late calls lose their time at the entry, at gates that return them or at the last gate and server could only be found by reading logs by hand.

Change: musherctl profile merges the decisions that entries log into a table by service: attempts, answered calls, and the median and 99th percentile of each stage (HdrHistogram). It reads existing log lines and costs nodes nothing.

--- a/mustardusher-ctl/src/main/java/io/mustardusher/ctl/MusherCtl.java
+++ b/mustardusher-ctl/src/main/java/io/mustardusher/ctl/MusherCtl.java
@@ -31,7 +31,8 @@
             "  musherctl allowances --limit 20",
             "  musherctl evacuations",
             "  musherctl trace 9c41d07be2a35f68 logs/*.log",
-            "  musherctl summary logs/*.log"
+            "  musherctl summary logs/*.log",
+            "  musherctl profile logs/*.log"
         },
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {
@@ -245,6 +246,20 @@
         return ExitStatus.OK;
     }
 
+    /**
+     * Prints where the time of answered calls went, from the logs of several nodes.
+     *
+     * @param files log files
+     * @return the exit code
+     */
+    @Command(
+            name = "profile",
+            description = "Shows by service where the time of answered calls went, from the logs of their entries.")
+    int profile(@Parameters(arity = "1..*", paramLabel = "FILE", description = "Log of a node.") List<Path> files) {
+        CallProfile.of(LogLine.read(files)).print(out());
+        return ExitStatus.OK;
+    }
+
     /**
      * Creates a client for the nodes given on the command line.
      *
