--- a/mustardusher-ctl/src/main/java/io/mustardusher/ctl/CallProfile.java
+++ b/mustardusher-ctl/src/main/java/io/mustardusher/ctl/CallProfile.java
@@ -14,8 +14,8 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Shows where the time of answered calls goes, by service, from the decisions that entries logged. Log times are precise
- * to a millisecond.
+ * Shows where the time of answered calls goes, by service, from the decisions that entries logged. Log times are
+ * precise to a millisecond.
  */
 final class CallProfile {
 
