--- a/review/standins/src/review/BrokenOffAnswer.java
+++ b/review/standins/src/review/BrokenOffAnswer.java
@@ -72,7 +72,8 @@
         long start = System.nanoTime();
         try (Client client = new Client(fleet.machines.get(1))) {
             for (int number = 0; seconds(start) < SECONDS; number++) {
-                client.get("/clip/" + number, "clip-" + number, 2000);
+                Client.Answer answer = client.get("/clip/" + number, "clip-" + number, 2000);
+                record.add("client on %s: clip-%d got %s", client.machine.name, number, answer.describe());
                 Thread.sleep(10);
             }
         }
@@ -84,6 +85,7 @@
 
     private void answerEarly(Upstream upstream, Upstream.Exchange exchange) throws IOException, InterruptedException {
         int number = answers.incrementAndGet();
+        upstream.noteRun(exchange);
         if (exchange.head().method().equals("GET")) {
             upstream.answer(exchange, 200, WHOLE);
             return;
--- a/review/standins/src/review/ForgottenLeave.java
+++ b/review/standins/src/review/ForgottenLeave.java
@@ -46,11 +46,13 @@
         Upstream staying = new Upstream(fleet.machines.get(1), "i-7f3a91c2", 17, record);
         new Upstream(fleet.machines.get(2), "i-02d9e6b4", 17, record);
         leaving.behaviour = (up, exchange) -> {
+            up.noteRun(exchange);
             noteArrival(exchange.id());
             Thread.sleep(WORK_MILLIS);
             up.answer(exchange, 200, "done".getBytes());
         };
         staying.behaviour = (up, exchange) -> {
+            up.noteRun(exchange);
             Thread.sleep(WORK_MILLIS);
             up.answer(exchange, 200, "done".getBytes());
         };
--- a/review/standins/src/review/LateCheckIn.java
+++ b/review/standins/src/review/LateCheckIn.java
@@ -42,7 +42,9 @@
         for (Fleet.Machine killed : fleet.machines) {
             fleet.startNode(killed);
         }
-        fleet.awaitReady(fleet.machines, 30);
+        if (!fleet.awaitReady(fleet.machines, 30)) {
+            throw new IllegalStateException("the nodes do not start again");
+        }
         long back = System.nanoTime();
         Thread.sleep(3000);
 
--- a/review/standins/src/review/Upstream.java
+++ b/review/standins/src/review/Upstream.java
@@ -35,7 +35,10 @@
     final int capacity;
     final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     final AtomicInteger running = new AtomicInteger();
-    volatile Behaviour behaviour = (upstream, exchange) -> answer(exchange, 200, "done".getBytes());
+    volatile Behaviour behaviour = (upstream, exchange) -> {
+        noteRun(exchange);
+        answer(exchange, 200, "done".getBytes());
+    };
     volatile String state = "ready";
     volatile boolean beating;
     volatile boolean leaving;
@@ -127,6 +130,7 @@
                 String target = head.field("X-Target-Instance");
                 if (target != null && !target.equals(id)) {
                     Http.readBody(in, head);
+                    record.add("%s answers 421 to %s, which is meant for %s", id, head.field("X-Attempt-Id"), target);
                     write(out, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + id
                             + "\r\nContent-Length: 0\r\n\r\n");
                     continue;
@@ -156,6 +160,11 @@
                 + "," + slownessPercent;
     }
 
+    /** Notes that a request runs. */
+    void noteRun(Exchange exchange) {
+        record.add("%s runs %s", id, exchange.id());
+    }
+
     /** Sends a complete and signed answer. */
     void answer(Exchange exchange, int status, byte[] body) throws IOException {
         write(exchange.out, answerHead(exchange, status) + "Content-Length: " + body.length + "\r\n\r\n");
