Record responses that are not due and calls that reach a server again

Callers got a success where the server had answered with a failure (MIXED). Three hypotheses are open, and nothing that a node writes can tell them apart: a response that belongs to another request, or to none, is discarded without a trace, and a request that a connection has carried before looks like any other.

MUSH2024 and gate.repeatedRequests tell when a call is sent to its server again over a connection that has carried it, MUSH2025 and gate.discardedResponses which responses were not due. Decisions are unchanged. The reports to the gate move from RoutedNode to a type of their own.

Tests: discardedResponsesAndRepeatedRequestsAreReported, and the documentation of events.

--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -246,15 +246,6 @@
         }
     }
 
-    /**
-     * Counts a response of the backend server that was given up. The log line of its call names the reason.
-     *
-     * @param label label of the reason
-     */
-    public void recordResponseFault(String label) {
-        metrics.counter("gate.responseFaults." + label).inc();
-    }
-
     private void recordHint(InstanceConditions received) {
         if (conditions.recordHint(received, clock.nanoTime())) {
             applyConditions(received.instance());
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -491,4 +491,23 @@
     @LogMessage(level = Logger.Level.INFO)
     @Message(id = 2023, value = "response from %s streamed: %d bytes in %d ms")
     void responseStreamed(String address, int bytes, long millis);
+
+    /**
+     * A call is sent to the backend server again.
+     *
+     * @param call identifier of the call
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 2024, value = "call %s: sent to the same backend server again")
+    void requestRepeated(String call);
+
+    /**
+     * A response of the backend server was discarded, because it is not the one that is due on its connection.
+     *
+     * @param received identifier of the call to which it belongs
+     * @param awaited  identifier of the call that awaits a response on the connection
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 2025, value = "call %s: response discarded, since one to call %s is due")
+    void responseDiscarded(String received, String awaited);
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Supplier;
 
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpRequest;
@@ -31,7 +30,7 @@
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.gate.ColdState;
 import io.mustardusher.gate.FramedGate;
-import io.mustardusher.gate.Gate;
+import io.mustardusher.gate.GateReports;
 import io.mustardusher.generated.AllowanceRequest;
 import io.mustardusher.generated.Announcement;
 import io.mustardusher.generated.CataloguePull;
@@ -43,16 +42,12 @@
 import io.mustardusher.http.HttpListener;
 import io.mustardusher.http.RequestExchange;
 import io.mustardusher.http.RequestHandler;
-import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.route.RouteTable;
 import io.mustardusher.server.BufferedServerLink;
-import io.mustardusher.server.ReportedServerLoad;
-import io.mustardusher.server.ResponseFault;
-import io.mustardusher.server.ServerReports;
 import io.mustardusher.store.TableService;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.EventExecutor;
@@ -126,7 +121,10 @@
         core = new NodeCore(
                 settings,
                 created -> BufferedServerLink.factory(
-                        created.group(), environment.serverDialect(), new GateReports(created::gate), created.clock()),
+                        created.group(),
+                        environment.serverDialect(),
+                        new GateReports(created::gate, created.metrics()),
+                        created.clock()),
                 time -> Admission.withLatencyTargets(time, SAFE_SLOT_FRACTION),
                 SuspectTable.Policy.REJECT_AFTER_THREE_CRASHES,
                 environment::callName);
@@ -380,34 +378,6 @@
         }
     }
 
-    /**
-     * Passes the reports of the backend server to the gate.
-     *
-     * @param gate supplies the gate, which is created after the link to the server
-     */
-    private record GateReports(Supplier<Gate> gate) implements ServerReports {
-
-        @Override
-        public void onLoad(ReportedServerLoad load) {
-            gate.get().recordServerLoad(load);
-        }
-
-        @Override
-        public void onConditions(String instance, ServerConditions conditions, long sentNanos) {
-            gate.get().recordConditions(instance, conditions, sentNanos);
-        }
-
-        @Override
-        public void onHealth(long coldMillis, long sentNanos) {
-            gate.get().recordHealth(coldMillis, sentNanos);
-        }
-
-        @Override
-        public void onResponseFault(ResponseFault fault) {
-            gate.get().recordResponseFault(fault.label());
-        }
-    }
-
     /**
      * Bounds that apply to all nodes of a deployment.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -11,6 +12,7 @@
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.frame.DeadPeerDetection;
@@ -197,6 +199,25 @@
         return bufferBudget;
     }
 
+    /**
+     * Returns the receiver of reports about the server.
+     *
+     * @return the receiver
+     */
+    ServerReports reports() {
+        return reports;
+    }
+
+    /**
+     * Reports a response that does not belong to the request that awaits one.
+     *
+     * @param response headers of the response
+     * @param awaited  identifier of the request that awaits one; empty if there is none
+     */
+    void reportDiscarded(ResponseHeaders response, Optional<String> awaited) {
+        reports.onDiscardedResponse(dialect.requestId(response), awaited);
+    }
+
     /**
      * Returns a connection to the idle connections, or closes it if this link is closed.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -1,5 +1,6 @@
 package io.mustardusher.server;
 
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -45,6 +46,7 @@
     private final BufferedServerLink link;
     private final Channel channel;
     private final Clock clock;
+    private final CarriedRequests carried = new CarriedRequests();
     private ServerExchange exchange;
     private ResponseHeaders headers;
     private ResponseKind kind;
@@ -93,6 +95,7 @@
         interimResponses = 0;
         discardedBytes = 0;
         RequestHeaders requestHeaders = next.assign(this, request.headers(), instance, remainingNanos);
+        next.requestId().ifPresent(this::recordRequest);
         ByteBuf content = request.content().isEmpty()
                 ? Unpooled.EMPTY_BUFFER
                 : Unpooled.wrappedBuffer(request.content().array());
@@ -155,6 +158,13 @@
         }
     }
 
+    private void recordRequest(String id) {
+        if (carried.contains(id)) {
+            link.reports().onRepeatedRequest(id);
+        }
+        carried.add(id);
+    }
+
     private void handleResponseHead(HttpResponse response) {
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (informational && response.decoderResult().isSuccess()) {
@@ -168,12 +178,16 @@
         if (exchange == null || response.decoderResult().isFailure()) {
             // Invalid, or without a request: further responses could not be matched to their requests.
             reusable = false;
+            if (exchange == null && response.decoderResult().isSuccess()) {
+                link.reportDiscarded(convertHeaders(response), Optional.empty());
+            }
             giveUp(ResponseFault.MALFORMED_HEAD);
             return;
         }
         ResponseHeaders received = convertHeaders(response);
         ResponseKind receivedKind = exchange.classify(received);
         if (receivedKind == ResponseKind.MISMATCHED) {
+            link.reportDiscarded(received, exchange.requestId());
             discarding = true;
             reusable = false;
             return;
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import com.linecorp.armeria.common.HttpHeaders;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
@@ -21,6 +22,15 @@
      */
     RequestHeaders requestHeaders(RequestHeadersBuilder call, String instance, long remainingNanos);
 
+    /**
+     * Reads the identifier of a request, which a backend server repeats in each response to it. It names a request of a
+     * caller: if that is sent again, the responses to both runs carry the same identifier.
+     *
+     * @param headers headers of a request or a response
+     * @return the identifier, or empty if there is none
+     */
+    Optional<String> requestId(HttpHeaders headers);
+
     /**
      * Classifies a response by its headers.
      *
@@ -74,6 +84,11 @@
             return call.build();
         }
 
+        @Override
+        public Optional<String> requestId(HttpHeaders headers) {
+            return Optional.empty();
+        }
+
         @Override
         public ResponseKind classify(RequestHeaders request, ResponseHeaders response) {
             return ResponseKind.RAN;
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -1,5 +1,6 @@
 package io.mustardusher.server;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
 
@@ -70,6 +71,11 @@
         return request;
     }
 
+    // Returns the identifier of the assigned request, which its responses repeat.
+    Optional<String> requestId() {
+        return dialect.requestId(request);
+    }
+
     // Reports why the response is given up.
     void reportFault(ResponseFault fault) {
         reports.onResponseFault(fault);
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerReports.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerReports.java
@@ -1,5 +1,7 @@
 package io.mustardusher.server;
 
+import java.util.Optional;
+
 import io.mustardusher.instance.ServerConditions;
 
 /** Receives what a backend server reports about itself in its answers. */
@@ -38,6 +40,25 @@
      */
     void onResponseFault(ResponseFault fault);
 
+    /**
+     * Handles a response that is discarded because it does not belong to the request that awaits one.
+     *
+     * @param received identifier of the request to which the response belongs; empty if it names none
+     * @param awaited  identifier of the request that awaits a response; empty if it has none or no request does
+     */
+    default void onDiscardedResponse(Optional<String> received, Optional<String> awaited) {
+        // Receivers that keep no log have no use for it.
+    }
+
+    /**
+     * Handles a request that is sent to the server again.
+     *
+     * @param request identifier of the request
+     */
+    default void onRepeatedRequest(String request) {
+        // Receivers that keep no log have no use for it.
+    }
+
     /** Ignores all reports. */
     enum Discarding implements ServerReports {
         /** The only instance. */
--- a/mustardusher-node/src/test/java/io/mustardusher/node/InitialServerProbeTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/node/InitialServerProbeTest.java
@@ -5,6 +5,7 @@
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaders;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
@@ -62,6 +63,11 @@
             return call.build();
         }
 
+        @Override
+        public Optional<String> requestId(HttpHeaders headers) {
+            return Optional.empty();
+        }
+
         @Override
         public ResponseKind classify(RequestHeaders sent, ResponseHeaders answer) {
             return ResponseKind.RAN;
--- a/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -42,6 +43,8 @@
     private final EventLoopGroup group = EventLoopGroups.newEventLoopGroup(1, "garbled", true);
     private final AtomicInteger connections = new AtomicInteger();
     private final List<Long> reportedColdMillis = new CopyOnWriteArrayList<>();
+    private final List<String> reportedRepetitions = new CopyOnWriteArrayList<>();
+    private final List<String> reportedDiscards = new CopyOnWriteArrayList<>();
     private ServerSocket socket;
     private ServerLink link;
 
@@ -82,6 +85,16 @@
         assertThat(responseBody("two")).isEqualTo("own");
     }
 
+    // Guards against late responses that leave no trace in log and metrics.
+    @Test
+    void discardedResponsesAndRepeatedRequestsAreReported() {
+        serve((number, id) -> number == 0 ? response(id, "own") : response("other", "late") + response(id, "own"));
+        responseBody("one");
+        responseBody("one");
+        assertThat(reportedRepetitions).containsExactly("one");
+        assertThat(reportedDiscards).containsExactly("other instead of one");
+    }
+
     // Guards against a refused probe, or an answer to a call, that is taken for the statement that a server is warm.
     @Test
     void onlyAnswersOfHealthyServerToProbesReportColdness() {
@@ -161,6 +174,16 @@
         public void onResponseFault(ResponseFault fault) {
             // The faults do not matter here.
         }
+
+        @Override
+        public void onDiscardedResponse(Optional<String> received, Optional<String> awaited) {
+            reportedDiscards.add(received.orElse("-") + " instead of " + awaited.orElse("-"));
+        }
+
+        @Override
+        public void onRepeatedRequest(String request) {
+            reportedRepetitions.add(request);
+        }
     }
 
     private interface ResponseScript {
--- a/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import com.linecorp.armeria.common.HttpHeaders;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
@@ -17,6 +18,11 @@
         return call.build();
     }
 
+    @Override
+    public Optional<String> requestId(HttpHeaders headers) {
+        return Optional.ofNullable(headers.get("id"));
+    }
+
     @Override
     public ResponseKind classify(RequestHeaders request, ResponseHeaders response) {
         return request.get("id").equals(response.get("id")) ? ResponseKind.RAN : ResponseKind.MISMATCHED;
