--- a/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
@@ -1,16 +1,10 @@
 package io.mustardusher.server;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
@@ -19,7 +13,6 @@
 import com.linecorp.armeria.common.util.EventLoopGroups;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
-import io.mustardusher.generated.Announcement;
 import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
@@ -41,32 +34,27 @@
     private static final long REMAINING_NANOS = 5_000 * Clock.NANOS_PER_MILLI;
 
     private final EventLoopGroup group = EventLoopGroups.newEventLoopGroup(1, "garbled", true);
-    private final AtomicInteger connections = new AtomicInteger();
     private final List<Long> reportedColdMillis = new CopyOnWriteArrayList<>();
     private final List<String> reportedRepetitions = new CopyOnWriteArrayList<>();
     private final List<String> reportedDiscards = new CopyOnWriteArrayList<>();
-    private ServerSocket socket;
+    private ScriptedServer server;
     private ServerLink link;
 
     @BeforeEach
     void listen() throws IOException {
-        socket = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+        server = new ScriptedServer();
         link = open(Clock.ForSystem.INSTANCE);
     }
 
     private ServerLink open(Clock clock) {
-        Announcement announced = new Announcement()
-                .withHost(socket.getInetAddress().getHostAddress())
-                .withPort(socket.getLocalPort())
-                .withInstance("i-1");
         return BufferedServerLink.factory(group, EchoDialect.INSTANCE, new HealthReports(), clock)
-                .open(announced);
+                .open(server.announcement());
     }
 
     @AfterEach
     void close() throws IOException {
         link.close();
-        socket.close();
+        server.close();
         group.shutdownGracefully();
     }
 
@@ -75,7 +63,7 @@
         serve((number, id) -> response(id, "a" + number));
         assertThat(responseBody("one")).isEqualTo("a0");
         assertThat(responseBody("two")).isEqualTo("a1");
-        assertThat(connections.get()).isEqualTo(1);
+        assertThat(server.connections()).isEqualTo(1);
     }
 
     @Test
@@ -134,7 +122,7 @@
 
     @Test
     void refusedConnectionFailsAsUnreachable() throws IOException {
-        socket.close();
+        server.close();
         assertThat(failureCode(send("one"))).isEqualTo(ResultCode.SERVER_UNREACHABLE);
     }
 
@@ -147,11 +135,11 @@
         assertThat(responseBody("one")).isEqualTo("a0");
         assertThat(failureCode(send("two", Clock.NANOS_PER_MILLI))).isEqualTo(ResultCode.DEADLINE_PASSED);
         assertThat(responseBody("three")).isEqualTo("a2");
-        assertThat(connections.get()).isEqualTo(2);
+        assertThat(server.connections()).isEqualTo(2);
     }
 
-    private static final String CLOSE = "\u0000close";
-    private static final String RESET = "\u0000reset";
+    private static final String CLOSE = ScriptedServer.CLOSE;
+    private static final String RESET = ScriptedServer.RESET;
 
     private final class HealthReports implements ServerReports {
 
@@ -186,10 +174,6 @@
         }
     }
 
-    private interface ResponseScript {
-        String response(int number, String id);
-    }
-
     private static String response(String id, String body) {
         return "HTTP/1.1 200 OK\r\nid: " + id + "\r\ncontent-length: " + body.length() + "\r\n\r\n" + body;
     }
@@ -222,56 +206,7 @@
         return link.send(HttpRequest.of(headers), remainingNanos);
     }
 
-    private void serve(ResponseScript script) {
-        Thread server = new Thread(() -> {
-            AtomicInteger number = new AtomicInteger();
-            try {
-                while (true) {
-                    Socket accepted = socket.accept();
-                    connections.incrementAndGet();
-                    new Thread(() -> serveConnection(accepted, script, number)).start();
-                }
-            } catch (IOException e) {
-                // The test has closed the socket.
-            }
-        });
-        server.setDaemon(true);
-        server.start();
-    }
-
-    private static void serveConnection(Socket socket, ResponseScript script, AtomicInteger number) {
-        try (socket) {
-            while (true) {
-                String request = readHead(socket.getInputStream());
-                if (request.isEmpty()) {
-                    return;
-                }
-                String id = request.replaceAll("(?s).*\r\nid: ([a-z]+)\r\n.*", "$1");
-                String text = script.response(number.getAndIncrement(), id);
-                String bytes = text.replace(CLOSE, "").replace(RESET, "");
-                socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-                socket.getOutputStream().flush();
-                if (text.endsWith(RESET)) {
-                    socket.setSoLinger(true, 0);
-                }
-                if (text.endsWith(CLOSE) || text.endsWith(RESET)) {
-                    return;
-                }
-            }
-        } catch (IOException e) {
-            // The link has closed the connection.
-        }
-    }
-
-    private static String readHead(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int next = in.read();
-            if (next < 0) {
-                return "";
-            }
-            head.append((char) next);
-        }
-        return head.toString();
+    private void serve(ScriptedServer.Script script) {
+        server.serve(script);
     }
 }
--- a/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
@@ -9,7 +9,10 @@
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.instance.ServerConditions;
 
-/** Dialect of servers that echo the header {@code id} of the request. */
+/**
+ * Dialect of servers that echo the header {@code id} of the request, and set the header {@code not-run} in the response
+ * to a request that they did not run.
+ */
 enum EchoDialect implements ServerDialect {
     INSTANCE;
 
@@ -25,7 +28,13 @@
 
     @Override
     public ResponseKind classify(RequestHeaders request, ResponseHeaders response) {
-        return request.get("id").equals(response.get("id")) ? ResponseKind.RAN : ResponseKind.MISMATCHED;
+        if (response.contains("id") && !requestId(response).equals(requestId(request))) {
+            return ResponseKind.MISMATCHED;
+        }
+        if (response.contains("not-run")) {
+            return ResponseKind.NOT_RUN;
+        }
+        return response.contains("id") ? ResponseKind.RAN : ResponseKind.INVALID;
     }
 
     @Override
