Believe a response without an identifier only if no other request can have caused it

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run, try again' for requests that had run or were running (REFUSED), or such a request ran at a second server (TWICE).

Cause: a refusal (X-Not-Executed, 421) was believed whether or not it named the request, so that the late copy of one that names none counted for whichever request came next on the connection. In the same way the answer to a probe, which has no identifier, was taken from whatever response arrived first, even one that named a call.

Before: refusalThatNamesNoRequestIsNoProofBehindEarlierRequests and ...BehindMismatch, 'Expected CompletionException to be thrown, but nothing was thrown'; probeIsNotAnsweredByLateResponseToCall, 'expected: 70 but was: 0'. Now a response without an identifier proves something only on a connection that has carried no other request, where it can have no other cause; refusalThatNamesNoRequestIsProofOnNewConnection keeps such refusals from becoming 502. The connection is closed behind it and behind every response that proves nothing. A response that names a call does not answer a probe.

The identifier is compared in one place, the exchange; dialects only read it.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -51,6 +51,7 @@
     private ResponseHeaders headers;
     private ResponseKind kind;
     private ResponseBuffer body;
+    private int exchanges;
     private int interimResponses;
     private int discardedBytes;
 
@@ -93,6 +94,7 @@
 
     void send(ServerExchange next, AggregatedHttpRequest request, String instance, long remainingNanos) {
         exchange = next;
+        exchanges++;
         headers = null;
         body = null;
         closeDelimited = false;
@@ -182,7 +184,7 @@
             return;
         }
         ResponseHeaders received = convertHeaders(response);
-        ResponseKind receivedKind = exchange.classify(received);
+        ResponseKind receivedKind = exchange.classify(received, exchanges == 1 && reusable);
         if (receivedKind == ResponseKind.MISMATCHED) {
             link.reportDiscarded(received, exchange.requestId());
             discarding = true;
@@ -196,7 +198,10 @@
                 && !HttpUtil.isTransferEncodingChunked(response)
                 && response.status().code() != 204
                 && response.status().code() != 304;
-        reusable &= HttpUtil.isKeepAlive(response) && !closeDelimited;
+        reusable &= HttpUtil.isKeepAlive(response)
+                && !closeDelimited
+                && kind != ResponseKind.INVALID
+                && exchange.isNamedBy(received);
         idleLimitNanos = idleLimitNanos(response.headers());
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
@@ -32,13 +32,12 @@
     Optional<String> requestId(HttpHeaders headers);
 
     /**
-     * Classifies a response by its headers.
+     * Classifies a response by its headers, provided that it belongs to the request that awaits one.
      *
-     * @param request  headers of the request, as sent
      * @param response headers of the response
      * @return kind of the response
      */
-    ResponseKind classify(RequestHeaders request, ResponseHeaders response);
+    ResponseKind classify(ResponseHeaders response);
 
     /**
      * Reads the load of the server.
@@ -90,7 +89,7 @@
         }
 
         @Override
-        public ResponseKind classify(RequestHeaders request, ResponseHeaders response) {
+        public ResponseKind classify(ResponseHeaders response) {
             return ResponseKind.RAN;
         }
 
@@ -118,10 +117,10 @@
         /** The server states that it did not run the request. */
         NOT_RUN,
 
-        /** The response belongs to an earlier request on the connection. */
+        /** The response names another request than the one that awaits it. */
         MISMATCHED,
 
-        /** The response cannot originate from the server. */
+        /** The response proves nothing about the request. */
         INVALID
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -81,13 +81,18 @@
         reports.onResponseFault(fault);
     }
 
+    // Returns whether a response names the request, or the request has no identifier that it could repeat.
+    boolean isNamedBy(ResponseHeaders headers) {
+        return dialect.requestId(headers).equals(requestId());
+    }
+
     // Classifies the response by its headers and reports what the server states in it.
-    ServerDialect.ResponseKind classify(ResponseHeaders headers) {
-        ServerDialect.ResponseKind kind =
-                unmodified ? ServerDialect.ResponseKind.RAN : dialect.classify(request, headers);
-        if (kind != ServerDialect.ResponseKind.MISMATCHED) {
-            dialect.load(headers).ifPresent(reports::onLoad);
+    ServerDialect.ResponseKind classify(ResponseHeaders headers, boolean onlyRequest) {
+        ServerDialect.ResponseKind kind = kindOf(headers, onlyRequest);
+        if (kind == ServerDialect.ResponseKind.MISMATCHED) {
+            return kind;
         }
+        dialect.load(headers).ifPresent(reports::onLoad);
         if (unmodified && headers.status().equals(HttpStatus.OK)) {
             dialect.coldMillis(headers).ifPresent(millis -> reports.onHealth(millis, sentNanos));
         }
@@ -97,6 +102,18 @@
         return kind;
     }
 
+    // Without a name, a response may belong to an earlier request unless there was none.
+    private ServerDialect.ResponseKind kindOf(ResponseHeaders headers, boolean onlyRequest) {
+        boolean named = isNamedBy(headers);
+        if (!named && dialect.requestId(headers).isPresent()) {
+            return ServerDialect.ResponseKind.MISMATCHED;
+        }
+        if (unmodified) {
+            return ServerDialect.ResponseKind.RAN;
+        }
+        return named || onlyRequest ? dialect.classify(headers) : ServerDialect.ResponseKind.INVALID;
+    }
+
     // A misdirected request was answered by another instance than the one that it was meant for.
     private boolean statesConditions(ServerDialect.ResponseKind kind, ResponseHeaders headers) {
         boolean fromInstance = kind == ServerDialect.ResponseKind.RAN || kind == ServerDialect.ResponseKind.NOT_RUN;
@@ -111,7 +128,7 @@
                     Problem.headers(ResultCode.SERVER_REFUSED).build())));
             default -> fail(
                     ResultCode.CONNECTION_LOST,
-                    "the answer is spoiled or unsigned, status "
+                    "the answer is spoiled, unsigned or unnamed, status "
                             + headers.status().code());
         }
     }
--- a/mustardusher-node/src/test/java/io/mustardusher/node/InitialServerProbeTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/node/InitialServerProbeTest.java
@@ -69,7 +69,7 @@
         }
 
         @Override
-        public ResponseKind classify(RequestHeaders sent, ResponseHeaders answer) {
+        public ResponseKind classify(ResponseHeaders answer) {
             return ResponseKind.RAN;
         }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
@@ -9,6 +9,7 @@
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.util.EventLoopGroups;
 import io.mustardusher.call.CallHeaders;
@@ -87,15 +88,52 @@
     @Test
     void onlyAnswersOfHealthyServerToProbesReportColdness() {
         serve((number, id) -> (number == 0 ? "HTTP/1.1 503 Busy" : "HTTP/1.1 200 OK")
-                + "\r\nid: one\r\ncold: 70\r\ncontent-length: 0\r\n\r\n");
-        link.probe("/").join();
+                + (number == 1 ? "\r\nid: one" : "")
+                + "\r\ncold: 70\r\ncontent-length: 0\r\n\r\n");
+        link.probe("/", REMAINING_NANOS).join();
         assertThat(reportedColdMillis).isEmpty();
         responseBody("one");
         assertThat(reportedColdMillis).isEmpty();
-        link.probe("/").join();
+        link.probe("/", REMAINING_NANOS).join();
         assertThat(reportedColdMillis).containsExactly(70L);
     }
 
+    // Guards against the response to an earlier call, written late, that is taken for the answer to a probe.
+    @Test
+    void probeIsNotAnsweredByLateResponseToCall() {
+        serve((number, id) -> number == 0
+                ? response(id, "own")
+                : response("one", "late") + "HTTP/1.1 200 OK\r\ncold: 70\r\ncontent-length: 0\r\n\r\n");
+        responseBody("one");
+        link.probe("/", REMAINING_NANOS).join();
+        assertThat(reportedColdMillis).containsExactly(70L);
+    }
+
+    // Guards against a caller who is told that its request did not run, by the late refusal of an earlier one.
+    @Test
+    void refusalThatNamesNoRequestIsNoProofBehindEarlierRequests() {
+        serve((number, id) -> number == 0 ? response(id, "own") : REFUSAL + response(id, "ran"));
+        assertThat(responseBody("one")).isEqualTo("own");
+        assertThat(failureCode(send("two"))).isEqualTo(ResultCode.CONNECTION_LOST);
+    }
+
+    // Guards against calls that fail although a server without room has refused them, and could not name them.
+    @Test
+    void refusalThatNamesNoRequestIsProofOnNewConnection() {
+        serve((number, id) -> REFUSAL);
+        for (int i = 1; i <= 3; i++) {
+            assertThat(send("one").headers().join().status()).isEqualTo(HttpStatus.SERVICE_UNAVAILABLE);
+            assertThat(server.connections()).isEqualTo(i);
+        }
+    }
+
+    // Guards against a refusal that is believed behind the response to a request that this connection did not carry.
+    @Test
+    void refusalThatNamesNoRequestIsNoProofBehindMismatch() {
+        serve((number, id) -> response("other", "late") + REFUSAL);
+        assertThat(failureCode(send("one"))).isEqualTo(ResultCode.CONNECTION_LOST);
+    }
+
     @Test
     void truncatedResponseFails() {
         serve((number, id) -> "HTTP/1.1 200 OK\r\nid: " + id + "\r\ncontent-length: 10\r\n\r\nshort" + CLOSE);
@@ -140,6 +178,7 @@
 
     private static final String CLOSE = ScriptedServer.CLOSE;
     private static final String RESET = ScriptedServer.RESET;
+    private static final String REFUSAL = "HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
 
     private final class HealthReports implements ServerReports {
 
--- a/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
@@ -27,10 +27,7 @@
     }
 
     @Override
-    public ResponseKind classify(RequestHeaders request, ResponseHeaders response) {
-        if (response.contains("id") && !requestId(response).equals(requestId(request))) {
-            return ResponseKind.MISMATCHED;
-        }
+    public ResponseKind classify(ResponseHeaders response) {
         if (response.contains("not-run")) {
             return ResponseKind.NOT_RUN;
         }
