Exclude servers that a call was sent to by their nodes

A call that is tried again is not to go to a server that it was sent to before.

Cause: excluded servers were compared by the object that records their load, and the directory makes a new one whenever the same server serves again, after a connection that it did not accept for a moment, after draining, or after its node was taken for failed. Beyond eight servers, exclusion was given up as well.

Servers are compared by their node, which stays the same, and all of them are remembered.

--- a/mustardusher-core/src/main/java/io/mustardusher/routing/ExcludedServers.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/routing/ExcludedServers.java
@@ -1,26 +1,29 @@
 package io.mustardusher.routing;
 
+import java.util.Arrays;
+
 /**
- * Servers that are not chosen for a call because it was already sent to them. Servers beyond a fixed capacity are not
- * recorded and may be chosen again.
+ * Servers that are not chosen for a call because it was already sent to them. They are identified by their nodes, since
+ * the load of a server that serves again is recorded anew.
  */
 public final class ExcludedServers {
 
-    private static final int CAPACITY = 8;
+    private static final int INITIAL_CAPACITY = 4;
 
-    private final ServerLoad[] servers = new ServerLoad[CAPACITY];
+    private ServerLoad[] servers = new ServerLoad[INITIAL_CAPACITY];
 
     private int size;
 
     /**
-     * Excludes a server, unless the capacity is exhausted.
+     * Excludes a server.
      *
      * @param server the server
      */
     public void add(ServerLoad server) {
-        if (size < CAPACITY) {
-            servers[size++] = server;
+        if (size == servers.length) {
+            servers = Arrays.copyOf(servers, 2 * size);
         }
+        servers[size++] = server;
     }
 
     /**
@@ -30,7 +33,7 @@
      */
     public void remove(ServerLoad server) {
         for (int i = 0; i < size; i++) {
-            if (servers[i] == server) {
+            if (isSame(servers[i], server)) {
                 servers[i] = servers[--size];
                 return;
             }
@@ -56,10 +59,14 @@
      */
     public boolean contains(ServerLoad server) {
         for (int i = 0; i < size; i++) {
-            if (servers[i] == server) {
+            if (isSame(servers[i], server)) {
                 return true;
             }
         }
         return false;
     }
+
+    private static boolean isSame(ServerLoad one, ServerLoad other) {
+        return one == other || one.node().equals(other.node());
+    }
 }
--- a/mustardusher-core/src/test/java/io/mustardusher/routing/ServerSelectionTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/routing/ServerSelectionTest.java
@@ -1,7 +1,10 @@
 package io.mustardusher.routing;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
 
 import io.mustardusher.membership.NodeId;
 import io.mustardusher.result.ResultCode;
@@ -75,6 +78,33 @@
         assertThat(selection.attempt()).isEqualTo(3);
     }
 
+    /** Guards against a retry at a server that has just failed, because it serves again under a new load record. */
+    @Test
+    void serverThatServesAgainIsNotTriedTwice() {
+        ServerSelection selection = selection();
+        assertThat(selection.next(pool, new Random(1), 0)).isPresent();
+        assertThat(selection.next(pool, new Random(1), 0)).isPresent();
+        ServerPool again = ServerPool.of(List.of(server("first"), server("second")));
+        assertThat(selection.next(again, new Random(1), 0)).isEmpty();
+    }
+
+    /** Guards against a call that returns to a server after many others have turned it away. */
+    @Test
+    void noneOfManyServersIsTriedTwice() {
+        List<ServerLoad> servers =
+                IntStream.range(0, 20).mapToObj(i -> server("s" + i)).toList();
+        ServerSelection selection = selection();
+        Set<ServerLoad> tried = new HashSet<>();
+        for (int i = 0; i < servers.size(); i++) {
+            tried.add(selection
+                    .next(ServerPool.of(servers), new Random(i), 0)
+                    .orElseThrow()
+                    .server());
+        }
+        assertThat(tried).containsExactlyElementsIn(servers);
+        assertThat(selection.next(ServerPool.of(servers), new Random(1), 0)).isEmpty();
+    }
+
     /** Guards against a detour over the network while the server beside the node has a free slot. */
     @Test
     void prefersOwnServerWithFreeSlot() {
