--- a/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
@@ -13,7 +13,8 @@
  * Dialect of servers that echo the header {@code id} of the request, and set the header {@code not-run} in the response
  * to a request that they did not run.
  */
-enum EchoDialect implements ServerDialect {
+public enum EchoDialect implements ServerDialect {
+    /** The only instance. */
     INSTANCE;
 
     @Override
