Reject deeply nested JSON before it exhausts the stack

What callers saw: an announcement 5,000 levels deep had its connection closed without an answer. A node whose table has a row of 900 nested objects found no other nodes. Cause: JsonTree reads by recursion, and the parser's limit of 1,000 levels is more than a stack of 512 KiB holds. The StackOverflowError passed all handlers of malformed input: it closed the connection of the announcement, and failed the whole scan of PeerDiscovery. Why the fix works: the parser, which does not recurse, rejects more than 64 levels as malformed, and the readers have a case for that: 400 and a log line, or a row that is skipped.

--- a/mustardusher-core/src/main/java/io/mustardusher/schema/JsonTree.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/schema/JsonTree.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -24,11 +25,16 @@
  */
 public final class JsonTree {
 
-    /** Accepts comments and trailing commas, and rejects duplicate keys. */
+    /** Maximum nesting of values. Trees are read and written by recursion, on stacks that may be small. */
+    static final int MAX_NESTING = 64;
+
+    /** Accepts comments and trailing commas, and rejects duplicate keys and deeply nested values. */
     static final JsonFactory FACTORY = JsonFactory.builder()
             .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
             .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .streamReadConstraints(
+                    StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING).build())
             .build();
 
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
@@ -49,7 +55,7 @@
      *
      * @param text JSON with comments
      * @return the value, or a missing node if the text contains none
-     * @throws JsonProcessingException if the text is malformed
+     * @throws JsonProcessingException if the text is malformed or nested too deeply
      */
     public static JsonNode read(String text) throws JsonProcessingException {
         try (JsonParser parser = FACTORY.createParser(text)) {
@@ -77,7 +83,6 @@
         return text.toString();
     }
 
-    // The parser limits the nesting of values to 1000 levels.
     private static JsonNode value(JsonParser parser) throws IOException {
         return switch (parser.currentToken()) {
             case START_OBJECT -> objectValue(parser);
--- a/mustardusher-core/src/test/java/io/mustardusher/schema/JsonTreeTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/schema/JsonTreeTest.java
@@ -1,5 +1,7 @@
 package io.mustardusher.schema;
 
+import java.util.concurrent.atomic.AtomicReference;
+
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -14,6 +16,9 @@
 
     private static final ObjectMapper MAPPER = Schema.mapper();
 
+    /** Size of the stacks of a node's threads, in bytes. */
+    private static final long STACK_BYTES = 512 << 10;
+
     /** Guards against trees and texts that differ from those of the object mapper. */
     @ParameterizedTest
     @ValueSource(
@@ -51,4 +56,38 @@
     void deepNestingIsRejected() {
         assertThrows(JsonProcessingException.class, () -> JsonTree.read("[".repeat(100_000)));
     }
+
+    /** Guards against input that is nested less deeply than the parser permits, but overflows the stack of a node. */
+    @ParameterizedTest
+    @ValueSource(ints = {JsonTree.MAX_NESTING + 1, 900, 5_000, 30_000})
+    void nestingThatOverflowsSmallStackIsRejected(int levels) throws InterruptedException {
+        String objects = "{\"a\":".repeat(levels) + "1" + "}".repeat(levels);
+        String arrays = "[".repeat(levels) + "]".repeat(levels);
+        assertThat(failureOnSmallStack(objects)).isInstanceOf(JsonProcessingException.class);
+        assertThat(failureOnSmallStack(arrays)).isInstanceOf(JsonProcessingException.class);
+    }
+
+    @Test
+    void nestingUpToLimitIsRead() throws JsonProcessingException {
+        String text = "[".repeat(JsonTree.MAX_NESTING) + "]".repeat(JsonTree.MAX_NESTING);
+        assertThat(JsonTree.write(JsonTree.read(text))).isEqualTo(text);
+    }
+
+    private static Throwable failureOnSmallStack(String text) throws InterruptedException {
+        AtomicReference<Throwable> failure = new AtomicReference<>();
+        Thread reader = new Thread(
+                null,
+                () -> {
+                    try {
+                        JsonTree.read(text);
+                    } catch (Throwable e) {
+                        failure.set(e);
+                    }
+                },
+                "small stack",
+                STACK_BYTES);
+        reader.start();
+        reader.join();
+        return failure.get();
+    }
 }
--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/PeerDiscoveryTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/PeerDiscoveryTest.java
@@ -26,6 +26,9 @@
 
     private static final String ROW = "nodes/node-1";
 
+    private static final long STACK_BYTES = 256 << 10;
+
+    private final List<InetSocketAddress> contacted = new ArrayList<>();
     private final TableService.InMemory table = new TableService.InMemory();
     private final MemberTable members = new MemberTable(
             new MemberRecord()
@@ -73,7 +76,23 @@
         write("nodes/c", valid.replace("\"127.0.0.1\"", "7"));
         write("nodes/d", valid.replace("\"boot\"", "\"other\""));
         write("nodes/z", valid);
-        List<InetSocketAddress> contacted = new ArrayList<>();
+        discover();
+        assertThat(contacted).containsExactly(new InetSocketAddress("127.0.0.1", 9));
+    }
+
+    // Guards against a node that never finds its peers because a row exhausts the stack of the thread that reads it.
+    @Test
+    void skipsDeeplyNestedRowOnSmallStack() throws InterruptedException {
+        String valid = "{\"host\":\"127.0.0.1\",\"framePort\":9,\"boot\":1,\"domain\":\"r/d\"}";
+        write("nodes/a", "{\"a\":".repeat(900) + valid + "}".repeat(900));
+        write("nodes/z", valid);
+        Thread reader = new Thread(null, this::discover, "small stack", STACK_BYTES);
+        reader.start();
+        reader.join();
+        assertThat(contacted).containsExactly(new InetSocketAddress("127.0.0.1", 9));
+    }
+
+    private void discover() {
         Peers peers = new Peers() {
             @Override
             public <A> CompletableFuture<A> request(
@@ -87,10 +106,7 @@
         CatalogueReplica catalogue = new CatalogueReplica(
                 new CatalogueStore(table, clock), peers, members, clock, new Random(1), changed -> {});
         Gossiper gossiper = new Gossiper(members, peers, catalogue, suspects, clock);
-        new PeerDiscovery(table, List.of(), members, gossiper, clock, new Random(1))
-                .discover()
-                .join();
-        assertThat(contacted).containsExactly(new InetSocketAddress("127.0.0.1", 9));
+        new PeerDiscovery(table, List.of(), members, gossiper, clock, new Random(1)).discover();
     }
 
     private void write(String key, String value) {
