Let a running server return after a late announcement of another one

Cause: announcements may come without a start time, and then InstanceTracker takes a low sequence number for a process that has just started. The running process went to the list of replaced ones, and these were never accepted again, however long they announced themselves while the other one was silent. Why the fix works: a replaced process returns like one with an earlier start time: if it announces itself with rising sequence numbers over a second while the current one is silent for twice the usual interval. Late announcements of a dead process end within seconds. Its last state is kept: a deregistered process never returns, and one that was draining returns as draining.

--- a/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceTracker.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceTracker.java
@@ -10,7 +10,8 @@
  * Tracks the state of the backend server beside a node. A process that started later replaces an earlier one, in
  * whatever order their announcements arrive. Within one process, the sequence number increases and the phase never
  * reverts. A process with an earlier start time replaces a silent one only if it keeps announcing itself: it is then no
- * late announcement, but the wall clock was set back before the process started.
+ * late announcement, but the wall clock was set back before the process started. The same holds for a process that was
+ * replaced by another one with the same start time: the announcement of the other one was late.
  */
 public final class InstanceTracker {
 
@@ -20,8 +21,8 @@
      */
     private static final long REPLACEMENT_TIMEOUT_NANOS = 3_000 * Clock.NANOS_PER_MILLI;
 
-    /** Time for which a process with an earlier start time has to announce itself, in nanoseconds. */
-    private static final long EARLIER_START_PROOF_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
+    /** Time for which a process has to announce itself to prove that it runs, in nanoseconds. */
+    private static final long PROOF_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
 
     /** Highest sequence number that shows that a process has just started. */
     private static final long MAX_INITIAL_SEQUENCE = 3;
@@ -30,14 +31,20 @@
     private static final int MAX_REPLACED = 16;
 
     private final Clock clock;
-    private final Deque<String> replaced = new ArrayDeque<>();
+
+    /** Last states of replaced instances, the latest last. */
+    private final Deque<InstanceState> replaced = new ArrayDeque<>();
+
     private InstanceState current;
     private long updatedNanos;
 
-    /** First of the latest announcements of a process with an earlier start time; {@code null} if there is none. */
-    private InstanceState earlier;
+    /**
+     * First of the latest announcements of a process that replaces the current one only if it proves to run; {@code
+     * null} if there is none.
+     */
+    private InstanceState candidate;
 
-    private long earlierSinceNanos;
+    private long candidateSinceNanos;
 
     /**
      * Creates a tracker without a state.
@@ -60,19 +67,20 @@
             return false;
         }
         boolean sameProcess = current != null && current.isSameProcess(announced);
+        Optional<InstanceState> last = sameProcess ? Optional.of(current) : lastStateIfReplaced(announced);
+        replaced.removeIf(announced::isSameProcess);
         if (current != null && !current.instance().equals(announced.instance())) {
-            replaced.addLast(current.instance());
+            replaced.addLast(current);
             if (replaced.size() > MAX_REPLACED) {
                 replaced.removeFirst();
             }
         }
         updatedNanos = clock.nanoTime();
-        earlier = null;
-        boolean reverts = sameProcess && announced.phase().compareTo(current.phase()) < 0;
-        current = reverts
-                ? new InstanceState(
-                        announced.instance(), announced.startMillis(), announced.sequence(), current.phase())
-                : announced;
+        candidate = null;
+        current = last.filter(state -> announced.phase().compareTo(state.phase()) < 0)
+                .map(state -> new InstanceState(
+                        announced.instance(), announced.startMillis(), announced.sequence(), state.phase()))
+                .orElse(announced);
         return true;
     }
 
@@ -129,16 +137,21 @@
         return clock.nanoTime() - updatedNanos > REPLACEMENT_TIMEOUT_NANOS;
     }
 
-    private boolean isProvenDespiteEarlierStart(InstanceState announced) {
+    // Late announcements alone prove nothing: they end within seconds, and those of a running process go on.
+    private boolean isProvenToRun(InstanceState announced) {
         long now = clock.nanoTime();
-        if (earlier == null || !earlier.isSameProcess(announced)) {
-            earlier = announced;
-            earlierSinceNanos = now;
+        if (candidate == null || !candidate.isSameProcess(announced)) {
+            candidate = announced;
+            candidateSinceNanos = now;
             return false;
         }
         return isCurrentSilent()
-                && announced.sequence() > earlier.sequence()
-                && now - earlierSinceNanos >= EARLIER_START_PROOF_NANOS;
+                && announced.sequence() > candidate.sequence()
+                && now - candidateSinceNanos >= PROOF_NANOS;
+    }
+
+    private Optional<InstanceState> lastStateIfReplaced(InstanceState announced) {
+        return replaced.stream().filter(announced::isSameProcess).findFirst();
     }
 
     private boolean supersedesCurrent(InstanceState announced) {
@@ -148,11 +161,15 @@
         if (current.isSameProcess(announced)) {
             return announced.sequence() > current.sequence();
         }
+        Optional<InstanceState> last = lastStateIfReplaced(announced);
+        if (last.filter(state -> announced.sequence() <= state.sequence()).isPresent()) {
+            return false;
+        }
         if (announced.startMillis() != current.startMillis()) {
-            return announced.startMillis() > current.startMillis() || isProvenDespiteEarlierStart(announced);
+            return announced.startMillis() > current.startMillis() || isProvenToRun(announced);
         }
-        if (replaced.contains(announced.instance())) {
-            return false;
+        if (last.isPresent()) {
+            return isProvenToRun(announced);
         }
         return isCurrentSilent()
                 || current.phase() == InstanceState.Phase.GONE
--- a/mustardusher-core/src/test/java/io/mustardusher/instance/InstanceTrackerTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/instance/InstanceTrackerTest.java
@@ -1,10 +1,13 @@
 package io.mustardusher.instance;
 
 import java.util.Optional;
+import java.util.Random;
 
 import io.mustardusher.instance.InstanceState.Phase;
 import io.mustardusher.time.Clock;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -136,6 +139,79 @@
         assertThat(tracker.update(new InstanceState("c", 0, 30, Phase.SERVING))).isTrue();
     }
 
+    // Guards against a running server that is never used again after a late announcement of one that has crashed.
+    @Test
+    void processThatKeepsAnnouncingItselfReturnsAfterLateAnnouncementOfUnknownOne() {
+        tracker.update(new InstanceState("b", 0, 1, Phase.SERVING));
+        clock.advanceMillis(700);
+        assertThat(tracker.update(new InstanceState("a", 0, 1, Phase.SERVING))).isTrue();
+        clock.advanceMillis(800);
+        for (int sequence = 2; sequence <= 4; sequence++) {
+            tracker.update(new InstanceState("b", 0, sequence, Phase.SERVING));
+            clock.advanceMillis(1_500);
+        }
+        assertThat(current()).isEqualTo(new InstanceState("b", 0, 4, Phase.SERVING));
+        assertThat(tracker.update(new InstanceState("a", 0, 2, Phase.SERVING))).isFalse();
+    }
+
+    // Guards against calls to a server whose deregistration was confirmed, because its late announcements follow.
+    @Test
+    void deregisteredProcessDoesNotReturn() {
+        tracker.update(new InstanceState("a", 0, 9, Phase.SERVING));
+        tracker.deregister("a", Optional.empty());
+        tracker.update(new InstanceState("b", 0, 1, Phase.SERVING));
+        for (int sequence = 10; sequence < 20; sequence++) {
+            clock.advanceMillis(1_500);
+            assertThat(tracker.update(new InstanceState("a", 0, sequence, Phase.SERVING)))
+                    .isFalse();
+        }
+    }
+
+    // Guards against new calls to a draining server whose late announcements follow those of another process.
+    @Test
+    void drainingProcessReturnsAsDraining() {
+        tracker.update(new InstanceState("a", 0, 9, Phase.DRAINING));
+        tracker.update(new InstanceState("b", 0, 1, Phase.SERVING));
+        for (int sequence = 10; sequence < 14; sequence++) {
+            clock.advanceMillis(1_500);
+            tracker.update(new InstanceState("a", 0, sequence, Phase.SERVING));
+        }
+        assertThat(current()).isEqualTo(new InstanceState("a", 0, 13, Phase.DRAINING));
+    }
+
+    @Test
+    void lateAnnouncementsOfReplacedProcessFromBeforeItsReplacementAreIgnored() {
+        tracker.update(new InstanceState("a", 0, 30, Phase.SERVING));
+        tracker.update(new InstanceState("b", 0, 1, Phase.SERVING));
+        for (int sequence = 20; sequence <= 30; sequence++) {
+            clock.advanceMillis(1_500);
+            assertThat(tracker.update(new InstanceState("a", 0, sequence, Phase.SERVING)))
+                    .isFalse();
+        }
+    }
+
+    // Guards against orders of late announcements, among those of a running server, after which it is not used again.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void runningProcessIsCurrentAfterAnyLateAnnouncements(long seed) {
+        Random random = new Random(seed);
+        long sequence = 0;
+        for (int round = 0; round < 200; round++) {
+            tracker.update(new InstanceState("running", 0, ++sequence, Phase.SERVING));
+            for (int late = random.nextInt(3); late > 0; late--) {
+                clock.advanceMillis(random.nextInt(500));
+                Phase phase = Phase.values()[random.nextInt(2)];
+                tracker.update(new InstanceState("late-" + random.nextInt(40), 0, random.nextInt(6), phase));
+            }
+            clock.advanceMillis(500);
+        }
+        for (int calm = 0; calm < 4; calm++) {
+            clock.advanceMillis(1_500);
+            tracker.update(new InstanceState("running", 0, ++sequence, Phase.SERVING));
+        }
+        assertThat(current()).isEqualTo(new InstanceState("running", 0, sequence, Phase.SERVING));
+    }
+
     private InstanceState current() {
         return tracker.current().orElseThrow();
     }
