Skip unusable member records instead of failing on them

What callers saw: nothing yet. One member record with a port out of range or without a host, as a node of another version might send it, stopped the server directory of every node that received it: no server that came, left or moved afterwards was known there. One without an id or state closed the connection on which it came, and the other records of its message were lost. Cause: received records were merged as they came, and passed on. MemberTable, Gossiper and ServerDirectory.refresh, which creates an Endpoint for each member, threw on them; refresh had already noted the version as seen. Why the fix works: each received record is checked before it reaches the table. An unusable one is logged (MUSH1116) and neither stored nor passed on; the others of its message are merged. The nodes of the simulations got ports from 1000, since one of them had the port 0, which is not valid. Measured: all 109 tests of gossip, keepers and evacuation pass.

--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/Gossiper.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/Gossiper.java
@@ -277,13 +277,15 @@
     }
 
     /**
-     * Applies the contents of a received message: merges the member records and suspects, and passes on the sender's
-     * revision.
+     * Applies the contents of a received message: merges the valid member records and the suspects, and passes on the
+     * sender's revision.
      *
      * @param message the message
      */
     private void apply(Gossip message) {
-        members.merge(message.getMembers()).forEach(Gossiper::logChange);
+        List<MemberRecord> valid =
+                message.getMembers().stream().filter(Gossiper::isValid).toList();
+        members.merge(valid).forEach(Gossiper::logChange);
         members.find(message.getFrom()).ifPresent(peer -> configuration.onPeerRevision(peer, message.getRevision()));
         suspects.addAll(message.getSuspects());
         EvacuationRecord received = message.getEvacuation();
@@ -294,6 +296,12 @@
         }
     }
 
+    private static boolean isValid(MemberRecord member) {
+        Optional<String> fault = MemberRecordValidator.findFault(member);
+        fault.ifPresent(cause -> NodeLog.LOG.memberRejected(member.getId(), cause));
+        return fault.isEmpty();
+    }
+
     private Gossip createMessage(GossipRange range) {
         return createMessage(range, List.of());
     }
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/MemberRecordValidator.java
@@ -0,0 +1,63 @@
+package io.mustardusher.gossip;
+
+import java.util.Optional;
+
+import io.mustardusher.generated.MemberRecord;
+import io.netty.util.NetUtil;
+
+/**
+ * Validates member records from other nodes, which may run another version. A record that cannot be used must not reach
+ * the member table, from which the addresses of all nodes and servers are taken.
+ */
+final class MemberRecordValidator {
+
+    private static final int MAX_PORT = 65_535;
+
+    /** Maximum number of slots, as in announcements. */
+    private static final long MAX_SLOTS = 100_000;
+
+    /** Maximum of times and counts, which leaves room for sums and conversions of units. */
+    private static final long MAX_COUNT = 1L << 53;
+
+    private MemberRecordValidator() {}
+
+    /**
+     * Finds the fault of a record.
+     *
+     * @param member the record
+     * @return the fault, or empty if the record is valid
+     */
+    static Optional<String> findFault(MemberRecord member) {
+        if (member.getId() == null || member.getId().isEmpty()) {
+            return Optional.of("no id");
+        }
+        if (member.getState() == null) {
+            return Optional.of("unknown state");
+        }
+        if (member.getRegion() == null || member.getDomain() == null) {
+            return Optional.of("no failure domain");
+        }
+        // Looking up a name would block the event loop.
+        if (member.getHost() == null || NetUtil.createByteArrayFromIpAddressString(member.getHost()) == null) {
+            return Optional.of("host is no IP address");
+        }
+        if (!isPort(member.getGatePort()) || !isPort(member.getFramePort())) {
+            return Optional.of("port out of range");
+        }
+        if (!isWithin(MAX_SLOTS, member.getSlots())) {
+            return Optional.of("slots out of range");
+        }
+        boolean counts = isWithin(MAX_COUNT, member.getBoot())
+                && isWithin(MAX_COUNT, member.getIncarnation())
+                && isWithin(MAX_COUNT, member.getSince());
+        return counts ? Optional.empty() : Optional.of("time or incarnation out of range");
+    }
+
+    private static boolean isPort(long port) {
+        return port > 0 && port <= MAX_PORT;
+    }
+
+    private static boolean isWithin(long max, long value) {
+        return value >= 0 && value <= max;
+    }
+}
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -186,6 +186,16 @@
     @Message(id = 1115, value = "row %s of the table service skipped: %s")
     void rowUnreadable(String key, String cause);
 
+    /**
+     * A member record from another node was skipped because it cannot be used.
+     *
+     * @param member id of the member, or {@code null}
+     * @param cause  the fault
+     */
+    @LogMessage(level = Logger.Level.WARN)
+    @Message(id = 1116, value = "record of member %s skipped: %s")
+    void memberRejected(String member, String cause);
+
     /**
      * A catalogue revision came into force at this node.
      *
--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/FakeNetwork.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/FakeNetwork.java
@@ -13,13 +13,23 @@
 import io.mustardusher.frame.FrameKind;
 import io.mustardusher.frame.Peers;
 
-/** An in-process network: requests are direct method calls, and nodes are identified by their frame ports. */
+/** An in-process network: requests are direct method calls, and nodes are identified by numbers from 0. */
 public final class FakeNetwork {
 
+    private static final int FIRST_PORT = 1_000;
+
     private final Map<Integer, Map<FrameKind, FrameHandler<Object, Object>>> handlers = new HashMap<>();
     private final Set<Integer> disconnected = new HashSet<>();
     private final Set<Integer> partitioned = new HashSet<>();
 
+    public static int framePort(int node) {
+        return FIRST_PORT + node;
+    }
+
+    public static int nodeAt(InetSocketAddress address) {
+        return address.getPort() - FIRST_PORT;
+    }
+
     @SuppressWarnings("unchecked")
     public <Q, A> void on(int port, FrameKind kind, FrameHandler<Q, A> handler) {
         handlers.computeIfAbsent(port, key -> new EnumMap<>(FrameKind.class))
@@ -32,7 +42,7 @@
             @SuppressWarnings("unchecked")
             public <A> CompletableFuture<A> request(
                     InetSocketAddress address, FrameKind kind, Object request, long timeoutMillis) {
-                int receiver = address.getPort();
+                int receiver = nodeAt(address);
                 boolean separated = partitioned.contains(sender) != partitioned.contains(receiver);
                 if (separated
                         || disconnected.contains(sender)
--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/FakeNode.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/FakeNode.java
@@ -19,6 +19,8 @@
 /** The gossip components of a node, connected to a fake network and driven by the test. */
 final class FakeNode {
 
+    private static final long GATE_PORT = 8_300;
+
     final int port;
     final MemberTable members;
     final CatalogueReplica catalogue;
@@ -42,7 +44,7 @@
     }
 
     void join(int other) {
-        gossiper.requestFullTable(new InetSocketAddress("127.0.0.1", other));
+        gossiper.requestFullTable(new InetSocketAddress("127.0.0.1", FakeNetwork.framePort(other)));
     }
 
     long countOf(MemberState state) {
@@ -58,7 +60,8 @@
                 .withIncarnation(1)
                 .withState(MemberState.ALIVE.toRecordState())
                 .withHost("127.0.0.1")
-                .withFramePort(port)
+                .withGatePort(GATE_PORT)
+                .withFramePort(FakeNetwork.framePort(port))
                 .withRegion("r")
                 .withDomain("d" + port % 3);
     }
--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/SimultaneousStartTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/SimultaneousStartTest.java
@@ -126,7 +126,7 @@
                             .withState(MemberState.ALIVE.toRecordState())
                             .withHost("10.0.0.1")
                             .withGatePort(8_300)
-                            .withFramePort(port)
+                            .withFramePort(FakeNetwork.framePort(port))
                             .withRegion("region")
                             .withDomain(domain(port)),
                     clock,
@@ -161,7 +161,7 @@
 
         private void count(InetSocketAddress address, Object message) {
             int size = FrameCodec.sizeOf(message);
-            if (!domain(address.getPort()).equals(domain(port))) {
+            if (!domain(FakeNetwork.nodeAt(address)).equals(domain(port))) {
                 bytesAcrossDomains.addAndGet(size);
             }
         }
--- a/mustardusher-node/src/test/java/io/mustardusher/keys/LocalKeeperTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/keys/LocalKeeperTest.java
@@ -174,7 +174,7 @@
                 .withIncarnation(incarnation)
                 .withState(state.toRecordState())
                 .withHost("127.0.0.1")
-                .withFramePort(port)
+                .withFramePort(FakeNetwork.framePort(port))
                 .withRegion("r")
                 .withDomain("d" + port);
     }
