Decode a member state of a later version as none

What callers saw: nothing yet. One record whose state this version does not know closed the connection between two nodes with every message that held it, so that neither learned the other's records. Cause: ForGossip took the IllegalArgumentException of the unknown state for a malformed message. Evidence: MessageCodecTest.unknownStateOfMemberIsDecodedAsNone failed before: "IOException: malformed gossip, Caused by: IllegalArgumentException: xuspect". Why the fix works: the state is decoded as none, and the validation of member records skips that record alone.

--- a/mustardusher-node/src/main/java/io/mustardusher/frame/MessageCodec.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/MessageCodec.java
@@ -224,8 +224,7 @@
                     .withId(fields.text())
                     .withBoot(fields.number())
                     .withIncarnation(fields.number());
-            String state = fields.text();
-            member.withState(state == null ? null : MemberRecord.State.fromValue(state))
+            member.withState(decodeState(fields.text()))
                     .withHost(fields.text())
                     .withGatePort(fields.number())
                     .withFramePort(fields.number())
@@ -239,6 +238,16 @@
             return member;
         }
 
+        // A state that only a later version knows must not spoil the other records of its message.
+        private static MemberRecord.State decodeState(String text) {
+            for (MemberRecord.State state : MemberRecord.State.values()) {
+                if (state.value().equals(text)) {
+                    return state;
+                }
+            }
+            return null;
+        }
+
         private static void encode(EvacuationRecord evacuation, MessagePacker packer) throws IOException {
             packer.packArrayHeader(EVACUATION_FIELDS);
             packer.packLong(evacuation.getGeneration());
--- a/mustardusher-node/src/test/java/io/mustardusher/frame/MessageCodecTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/frame/MessageCodecTest.java
@@ -1,6 +1,7 @@
 package io.mustardusher.frame;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
@@ -75,6 +76,23 @@
         }
     }
 
+    // Guards against a connection that is closed, with all records of its message, for one state of a later version.
+    @Test
+    void unknownStateOfMemberIsDecodedAsNone() throws IOException {
+        Gossip message = gossip(new Random(3), 3);
+        message.getMembers().get(1).setState(MemberRecord.State.SUSPECT);
+        byte[] bytes = previousVersion.writeValueAsBytes(message);
+        int start = indexOf(bytes, MemberRecord.State.SUSPECT.value());
+        bytes[start] = 'x';
+        Gossip decoded = (Gossip) decode(Gossip.class, bytes);
+        message.getMembers().get(1).setState(null);
+        assertThat(decoded).isEqualTo(message);
+    }
+
+    private static int indexOf(byte[] bytes, String text) {
+        return new String(bytes, StandardCharsets.ISO_8859_1).indexOf(text);
+    }
+
     /**
      * Guards against nodes that serve nothing while they create an object mapper, which took half a second on a third of
      * a core after all power had returned.
