Complete a response without a length only at the end of its stream

Cause: each way in which a connection ends had to set a flag if the response was not to count as complete. A failed write did not, and neither did the close by this node, so that the close of the channel behind them passed for the end of the response. While a part of the request is unsent, the transport notices a reset at the write and never at a read.

Change: how a connection ended is one value, ConnectionEnd, of which the first cause counts. A response that has neither a length nor chunks is complete only after END_OF_STREAM, which the transport reports itself: channels may be half closed, so that the end of the stream is an event of its own. An end without a known cause completes nothing.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -85,11 +85,12 @@
                 .channel(Transport.of(group).socketChannelType())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                // The end of the stream is then an event of its own; a channel also closes after resets.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
-                        channel.pipeline().addLast(new HttpClientCodec(config, true, false));
+                        channel.pipeline().addLast(createCodec());
                     }
                 });
         DeadPeerDetection.configure(bootstrap, Transport.of(group).socketChannelType());
@@ -188,6 +189,15 @@
         });
     }
 
+    /**
+     * Creates the codec of a connection.
+     *
+     * @return the codec
+     */
+    static HttpClientCodec createCodec() {
+        return new HttpClientCodec(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES), true, false);
+    }
+
     /**
      * Returns the memory that the responses of all connections share.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -17,6 +17,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -62,7 +63,10 @@
     private boolean closeDelimited;
 
     private boolean reusable = true;
-    private boolean broken;
+
+    /** How the connection ended; {@code null} while it is open. */
+    private ConnectionEnd end;
+
     private long idleLimitNanos = Long.MAX_VALUE;
     private long lastUsedNanos;
 
@@ -82,7 +86,7 @@
     }
 
     void close() {
-        channel.close();
+        end(ConnectionEnd.CLOSED_HERE);
     }
 
     void send(ServerExchange next, AggregatedHttpRequest request, String instance, long remainingNanos) {
@@ -113,7 +117,7 @@
         }
         channel.writeAndFlush(message).addListener(write -> {
             if (!write.isSuccess()) {
-                channel.close();
+                end(ConnectionEnd.WRITE_FAILED);
             }
         });
     }
@@ -121,7 +125,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            if (broken) {
+            if (end != null) {
                 return;
             }
             if (message instanceof HttpResponse response) {
@@ -135,10 +139,16 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            end(ConnectionEnd.END_OF_STREAM);
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        broken = true;
-        context.close();
+        end(ConnectionEnd.READ_FAILED);
     }
 
     @Override
@@ -148,10 +158,20 @@
             releaseBody();
             return;
         }
-        if (closeDelimited && !broken && headers != null) {
+        // Without a cause, nothing shows that the server has sent all of its response.
+        ConnectionEnd ended = end == null ? ConnectionEnd.READ_FAILED : end;
+        if (closeDelimited && headers != null && ended.completesUnframedResponse()) {
             finish();
         } else {
-            fail(fault == null ? "the backend server closed the connection" : fault.description());
+            fail(fault == null ? ended.description() : fault.description());
+        }
+    }
+
+    // Only the first cause counts, because the others follow from it: what is unsent fails to be written, for example.
+    private void end(ConnectionEnd cause) {
+        if (end == null) {
+            end = cause;
+            channel.close();
         }
     }
 
@@ -224,7 +244,7 @@
         if (reusable && channel.isActive()) {
             link.release(this);
         } else {
-            channel.close();
+            close();
         }
         ended.complete(kind, headers, completeBody);
     }
@@ -238,15 +258,14 @@
 
     // Closes the connection at once; what follows on it could not be matched to a request.
     private void giveUp(ResponseFault found) {
-        if (broken) {
+        if (end != null) {
             return;
         }
-        broken = true;
         fault = found;
         if (exchange != null) {
             exchange.reportFault(found);
         }
-        channel.close();
+        end(ConnectionEnd.GIVEN_UP);
     }
 
     private void releaseBody() {
