Repeat tasks after errors

What callers saw: nothing yet. A StackOverflowError or OutOfMemoryError in the gossip round, the peer discovery, the check of connections or that of the settings ended that task for good, without a line in the log, while the process lived on; an exception in one of the tasks that a starting node repeats ended that one too. Cause: executors end the repetition of a task that throws; only RuntimeException was caught, and in repeatWhile and HttpListener nothing. Why the fix works: LoggedTask and RepeatedTask catch errors too, log them and let the executor go on; all repeated tasks of a node go through them.

--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
@@ -10,6 +10,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mustardusher.frame.DeadPeerDetection;
+import io.mustardusher.log.LoggedTask;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.time.Clock;
@@ -82,7 +83,7 @@
     public synchronized int bind(InetSocketAddress address, RequestHandler handler, Supplier<RequestLimits> limits) {
         if (timeoutChecks == null) {
             timeoutChecks = loop.scheduleWithFixedDelay(
-                    this::checkTimeouts,
+                    new LoggedTask("check of connections", this::checkTimeouts),
                     TIMEOUT_CHECK_INTERVAL_MILLIS,
                     TIMEOUT_CHECK_INTERVAL_MILLIS,
                     TimeUnit.MILLISECONDS);
--- a/mustardusher-node/src/main/java/io/mustardusher/node/CoalescingTask.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/CoalescingTask.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
-import io.mustardusher.log.NodeLog;
+import io.mustardusher.log.LoggedTask;
 
 /**
  * A task that runs some time after it was requested. Requests made until it runs are served by the same run, so that
@@ -27,7 +27,7 @@
     CoalescingTask(ScheduledExecutorService timers, long delayMillis, Runnable task) {
         this.timers = timers;
         this.delayMillis = delayMillis;
-        this.task = task;
+        this.task = new LoggedTask("requested task", task);
     }
 
     /** Requests a run. Neither blocks nor runs the task in the calling thread. */
@@ -40,10 +40,6 @@
     private void run() {
         // Reset before the run, because a request made during the run may not be covered by it.
         requested.set(false);
-        try {
-            task.run();
-        } catch (RuntimeException e) {
-            NodeLog.LOG.warn("requested task failed", e);
-        }
+        task.run();
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -42,6 +42,7 @@
 import io.mustardusher.gossip.SuspectReplicator;
 import io.mustardusher.health.SuspectTable;
 import io.mustardusher.http.Transport;
+import io.mustardusher.log.LoggedTask;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
@@ -207,7 +208,9 @@
         repeat(discovery::tick, PeerDiscovery.INTERVAL_MILLIS / 2, PeerDiscovery.INTERVAL_MILLIS);
         repeatWhile(discovery::retryContacts, PeerDiscovery.RETRY_INTERVAL_MILLIS);
         // On the event loop, which sends the messages: another thread would have to wake it up.
-        group.next().scheduleWithFixedDelay(logFailures(gossiper::tick), gossip, gossip, TimeUnit.MILLISECONDS);
+        group.next()
+                .scheduleWithFixedDelay(
+                        new LoggedTask("gossip", gossiper::tick), gossip, gossip, TimeUnit.MILLISECONDS);
         CoalescingTask refresh = new CoalescingTask(group.next(), DIRECTORY_REFRESH_MILLIS, directory::refresh);
         members.onChange(refresh::request);
         refresh.request();
@@ -292,34 +295,18 @@
      * @param intervalMillis delay between two runs, in milliseconds
      */
     void repeat(Runnable task, long delayMillis, long intervalMillis) {
-        timers.scheduleWithFixedDelay(logFailures(task), delayMillis, intervalMillis, TimeUnit.MILLISECONDS);
-    }
-
-    private static Runnable logFailures(Runnable task) {
-        return () -> {
-            try {
-                task.run();
-            } catch (RuntimeException e) {
-                NodeLog.LOG.warn("scheduled task failed", e);
-            }
-        };
+        timers.scheduleWithFixedDelay(
+                new LoggedTask("scheduled task", task), delayMillis, intervalMillis, TimeUnit.MILLISECONDS);
     }
 
     /**
-     * Runs a task repeatedly until it has nothing left to do.
+     * Runs a task repeatedly until it has nothing left to do. A failed run is logged and repeated.
      *
      * @param task           the task; returns whether it has to run again
      * @param intervalMillis delay between two runs, in milliseconds
      */
     void repeatWhile(BooleanSupplier task, long intervalMillis) {
-        timers.execute(new Runnable() {
-            @Override
-            public void run() {
-                if (task.getAsBoolean()) {
-                    timers.schedule(this, intervalMillis, TimeUnit.MILLISECONDS);
-                }
-            }
-        });
+        timers.execute(new RepeatedTask(timers, intervalMillis, task));
     }
 
     /**
--- a/mustardusher-node/src/test/java/io/mustardusher/http/HttpListenerTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/HttpListenerTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.AggregatedHttpRequest;
@@ -31,6 +32,7 @@
 
     private static final int WAIT_MILLIS = 20_000;
     private static final int POLL_MILLIS = 20;
+    private static final int MAX_WAITS = WAIT_MILLIS / POLL_MILLIS;
     private static final RequestLimits LIMITS = new RequestLimits(16 << 10, 1 << 20, 3_000, 15_000);
 
     private final Clock.Manual clock = new Clock.Manual();
@@ -38,12 +40,14 @@
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final HttpListener listener = new HttpListener(group, clock, metrics);
     private final BlockingQueue<Received> received = new LinkedBlockingQueue<>();
+    private final AtomicReference<Error> limitsFailure = new AtomicReference<>();
     private CallerSocket sender;
+    private int waits;
 
     @BeforeEach
     void connect() throws IOException {
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        sender = new CallerSocket(listener.bind(any, this::receive, () -> LIMITS));
+        sender = new CallerSocket(listener.bind(any, this::receive, this::limits));
     }
 
     @AfterEach
@@ -194,6 +198,27 @@
         assertThat(sender.readAll()).isEmpty();
     }
 
+    // Guards against connections that are never closed any more after one check of their limits has failed.
+    @Test
+    void checksLimitsAfterFailedCheck() throws Exception {
+        limitsFailure.set(new StackOverflowError("expected by the test"));
+        sender.send("GET /a HTTP/1.1\r\nHost: s");
+        while (limitsFailure.get() != null || !sender.hasAnswer() && waits++ < MAX_WAITS) {
+            clock.advanceMillis(LIMITS.headerTimeoutMillis() / 2);
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+        assertThat(sender.hasAnswer()).isTrue();
+        assertThat(sender.readAll()).startsWith("HTTP/1.1 408 ");
+    }
+
+    private RequestLimits limits() {
+        Error failure = limitsFailure.getAndSet(null);
+        if (failure != null) {
+            throw failure;
+        }
+        return LIMITS;
+    }
+
     private HttpResponse receive(HttpRequest request, RequestExchange exchange) {
         Received next = new Received(request, exchange, new CompletableFuture<>());
         received.add(next);
