Skip rows of nodes whose start time is beyond 64 bits

What callers saw: nothing; the row of a node with a start time of 20 or 900 digits was taken for valid. Cause: the start time was only required to be an integer, and the rest of its digits was cut off. Evidence: PeerDiscoveryTest.skipsRowsOfAnotherWriter, with such rows added, failed before: "unexpected (2): /127.0.0.1:8, /127.0.0.1:7". Why the fix works: a start time that does not fit is a malformed row, which is logged and skipped. Ports of 900 digits and 1e999999999 were skipped already.

--- a/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gossip/PeerDiscovery.java
@@ -381,7 +381,8 @@
                     && port.canConvertToInt()
                     && port.asInt() > 0
                     && port.asInt() <= MAX_PORT
-                    && boot.isIntegralNumber();
+                    && boot.isIntegralNumber()
+                    && boot.canConvertToLong();
             return valid
                     ? Optional.of(new Address(
                             host.asText(),
--- a/mustardusher-node/src/test/java/io/mustardusher/gossip/PeerDiscoveryTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gossip/PeerDiscoveryTest.java
@@ -75,6 +75,10 @@
         write("nodes/b", valid.replace("127.0.0.1", "example.invalid"));
         write("nodes/c", valid.replace("\"127.0.0.1\"", "7"));
         write("nodes/d", valid.replace("\"boot\"", "\"other\""));
+        write("nodes/e", valid.replace(":9,", ":8,").replace("\"boot\":1", "\"boot\":99999999999999999999"));
+        write("nodes/f", valid.replace(":9,", ":7,").replace("\"boot\":1", "\"boot\":" + "7".repeat(900)));
+        write("nodes/g", valid.replace(":9,", ":" + "7".repeat(900) + ","));
+        write("nodes/h", valid.replace(":9,", ":1e999999999,"));
         write("nodes/z", valid);
         discover();
         assertThat(contacted).containsExactly(new InetSocketAddress("127.0.0.1", 9));
