Let streamed responses fail whose connection is reset

Callers saw: on nodes with the native interface, status 200 with the first part of a response, framed as whole, if a server that sends neither a length nor chunks reset the connection half-way.

ServerLink.ForStreams uses an HTTP client, whose codec takes any close of the channel for the end of such a response, also that after a reset.

Change: a handler in front of the codec of the client factory that nodes use lets the codec see the close only behind the end of the stream. Behind any other end, what follows the codec fails the response, as it does for one with a length. Nodes on the platform use this client between nodes only, where each response has a length.

Evidence: CutStreamsTest (5 responses cut at each byte, closed and reset; sockets) on the code before, 1 of 6 failed: failsUnlessWhole[unframed] expected to be empty but was: [19 reset, 20 reset, 21 reset, ..., 30 reset, 31 reset] These are all 13 positions behind the head. Heads that are cut, lengths and chunks failed as they should.

Measured: 6 of 6 pass.

--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -45,6 +45,7 @@
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
+import io.mustardusher.server.EndOfStreamHandler;
 import io.mustardusher.server.ServerLink;
 import io.mustardusher.store.TableService;
 import io.mustardusher.time.Clock;
@@ -448,7 +449,7 @@
     }
 
     private static ClientFactory createClientFactory(EventLoopGroup group) {
-        ClientFactoryBuilder builder = ClientFactory.builder()
+        ClientFactoryBuilder builder = EndOfStreamHandler.addTo(ClientFactory.builder())
                 .workerGroup(group, false)
                 .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
                 .idleTimeoutMillis(IDLE_TIMEOUT_MILLIS)
