Pin that an answer that breaks off is incomplete at the next hop

No fault was found here: what breaks off on its way from a gate to an entry, or from an entry to a caller, fails there or ends before its length or its last chunk. Nothing tested that.

HttpConnectionTest breaks answers off behind 0 to 3 parts, behind a whole one on the same connection.

--- a/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionTest.java
@@ -1,5 +1,6 @@
 package io.mustardusher.http;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -8,6 +9,7 @@
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.http.AnswerReader.Answer;
@@ -27,7 +29,7 @@
 
     private final Clock.Manual clock = new Clock.Manual();
     private final List<Received> received = new ArrayList<>();
-    private final CallerChannel caller = new CallerChannel(this::receive, () -> LIMITS, clock);
+    private CallerChannel caller = new CallerChannel(this::receive, () -> LIMITS, clock);
 
     /** Guards against a request that is handled although the connection closes before its response. */
     @Test
@@ -124,6 +126,23 @@
         assertThat(cancelledAtFailure).containsExactly(true);
     }
 
+    /** Guards against a response that breaks off and looks complete: nothing of it is sent, and the connection ends. */
+    @Test
+    void sendsNothingOfResponseThatBreaksOff() {
+        for (String version : new String[] {"1.0", "1.1"}) {
+            for (int parts = 0; parts < 4; parts++) {
+                received.clear();
+                caller = new CallerChannel(this::receive, () -> LIMITS, clock);
+                caller.send(get("/whole") + "GET /cut HTTP/" + version + "\r\nHost: s\r\n\r\n");
+                received.get(0).answer("whole");
+                received.get(1).breakOff(parts);
+                assertThat(bodies()).containsExactly("whole");
+                assertThat(caller.answers()).endsWith("whole");
+                assertThat(caller.isOpen()).isFalse();
+            }
+        }
+    }
+
     /** Guards against a reset that overtakes the response to a caller that is still sending. */
     @Test
     void readsOnForSomeTimeAfterRejection() {
@@ -206,5 +225,17 @@
         void answer(String body) {
             response.complete(HttpResponse.of(ResponseHeaders.of(HttpStatus.OK), HttpData.ofUtf8(body)));
         }
+
+        void breakOff(int parts) {
+            HttpResponseWriter writer = HttpResponse.streaming();
+            response.complete(writer);
+            if (parts > 0) {
+                writer.write(ResponseHeaders.of(HttpStatus.OK));
+            }
+            for (int part = 1; part < parts; part++) {
+                writer.write(HttpData.ofUtf8("part"));
+            }
+            writer.close(new IOException("the answer was cut short"));
+        }
     }
 }
--- a/mustardusher-node/src/test/java/io/mustardusher/server/CutStreamsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/CutStreamsTest.java
@@ -24,6 +24,7 @@
 import io.mustardusher.call.Exchange;
 import io.mustardusher.generated.Announcement;
 import io.mustardusher.time.Clock;
+import io.netty.channel.EventLoopGroup;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -47,6 +48,7 @@
 
     private final BlockingQueue<Script> scripts = new LinkedBlockingQueue<>();
     private final Semaphore endings = new Semaphore(0);
+    private final EventLoopGroup group = EventLoopGroups.newEventLoopGroup(1, "streams", true);
     private ServerSocket socket;
     private ClientFactory clientFactory;
     private ServerLink link;
@@ -57,7 +59,7 @@
     void listen() throws IOException {
         socket = new ServerSocket(0, 1_024, InetAddress.getLoopbackAddress());
         clientFactory = EndOfStreamHandler.addTo(ClientFactory.builder())
-                .workerGroup(EventLoopGroups.newEventLoopGroup(1, "streams", true), true)
+                .workerGroup(group, false)
                 .build();
         link = ServerLink.ForStreams.factory(clientFactory)
                 .open(new Announcement()
@@ -72,7 +74,8 @@
     @AfterEach
     void close() throws IOException {
         socket.close();
-        clientFactory.close();
+        clientFactory.closeAsync();
+        group.shutdownGracefully();
     }
 
     static Stream<Arguments> responses() {
