Complete a response to HEAD behind its headers

Callers saw: a call of HEAD was answered at its deadline (504) if the response has no length, or if informational responses precede it.

Cause: a response without a length counted as one that ends with its connection, whatever the method. And Netty's codec takes an informational response for that to the request, so that it expects content behind the headers of the response to HEAD; bytes that are sent there by mistake would become its body.

Change: the headers of a response to HEAD complete it. Behind informational responses the connection is closed, because its codec waits for content.

Evidence: on the code before, 2 of 2 failed: CutResponsesTest.responseToHeadIsCompleteBehindItsHead, responseToHeadIsCompleteBehindInterimResponse: value of: isDone(), expected to be true.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -51,6 +51,10 @@
     private ResponseKind kind;
     private ResponseBuffer body;
     private int interimResponses;
+
+    /** Whether the request has the method HEAD, so that its response ends with its headers. */
+    private boolean toHead;
+
     private int discardedBytes;
 
     /** Why the response was given up; {@code null} if it was not. */
@@ -105,6 +109,7 @@
                 HttpMethod.valueOf(requestHeaders.method().name()),
                 requestHeaders.path(),
                 content);
+        toHead = message.method().equals(HttpMethod.HEAD);
         requestHeaders.forEach((name, value) -> {
             if (name.charAt(0) != ':') {
                 message.headers().add(name, value);
@@ -201,12 +206,18 @@
         headers = received;
         kind = receivedKind;
         body = new ResponseBuffer(link.bufferBudget());
-        closeDelimited = !HttpUtil.isContentLengthSet(response)
+        closeDelimited = !toHead
+                && !HttpUtil.isContentLengthSet(response)
                 && !HttpUtil.isTransferEncodingChunked(response)
                 && response.status().code() != 204
                 && response.status().code() != 304;
         reusable &= HttpUtil.isKeepAlive(response) && !closeDelimited;
         idleLimitNanos = idleLimitNanos(response.headers());
+        if (toHead) {
+            // The codec takes the first response for that to the request and expects content behind a later one.
+            reusable &= interimResponses == 0;
+            finish();
+        }
     }
 
     private void handleContent(HttpContent content) {
--- a/mustardusher-node/src/test/java/io/mustardusher/server/CutResponsesTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/CutResponsesTest.java
@@ -122,6 +122,35 @@
         assertLost("cancelled", received);
     }
 
+    /** Guards against a call of HEAD that waits for content until its deadline, because the response has no length. */
+    @Test
+    void responseToHeadIsCompleteBehindItsHead() {
+        for (String length : List.of("", "content-length: 12\r\n", "transfer-encoding: chunked\r\n")) {
+            Server server = new Server(false);
+            CompletableFuture<AggregatedHttpResponse> received = new CompletableFuture<>();
+            server.request(HttpMethod.HEAD, "a", received);
+            server.respond(OK + length + "\r\n");
+            assertThat(received.isDone()).isTrue();
+            assertThat(received.join().contentUtf8()).isEmpty();
+            CompletableFuture<AggregatedHttpResponse> next = new CompletableFuture<>();
+            server.request("next", next);
+            server.respond("HTTP/1.1 200 OK\r\nid: next\r\ncontent-length: 4\r\n\r\nnext");
+            assertThat(next.join().contentUtf8()).isEqualTo("next");
+        }
+    }
+
+    /** Guards against a call of HEAD that waits for content because informational responses precede the response. */
+    @Test
+    void responseToHeadIsCompleteBehindInterimResponse() {
+        Server server = new Server(false);
+        CompletableFuture<AggregatedHttpResponse> received = new CompletableFuture<>();
+        server.request(HttpMethod.HEAD, "a", received);
+        server.respond("HTTP/1.1 103 Early Hints\r\n\r\n" + OK + "content-length: 12\r\n\r\n");
+        assertThat(received.isDone()).isTrue();
+        assertThat(received.join().contentUtf8()).isEmpty();
+        assertThat(server.channel.isOpen()).isFalse();
+    }
+
     private void assertEnd(Response response, String sent, End end, boolean uploading, boolean kept) {
         Server server = new Server(uploading);
         if (kept) {
@@ -260,7 +289,11 @@
         }
 
         ServerExchange request(String id, CompletableFuture<AggregatedHttpResponse> response) {
-            RequestHeaders headers = RequestHeaders.builder(HttpMethod.POST, "/")
+            return request(HttpMethod.POST, id, response);
+        }
+
+        ServerExchange request(HttpMethod method, String id, CompletableFuture<AggregatedHttpResponse> response) {
+            RequestHeaders headers = RequestHeaders.builder(method, "/")
                     .authority("h.example")
                     .set("id", id)
                     .build();
