Remember that a replaced server leaves

What callers saw: nothing yet; the fault came with the return of replaced servers and was found by reading.

Cause: a server that a late announcement of another one has replaced returns when it goes on announcing itself.

Evidence: processThatDeregistersWhileReplacedDoesNotReturn, processThatDrainsWhileReplacedReturnsAsDraining and unknownProcessThatDrainsBesideCurrentOneNeverServes failed before ('expected to be false'). The last state of a process that is not the current one is updated as well, and phases do not go back.

--- a/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceTracker.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceTracker.java
@@ -64,16 +64,17 @@
      */
     public synchronized boolean update(InstanceState announced) {
         if (!supersedesCurrent(announced)) {
+            boolean leaving = announced.phase() != InstanceState.Phase.SERVING;
+            if (leaving && !current.isSameProcess(announced)) {
+                recordLeaving(announced);
+            }
             return false;
         }
         boolean sameProcess = current != null && current.isSameProcess(announced);
         Optional<InstanceState> last = sameProcess ? Optional.of(current) : lastStateIfReplaced(announced);
         replaced.removeIf(announced::isSameProcess);
         if (current != null && !current.instance().equals(announced.instance())) {
-            replaced.addLast(current);
-            if (replaced.size() > MAX_REPLACED) {
-                replaced.removeFirst();
-            }
+            addReplaced(current);
         }
         updatedNanos = clock.nanoTime();
         candidate = null;
@@ -118,8 +119,12 @@
             current = new InstanceState(instance, start, Long.MAX_VALUE, InstanceState.Phase.GONE);
             return true;
         }
+        long start = startMillis.or(() -> lastStart(instance)).orElse(0L);
+        InstanceState gone = new InstanceState(instance, start, Long.MAX_VALUE, InstanceState.Phase.GONE);
         if (current == null) {
-            current = new InstanceState(instance, startMillis.orElse(0L), Long.MAX_VALUE, InstanceState.Phase.GONE);
+            current = gone;
+        } else {
+            recordLeaving(gone);
         }
         return false;
     }
@@ -133,6 +138,30 @@
         return Optional.ofNullable(current);
     }
 
+    // A process that was replaced by a late announcement may return, but not behind what it was told is known.
+    private void recordLeaving(InstanceState state) {
+        Optional<InstanceState> last = lastStateIfReplaced(state);
+        replaced.removeIf(state::isSameProcess);
+        boolean known = last.filter(earlier ->
+                        earlier.phase().compareTo(state.phase()) >= 0 && earlier.sequence() >= state.sequence())
+                .isPresent();
+        addReplaced(known ? last.get() : state);
+    }
+
+    private void addReplaced(InstanceState state) {
+        replaced.addLast(state);
+        if (replaced.size() > MAX_REPLACED) {
+            replaced.removeFirst();
+        }
+    }
+
+    private Optional<Long> lastStart(String instance) {
+        return replaced.stream()
+                .filter(state -> state.instance().equals(instance))
+                .map(InstanceState::startMillis)
+                .max(Long::compare);
+    }
+
     private boolean isCurrentSilent() {
         return clock.nanoTime() - updatedNanos > REPLACEMENT_TIMEOUT_NANOS;
     }
--- a/mustardusher-core/src/test/java/io/mustardusher/instance/InstanceTrackerTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/instance/InstanceTrackerTest.java
@@ -167,6 +167,49 @@
         }
     }
 
+    // Guards against calls to a server whose deregistration was confirmed while a late announcement had replaced it.
+    @Test
+    void processThatDeregistersWhileReplacedDoesNotReturn() {
+        tracker.update(new InstanceState("b", 0, 10, Phase.SERVING));
+        tracker.update(new InstanceState("a", 0, 1, Phase.SERVING));
+        assertThat(tracker.deregister("b", Optional.empty())).isFalse();
+        for (int sequence = 11; sequence < 20; sequence++) {
+            clock.advanceMillis(1_500);
+            assertThat(tracker.update(new InstanceState("b", 0, sequence, Phase.SERVING)))
+                    .isFalse();
+        }
+    }
+
+    // Guards against new calls to a server that was confirmed as draining while a late announcement had replaced it.
+    @Test
+    void processThatDrainsWhileReplacedReturnsAsDraining() {
+        tracker.update(new InstanceState("b", 0, 10, Phase.SERVING));
+        tracker.update(new InstanceState("a", 0, 1, Phase.SERVING));
+        assertThat(tracker.update(new InstanceState("b", 0, 13, Phase.DRAINING)))
+                .isFalse();
+        for (int sequence = 11; sequence < 18; sequence++) {
+            clock.advanceMillis(1_500);
+            tracker.update(new InstanceState("b", 0, sequence, Phase.SERVING));
+            assertThat(current().instance().equals("b") && current().phase() == Phase.SERVING)
+                    .isFalse();
+        }
+        assertThat(current()).isEqualTo(new InstanceState("b", 0, 17, Phase.DRAINING));
+    }
+
+    // Guards against a process that leaves before its first accepted announcement, and serves by a late one.
+    @Test
+    void unknownProcessThatDrainsBesideCurrentOneNeverServes() {
+        tracker.update(new InstanceState("a", 0, 9, Phase.SERVING));
+        tracker.update(new InstanceState("b", 0, 40, Phase.DRAINING));
+        for (int sequence = 41; sequence < 50; sequence++) {
+            clock.advanceMillis(1_500);
+            tracker.update(new InstanceState("b", 0, sequence, Phase.SERVING));
+            assertThat(current().phase() == Phase.SERVING
+                            && current().instance().equals("b"))
+                    .isFalse();
+        }
+    }
+
     // Guards against new calls to a draining server whose late announcements follow those of another process.
     @Test
     void drainingProcessReturnsAsDraining() {
