Remember the requests of a connection by their hashes

An identifier may be as long as the limit on headers allows, so that 256 of them could take 4 MB a connection. A hash takes a few bytes; two identifiers with the same hash only cost another connection. Found by reading; RepeatedRequestTest passes as before.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/CarriedRequests.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/CarriedRequests.java
@@ -12,7 +12,8 @@
     /** Number of requests after which a connection is replaced, which bounds its memory. */
     static final int CAPACITY = 256;
 
-    private final Set<String> ids = new HashSet<>();
+    /** Hashes, because identifiers may be long. A request with the same hash as another takes another connection. */
+    private final Set<Integer> hashes = new HashSet<>();
 
     /**
      * Adds a request.
@@ -20,17 +21,17 @@
      * @param id identifier of the request
      */
     void add(String id) {
-        ids.add(id);
+        hashes.add(id.hashCode());
     }
 
     /**
-     * Returns whether a request has been carried.
+     * Returns whether a request may have been carried.
      *
      * @param id identifier of the request
-     * @return {@code true} if it has
+     * @return {@code true} unless it certainly has not
      */
     boolean contains(String id) {
-        return ids.contains(id);
+        return hashes.contains(id.hashCode());
     }
 
     /**
@@ -39,6 +40,6 @@
      * @return {@code true} if the capacity is exhausted
      */
     boolean isFull() {
-        return ids.size() >= CAPACITY;
+        return hashes.size() >= CAPACITY;
     }
 }
