Close a connection on which another instance has answered

A server that took over an address may refuse calls that are meant for its predecessor without naming them, and such a refusal is believed on new connections only. Behind a probe, which that server answers, the call would be lost instead (502). connectionIsClosedBehindProbeThatAnotherInstanceAnswers failed before ('the answer is spoiled, unsigned or unnamed, status 503').

refusalThatNamesNoRequestIsProofOnNewConnection sends three identifiers now: with one, the memory of requests opened the new connections, and the test passed without the rule that it is to keep. connectionIsClosedBehindResponseThatProvesNothing is new; it fails without that rule ('expected: 2 but was: 1').

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -227,7 +227,8 @@
         reusable &= HttpUtil.isKeepAlive(response)
                 && !closeDelimited
                 && kind != ResponseKind.INVALID
-                && exchange.isNamedBy(received);
+                && exchange.isNamedBy(received)
+                && exchange.isFromInstance(received);
         idleLimitNanos = idleLimitNanos(response.headers());
         if (toHead) {
             // The codec takes the first response for that to the request and expects content behind a later one.
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -86,6 +86,12 @@
         return dialect.requestId(headers).equals(requestId());
     }
 
+    // Returns whether a response names no other server instance than the one that the request is meant for.
+    boolean isFromInstance(ResponseHeaders headers) {
+        return instance == null
+                || dialect.instance(headers).map(instance::equals).orElse(true);
+    }
+
     // Classifies the response by its headers and reports what the server states in it.
     ServerDialect.ResponseKind classify(ResponseHeaders headers, boolean onlyRequest) {
         ServerDialect.ResponseKind kind = kindOf(headers, onlyRequest);
--- a/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
@@ -121,12 +121,34 @@
     @Test
     void refusalThatNamesNoRequestIsProofOnNewConnection() {
         serve((number, id) -> REFUSAL);
-        for (int i = 1; i <= 3; i++) {
-            assertThat(send("one").headers().join().status()).isEqualTo(HttpStatus.SERVICE_UNAVAILABLE);
-            assertThat(server.connections()).isEqualTo(i);
+        List<String> ids = List.of("one", "two", "three");
+        for (int i = 0; i < ids.size(); i++) {
+            assertThat(send(ids.get(i)).headers().join().status()).isEqualTo(HttpStatus.SERVICE_UNAVAILABLE);
+            assertThat(server.connections()).isEqualTo(i + 1);
         }
     }
 
+    // Guards against a connection that is used again although what arrived on it shows that its order is lost.
+    @Test
+    void connectionIsClosedBehindResponseThatProvesNothing() {
+        serve((number, id) -> number == 0
+                ? "HTTP/1.1 200 OK\r\nid: one\r\nspoiled: 1\r\ncontent-length: 0\r\n\r\n"
+                : response(id, "own"));
+        assertThat(failureCode(send("one"))).isEqualTo(ResultCode.CONNECTION_LOST);
+        assertThat(responseBody("two")).isEqualTo("own");
+        assertThat(server.connections()).isEqualTo(2);
+    }
+
+    // Guards against a call that is lost because the server that took over an address refuses it without its name: such
+    // a
+    // refusal is believed on new connections only.
+    @Test
+    void connectionIsClosedBehindProbeThatAnotherInstanceAnswers() {
+        serve((number, id) -> number == 0 ? "HTTP/1.1 200 OK\r\ninstance: i-2\r\ncontent-length: 0\r\n\r\n" : REFUSAL);
+        link.probe("/", REMAINING_NANOS).join();
+        assertThat(send("one").headers().join().status()).isEqualTo(HttpStatus.SERVICE_UNAVAILABLE);
+    }
+
     // Guards against a refusal that is believed behind the response to a request that this connection did not carry.
     @Test
     void refusalThatNamesNoRequestIsNoProofBehindMismatch() {
--- a/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
@@ -11,7 +11,7 @@
 
 /**
  * Dialect of servers that echo the header {@code id} of the request, and set the header {@code not-run} in the response
- * to a request that they did not run.
+ * to a request that they did not run, and {@code spoiled} in a response that proves nothing.
  */
 public enum EchoDialect implements ServerDialect {
     /** The only instance. */
@@ -32,7 +32,7 @@
         if (response.contains("not-run")) {
             return ResponseKind.NOT_RUN;
         }
-        return response.contains("id") ? ResponseKind.RAN : ResponseKind.INVALID;
+        return response.contains("id") && !response.contains("spoiled") ? ResponseKind.RAN : ResponseKind.INVALID;
     }
 
     @Override
@@ -47,7 +47,7 @@
 
     @Override
     public Optional<String> instance(ResponseHeaders response) {
-        return Optional.empty();
+        return Optional.ofNullable(response.get("instance"));
     }
 
     @Override
