Pin that an answer in a frame is never decoded in part

No fault was found: a frame that is cut at any byte is not decoded, and a part of a message in a frame of fitting length fails. Nothing tested that for the answers to calls.

--- a/mustardusher-node/src/test/java/io/mustardusher/frame/FrameCodecTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/frame/FrameCodecTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class FrameCodecTest {
@@ -75,6 +76,39 @@
         assertThat(read.requestId()).isEqualTo(9);
     }
 
+    /** Guards against the answer to a call that is cut at any byte, by the end of its connection, and decoded. */
+    @Test
+    void answerThatIsCutIsNotDecoded() {
+        byte[] frame = encodedAnswer();
+        for (int cut = 0; cut < frame.length; cut++) {
+            EmbeddedChannel channel = new EmbeddedChannel(new FrameCodec());
+            channel.writeInbound(Unpooled.copiedBuffer(frame, 0, cut));
+            channel.finish();
+            assertThat((Object) channel.readInbound()).isNull();
+        }
+    }
+
+    /** Guards against a shorter answer in a frame whose length fits the part of the message that it holds. */
+    @Test
+    void partOfAnswerIsNoAnswer() {
+        byte[] frame = encodedAnswer();
+        for (int cut = 10; cut < frame.length; cut++) {
+            ByteBuf bytes = Unpooled.copiedBuffer(frame, 0, cut).setInt(0, cut - Integer.BYTES);
+            EmbeddedChannel channel = new EmbeddedChannel(new FrameCodec());
+            assertThrows(DecoderException.class, () -> channel.writeInbound(bytes));
+        }
+    }
+
+    private static byte[] encodedAnswer() {
+        EmbeddedChannel writer = new EmbeddedChannel(new FrameCodec());
+        CallMessage answer = new CallMessage(Long.MIN_VALUE, "the head".getBytes(US_ASCII), new byte[300]);
+        writer.writeOutbound(new Frame(FrameKind.CALL, true, 7, answer));
+        ByteBuf bytes = writer.readOutbound();
+        byte[] frame = new byte[bytes.readableBytes()];
+        bytes.readBytes(frame);
+        return frame;
+    }
+
     /** Guards against failures other than a DecoderException on malformed frames. */
     @Test
     void randomBytesAreDecodedOrFailWithDecoderException() {
