--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -503,7 +503,7 @@
     void responseStreamed(String address, int bytes, long millis);
 
     /**
-     * A call is sent to the backend server again.
+     * A call is sent to the backend server again, while a connection is open that has carried it before.
      *
      * @param call identifier of the call
      */
@@ -514,10 +514,10 @@
     /**
      * A response of the backend server was discarded, because it is not the one that is due on its connection.
      *
-     * @param received identifier of the call to which it belongs
-     * @param awaited  identifier of the call that awaits a response on the connection
+     * @param received identifier of the call to which it belongs, {@code -} if it names none
+     * @param awaited  identifier of the call that awaits a response on the connection, {@code -} if none or a probe does
      */
     @LogMessage(level = Logger.Level.INFO)
-    @Message(id = 2025, value = "call %s: response discarded, since one to call %s is due")
+    @Message(id = 2025, value = "call %s: response discarded, awaiting call %s")
     void responseDiscarded(String received, String awaited);
 }
