Add a case: a second answer counts for the second run of its request

The case runs whole nodes beside upstreams that write a second answer, with another status, where the next answer on a kept connection is due, and that accept no connections for a moment meanwhile. It brings about what the tests of RepeatedRequestTest and ServerTriedOnceTest show in parts: the upstream returns as a new server, the call is sent to it once more, and takes the connection on which its failure has just arrived.

--- a/review/standins/src/review/Manifest.java
+++ b/review/standins/src/review/Manifest.java
@@ -12,16 +12,21 @@
     private final StringJoiner clusters = new StringJoiner(",", "[", "]");
 
     Manifest route(String prefix, String kind, String service, String targetLatency, String timeout) {
-        return route(prefix, kind, "\"service\":\"" + service + "\"", targetLatency, timeout, 2);
+        return route(prefix, kind, service, targetLatency, timeout, 2);
     }
 
     Manifest split(String prefix, String kind, Map<String, Integer> weights, String targetLatency, String timeout) {
         StringJoiner parts = new StringJoiner(",", "\"weightedClusters\":[", "]");
         weights.forEach((service, weight) -> parts.add("{\"service\":\"" + service + "\",\"weight\":" + weight + "}"));
-        return route(prefix, kind, parts.toString(), targetLatency, timeout, 2);
+        return add(prefix, kind, parts.toString(), targetLatency, timeout, 2);
     }
 
-    private Manifest route(
+    Manifest route(
+            String prefix, String kind, String service, String targetLatency, String timeout, int attempts) {
+        return add(prefix, kind, "\"service\":\"" + service + "\"", targetLatency, timeout, attempts);
+    }
+
+    private Manifest add(
             String prefix, String kind, String destination, String targetLatency, String timeout, int attempts) {
         rules.add("{\"name\":\"r" + prefix.replace('/', '-') + "\",\"kind\":\"" + kind + "\",\"targetLatency\":\""
                 + targetLatency + "\",\"priority\":1,\"match\":{\"prefix\":\"" + prefix + "\"},\"action\":{"
--- a/review/standins/src/review/Upstream.java
+++ b/review/standins/src/review/Upstream.java
@@ -39,13 +39,17 @@
         noteRun(exchange);
         answer(exchange, 200, "done".getBytes());
     };
+
+    /** Answers health probes in place of the upstream; {@code null} if it answers them itself. */
+    volatile Behaviour healthBehaviour;
+
     volatile String state = "ready";
     volatile boolean beating;
     volatile boolean leaving;
     volatile int slownessPercent = 100;
 
     private final Record record;
-    private final ServerSocket listener;
+    private volatile ServerSocket listener;
     private final AtomicLong sequence = new AtomicLong();
     private volatile boolean closed;
 
@@ -60,16 +64,7 @@
         this.id = id;
         this.capacity = capacity;
         this.record = record;
-        listener = new ServerSocket();
-        listener.setReuseAddress(true);
-        listener.bind(new java.net.InetSocketAddress(InetAddress.getByName(machine.ip), machine.appPort), 200);
-        Fleet.daemon(() -> {
-            while (!closed) {
-                Socket socket = listener.accept();
-                sockets.add(socket);
-                Fleet.daemon(() -> serve(socket));
-            }
-        });
+        startAccepting();
         Fleet.daemon(() -> {
             while (!closed) {
                 if (beating) {
@@ -80,6 +75,31 @@
         });
     }
 
+    /** Opens the listening socket. */
+    void startAccepting() throws IOException {
+        ServerSocket opened = new ServerSocket();
+        opened.setReuseAddress(true);
+        opened.bind(new java.net.InetSocketAddress(InetAddress.getByName(machine.ip), machine.appPort), 200);
+        listener = opened;
+        Fleet.daemon(() -> {
+            while (!closed) {
+                Socket socket = opened.accept();
+                sockets.add(socket);
+                Fleet.daemon(() -> serve(socket));
+            }
+        });
+    }
+
+    /** Closes the listening socket; accepted connections go on. */
+    void stopAccepting() throws IOException {
+        listener.close();
+    }
+
+    /** Sends the next check-in with the present state; returns whether it was acknowledged. */
+    boolean beat() {
+        return beat(state, sequence.incrementAndGet());
+    }
+
     /** Sends a check-in; returns whether it was acknowledged. */
     boolean beat(String phase, long number) {
         String text = "{\"service\":" + Json.quote(machine.service) + ",\"address\":\"" + machine.ip + ":"
@@ -121,6 +141,10 @@
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
             for (Http.Head head = Http.readHead(in); head != null; head = Http.readHead(in)) {
+                if (head.path().equals("/health") && healthBehaviour != null) {
+                    healthBehaviour.run(this, new Exchange(head, new byte[0], socket, in, out));
+                    continue;
+                }
                 if (head.path().equals("/health")) {
                     boolean well = !leaving && state.equals("ready");
                     write(out, "HTTP/1.1 " + (well ? "200 OK" : "503 X") + "\r\nX-Instance-Id: " + id
