--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -18,6 +18,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -53,6 +54,10 @@
     private ResponseBuffer body;
     private int exchanges;
     private int interimResponses;
+
+    /** Whether the request has the method HEAD, so that its response ends with its headers. */
+    private boolean toHead;
+
     private int discardedBytes;
 
     /** Why the response was given up; {@code null} if it was not. */
@@ -65,7 +70,10 @@
     private boolean closeDelimited;
 
     private boolean reusable = true;
-    private boolean broken;
+
+    /** How the connection ended; {@code null} while it is open. */
+    private ConnectionEnd end;
+
     private long idleLimitNanos = Long.MAX_VALUE;
     private long lastUsedNanos;
 
@@ -89,7 +97,7 @@
     }
 
     void close() {
-        channel.close();
+        end(ConnectionEnd.CLOSED_HERE);
     }
 
     void send(ServerExchange next, AggregatedHttpRequest request, String instance, long remainingNanos) {
@@ -110,6 +118,7 @@
                 HttpMethod.valueOf(requestHeaders.method().name()),
                 requestHeaders.path(),
                 content);
+        toHead = message.method().equals(HttpMethod.HEAD);
         requestHeaders.forEach((name, value) -> {
             if (name.charAt(0) != ':') {
                 message.headers().add(name, value);
@@ -122,7 +131,7 @@
         }
         channel.writeAndFlush(message).addListener(write -> {
             if (!write.isSuccess()) {
-                channel.close();
+                end(ConnectionEnd.WRITE_FAILED);
             }
         });
     }
@@ -130,7 +139,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            if (broken) {
+            if (end != null) {
                 return;
             }
             if (message instanceof HttpResponse response) {
@@ -144,10 +153,16 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            end(ConnectionEnd.END_OF_STREAM);
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        broken = true;
-        context.close();
+        end(ConnectionEnd.READ_FAILED);
     }
 
     @Override
@@ -157,10 +172,20 @@
             releaseBody();
             return;
         }
-        if (closeDelimited && !broken && headers != null) {
+        // Without a cause, nothing shows that the server has sent all of its response.
+        ConnectionEnd ended = end == null ? ConnectionEnd.READ_FAILED : end;
+        if (closeDelimited && headers != null && ended.completesUnframedResponse()) {
             finish();
         } else {
-            fail(fault == null ? "the backend server closed the connection" : fault.description());
+            fail(fault == null ? ended.description() : fault.description());
+        }
+    }
+
+    // Only the first cause counts, because the others follow from it: what is unsent fails to be written, for example.
+    private void end(ConnectionEnd cause) {
+        if (end == null) {
+            end = cause;
+            channel.close();
         }
     }
 
@@ -194,7 +219,8 @@
         headers = received;
         kind = receivedKind;
         body = new ResponseBuffer(link.bufferBudget());
-        closeDelimited = !HttpUtil.isContentLengthSet(response)
+        closeDelimited = !toHead
+                && !HttpUtil.isContentLengthSet(response)
                 && !HttpUtil.isTransferEncodingChunked(response)
                 && response.status().code() != 204
                 && response.status().code() != 304;
@@ -203,6 +229,11 @@
                 && kind != ResponseKind.INVALID
                 && exchange.isNamedBy(received);
         idleLimitNanos = idleLimitNanos(response.headers());
+        if (toHead) {
+            // The codec takes the first response for that to the request and expects content behind a later one.
+            reusable &= interimResponses == 0;
+            finish();
+        }
     }
 
     private void handleContent(HttpContent content) {
@@ -240,7 +271,7 @@
         if (reusable && !carried.isFull() && channel.isActive()) {
             link.release(this);
         } else {
-            channel.close();
+            close();
         }
         ended.complete(kind, headers, completeBody);
     }
@@ -254,15 +285,14 @@
 
     // Closes the connection at once; what follows on it could not be matched to a request.
     private void giveUp(ResponseFault found) {
-        if (broken) {
+        if (end != null) {
             return;
         }
-        broken = true;
         fault = found;
         if (exchange != null) {
             exchange.reportFault(found);
         }
-        channel.close();
+        end(ConnectionEnd.GIVEN_UP);
     }
 
     private void releaseBody() {
