--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -515,7 +515,7 @@
      * A response of the backend server was discarded, because it is not the one that is due on its connection.
      *
      * @param received identifier of the call to which it belongs, {@code -} if it names none
-     * @param awaited  identifier of the call that awaits a response on the connection, {@code -} if none or a probe does
+     * @param awaited  identifier of the call that awaits one on the connection, {@code -} if none or a probe does
      */
     @LogMessage(level = Logger.Level.INFO)
     @Message(id = 2025, value = "call %s: response discarded, awaiting call %s")
