Let the case of second answers run requests that outlast a freeze

A node that is frozen until the others take it for failed returns with a new record of its server: a second way back, which needs requests that last longer than the freeze. CLIENTS and LONGEST_WORK_MS set more.

--- a/review/standins/src/review/StutteringServers.java
+++ b/review/standins/src/review/StutteringServers.java
@@ -112,13 +112,13 @@
     /** Counter of the requests that are worth a repetition at an upstream that has been away meanwhile. */
     private static final String RETURNED = "failures and refusals behind a return";
 
-    private static final int CLIENTS = 24;
     private static final int TIMEOUT_MILLIS = 8000;
     private static final int THINK_MILLIS = 20;
-    private static final int LONGEST_WORK_MILLIS = 1200;
 
     private final long seed = Long.parseLong(System.getenv().getOrDefault("SEED", "1"));
     private final int seconds = Integer.parseInt(System.getenv().getOrDefault("DURATION_S", "25"));
+    private final int clientCount = Integer.parseInt(System.getenv().getOrDefault("CLIENTS", "24"));
+    private final int longestWorkMillis = Integer.parseInt(System.getenv().getOrDefault("LONGEST_WORK_MS", "1200"));
     private final int servers = Integer.parseInt(System.getenv().getOrDefault("SERVERS", "2"));
     private final boolean probes = "1".equals(System.getenv("PROBES"));
     private final boolean nameless = "1".equals(System.getenv("NAMELESS"));
@@ -174,7 +174,7 @@
             stuttering.forEach(upstream -> upstream.healthBehaviour = this::answerProbe);
         }
         List<Thread> clients = new ArrayList<>();
-        for (int number = 0; number < CLIENTS; number++) {
+        for (int number = 0; number < clientCount; number++) {
             Fleet.Machine machine = fleet.machines.get(number % fleet.machines.size());
             Random random = new Random(seed * 1000 + number);
             clients.add(Fleet.daemon(() -> call(machine, random)));
@@ -184,7 +184,7 @@
         for (Thread client : clients) {
             client.join(TIMEOUT_MILLIS + 4000);
         }
-        Thread.sleep(LONGEST_WORK_MILLIS);
+        Thread.sleep(longestWorkMillis);
         ledger.judge();
         String summary = String.format(
                 "seed %d, %d servers, %s%s%s%s: %s",
@@ -308,7 +308,7 @@
         boolean breaksOff = first && kind > 97;
         int returned = returnsOf(upstream).get();
         arrival.ran = !refuses;
-        Thread.sleep(slow ? 300 + random.nextInt(LONGEST_WORK_MILLIS - 300) : 3 + random.nextInt(first ? 15 : 100));
+        Thread.sleep(slow ? 300 + random.nextInt(longestWorkMillis - 300) : 3 + random.nextInt(first ? 15 : 100));
         byte[] body = (id + " at " + upstream.id + ", arrival " + arrival.number + " " + "x".repeat(400)).getBytes();
         if (breaksOff) {
             breakOff(upstream, exchange, body, random);
