--- a/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceTracker.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/instance/InstanceTracker.java
@@ -138,7 +138,7 @@
         return Optional.ofNullable(current);
     }
 
-    // A process that was replaced by a late announcement may return, but not behind what it was told is known.
+    // A replaced process may return, but not to a phase before the one that was confirmed to it.
     private void recordLeaving(InstanceState state) {
         Optional<InstanceState> last = lastStateIfReplaced(state);
         replaced.removeIf(state::isSameProcess);
