--- a/mustardusher-node/src/test/java/io/mustardusher/entry/RouterFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/RouterFixture.java
@@ -88,6 +88,19 @@
      * @return the call
      */
     static Call call(Clock clock) {
+        return call(clock, 0, 2, SECOND_NANOS / 2);
+    }
+
+    /**
+     * Creates an idempotent call with a deadline after one second.
+     *
+     * @param clock              source of time
+     * @param hedgePercent       share of hedges that the service permits, in percent
+     * @param maxReachedAttempts maximum number of servers that the call may reach
+     * @param targetLatencyNanos time within which an answer is desired, in nanoseconds
+     * @return the call
+     */
+    static Call call(Clock clock, int hedgePercent, int maxReachedAttempts, long targetLatencyNanos) {
         CatalogueEntry entry = new CatalogueEntry(
                 SERVICE,
                 "route",
@@ -99,7 +112,7 @@
                 0,
                 0,
                 0,
-                0,
+                hedgePercent,
                 0,
                 false);
         RequestHeaders headers = RequestHeaders.of(HttpMethod.GET, "/");
@@ -112,7 +125,7 @@
                 Optional.empty(),
                 0,
                 false,
-                new CallOptions("call", 2, SECOND_NANOS / 2, Optional.empty(), 0));
+                new CallOptions("call", maxReachedAttempts, targetLatencyNanos, Optional.empty(), 0));
     }
 
     /**
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/SecondAnswerToRepeatedCallTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/SecondAnswerToRepeatedCallTest.java
@@ -7,7 +7,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -21,11 +20,7 @@
 import com.linecorp.armeria.common.util.EventLoopGroups;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
-import io.mustardusher.call.CallOptions;
 import io.mustardusher.call.Exchange;
-import io.mustardusher.catalogue.CatalogueEntry;
-import io.mustardusher.catalogue.Idempotence;
-import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.catalogue.ServiceName;
 import io.mustardusher.frame.Credential;
 import io.mustardusher.gate.Gate;
@@ -36,7 +31,6 @@
 import io.mustardusher.health.SuspectTable;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
-import io.mustardusher.routing.RoutingPolicy;
 import io.mustardusher.server.BufferedServerLink;
 import io.mustardusher.server.EchoDialect;
 import io.mustardusher.server.ServerLink;
@@ -119,30 +113,7 @@
                 timers,
                 clock,
                 new MetricRegistry());
-        CatalogueEntry entry = new CatalogueEntry(
-                SERVICE,
-                "route",
-                ServiceClass.STANDARD,
-                RoutingPolicy.LEAST_COST,
-                Idempotence.ALWAYS,
-                1_000,
-                0,
-                0,
-                0,
-                0,
-                0,
-                0,
-                false);
-        Call call = new Call(
-                entry,
-                RequestHeaders.of(HttpMethod.GET, "/"),
-                "route",
-                ServiceClass.STANDARD,
-                clock.nanoTime() + SECOND_NANOS,
-                Optional.empty(),
-                0,
-                false,
-                new CallOptions("call", 2, Long.MAX_VALUE, Optional.empty(), 0));
+        Call call = RouterFixture.call(clock, 0, 2, Long.MAX_VALUE);
         return router.route(call, CallBody.Buffered.EMPTY, true, new CompletableFuture<>())
                 .aggregate();
     }
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/ServerTriedOnceTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/ServerTriedOnceTest.java
@@ -3,24 +3,17 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
-import com.linecorp.armeria.common.HttpMethod;
-import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
-import io.mustardusher.call.CallOptions;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.call.Problem;
-import io.mustardusher.catalogue.CatalogueEntry;
-import io.mustardusher.catalogue.Idempotence;
-import io.mustardusher.catalogue.ServiceClass;
 import io.mustardusher.catalogue.ServiceName;
 import io.mustardusher.frame.CallMessage;
 import io.mustardusher.frame.Credential;
@@ -34,7 +27,6 @@
 import io.mustardusher.result.Outcome;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.retry.RetryPolicy;
-import io.mustardusher.routing.RoutingPolicy;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.ImmediateEventExecutor;
 import org.junit.jupiter.api.Tag;
@@ -144,30 +136,7 @@
                 timers,
                 clock,
                 new MetricRegistry());
-        CatalogueEntry entry = new CatalogueEntry(
-                SERVICE,
-                "route",
-                ServiceClass.STANDARD,
-                RoutingPolicy.LEAST_COST,
-                Idempotence.ALWAYS,
-                1_000,
-                0,
-                0,
-                0,
-                0,
-                hedgePercent,
-                0,
-                false);
-        Call call = new Call(
-                entry,
-                RequestHeaders.of(HttpMethod.GET, "/"),
-                "route",
-                ServiceClass.STANDARD,
-                clock.nanoTime() + SECOND_NANOS,
-                Optional.empty(),
-                0,
-                false,
-                new CallOptions("call", MAX_REACHED_ATTEMPTS, Long.MAX_VALUE, Optional.empty(), 0));
+        Call call = RouterFixture.call(clock, hedgePercent, MAX_REACHED_ATTEMPTS, Long.MAX_VALUE);
         return router.route(call, CallBody.Buffered.EMPTY, true, new CompletableFuture<>())
                 .aggregate();
     }
