Record calls that reach their server before an earlier run has ended

An identifier names a call and not a run of it, so that whatever is kept by identifier belongs to either of two runs that are at work at once. MUSH2026 names such a call and gate.overlappingRuns counts them; nothing else changes.

--- a/mustardusher-core/src/main/java/io/mustardusher/nested/RunningCalls.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/nested/RunningCalls.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 
 /**
  * The calls that run at the backend server beside this node, by which the entry recognises their nested calls. The
@@ -15,14 +16,18 @@
 
     private final Map<String, RunningCall> byId = new ConcurrentHashMap<>();
     private final NestedCallForecast forecast;
+    private final Consumer<String> overlaps;
 
     /**
      * Creates a registry without calls.
      *
      * @param forecast learns from the nested calls of each call that ends
+     * @param overlaps receives the identifier of each call that is sent to the server before an earlier run of it has
+     *     ended
      */
-    public RunningCalls(NestedCallForecast forecast) {
+    public RunningCalls(NestedCallForecast forecast, Consumer<String> overlaps) {
         this.forecast = forecast;
+        this.overlaps = overlaps;
     }
 
     /**
@@ -40,8 +45,8 @@
      * @param call the call
      */
     public void start(RunningCall call) {
-        if (!call.id().equals(NO_ID)) {
-            byId.put(call.id(), call);
+        if (!call.id().equals(NO_ID) && byId.put(call.id(), call) != null) {
+            overlaps.accept(call.id());
         }
     }
 
--- a/mustardusher-core/src/test/java/io/mustardusher/nested/NestedCallForecastTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/nested/NestedCallForecastTest.java
@@ -21,7 +21,8 @@
     private final Clock.Manual clock = new Clock.Manual();
     private final Random random = new Random(5);
     private int changes;
-    private final RunningCalls calls = new RunningCalls(new NestedCallForecast(clock, (route, refusing) -> changes++));
+    private final RunningCalls calls =
+            new RunningCalls(new NestedCallForecast(clock, (route, refusing) -> changes++), id -> {});
 
     /** Guards against runs that hold a slot for nothing, and against refusing runs of which many would succeed. */
     @ParameterizedTest
--- a/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedNode.java
+++ b/mustardusher-model/src/main/java/io/mustardusher/model/SimulatedNode.java
@@ -86,7 +86,7 @@
         this.server = server;
         LoadPattern pattern = deployment.pattern();
         this.processor = new Processor(simulation, pattern.callCostMillis() * Clock.NANOS_PER_MILLI, coldFactor);
-        this.runningCalls = new RunningCalls(new NestedCallForecast(simulation, (route, refusing) -> {}));
+        this.runningCalls = new RunningCalls(new NestedCallForecast(simulation, (route, refusing) -> {}), call -> {});
         this.admission = Admission.withLatencyTargets(simulation, SAFE_SLOT_FRACTION);
         admission.configure(pattern.slots(), QUEUE_PER_SLOT, 0);
         admission.open();
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -36,7 +36,6 @@
 import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.log.DecisionLog;
 import io.mustardusher.log.NodeLog;
-import io.mustardusher.nested.NestedCallForecast;
 import io.mustardusher.nested.RunningCall;
 import io.mustardusher.nested.RunningCalls;
 import io.mustardusher.result.MustardusherException;
@@ -133,7 +132,7 @@
         this.crashDetector = crashDetector;
         this.callNames = callNames;
         this.prober = new ServerProber(clock, admission, conditions);
-        this.runningCalls = new RunningCalls(new NestedCallForecast(clock, NodeLog.LOG::rootsRefused));
+        this.runningCalls = GateReports.createRunningCalls(clock, metrics);
         this.admission = admission;
         this.eventLoopDelay = eventLoopDelay;
         this.metrics = metrics;
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/GateReports.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/GateReports.java
@@ -3,12 +3,16 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.log.NodeLog;
+import io.mustardusher.nested.NestedCallForecast;
+import io.mustardusher.nested.RunningCalls;
 import io.mustardusher.server.ReportedServerLoad;
 import io.mustardusher.server.ResponseFault;
 import io.mustardusher.server.ServerReports;
+import io.mustardusher.time.Clock;
 
 /**
  * Passes what a backend server reports about itself to its gate, and records irregular responses in log and metrics.
@@ -20,6 +24,23 @@
 
     private static final String NONE = "-";
 
+    /**
+     * Creates the registry of the calls at the backend server, which records overlapping runs and refusals ahead of
+     * nested calls.
+     *
+     * @param clock   source of time
+     * @param metrics registry of metrics
+     * @return registry without calls
+     */
+    static RunningCalls createRunningCalls(Clock clock, MetricRegistry metrics) {
+        Counter overlaps = metrics.counter("gate.overlappingRuns");
+        NestedCallForecast forecast = new NestedCallForecast(clock, NodeLog.LOG::rootsRefused);
+        return new RunningCalls(forecast, call -> {
+            overlaps.inc();
+            NodeLog.DECISIONS.runOverlaps(call);
+        });
+    }
+
     @Override
     public void onLoad(ReportedServerLoad load) {
         gate.get().recordServerLoad(load);
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -538,4 +538,13 @@
     @LogMessage(level = Logger.Level.INFO)
     @Message(id = 2025, value = "call %s: response discarded, awaiting call %s")
     void responseDiscarded(String received, String awaited);
+
+    /**
+     * A call is sent to the backend server although an earlier run of it has not ended there.
+     *
+     * @param call identifier of the call
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 2026, value = "call %s: sent to the backend server while an earlier run has not ended")
+    void runOverlaps(String call);
 }
