--- a/mustardusher-node/src/test/java/io/mustardusher/gate/GateFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/GateFixture.java
@@ -46,6 +46,19 @@
         return of(clock, timers, new Admission(clock), null, slots, new SimulatedLink(server));
     }
 
+    /**
+     * Creates a gate with an announced server that is serving.
+     *
+     * @param clock  source of time
+     * @param timers schedules the removal of queued calls at their deadlines
+     * @param slots  slots of the server
+     * @param link   link to the server
+     * @return the gate
+     */
+    public static Gate of(Clock clock, ScheduledExecutorService timers, int slots, ServerLink link) {
+        return of(clock, timers, new Admission(clock), null, slots, link);
+    }
+
     /**
      * Creates a gate with an announced server that is serving.
      *
