Start the call numbers of two nodes apart

What callers would see: the answer to a call of another node. Gates know a call by its number alone, for five seconds after its end.

Cause: a node starts at a value of java.util.Random, whose seed is the steady clock at its creation combined with a constant that is the same in each process. Two nodes on one host that create it at the same reading have the same numbers. Otherwise two starts with equal upper halves are 15,324 apart at least, for 10 of 2^48 differences of the seed.

The id of the node and the start of its process are now part of the value, so that equal seeds alone do not suffice.

--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
+import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -358,8 +360,21 @@
      *
      * @param peers       client of other nodes
      * @param packing     encoding of headers
-     * @param callNumbers last call number; starts at an arbitrary value, so that the numbers of two entries differ
+     * @param callNumbers last call number; starts at a value that differs from those of other entries
      * @param loop        executor that aggregates requests
      */
-    public record FrameTransport(Peers peers, HeaderPacking packing, AtomicLong callNumbers, EventExecutor loop) {}
+    public record FrameTransport(Peers peers, HeaderPacking packing, AtomicLong callNumbers, EventExecutor loop) {
+
+        /**
+         * Returns the value at which the call numbers of a process start. Gates know a call by its number alone.
+         *
+         * @param node   id of the node
+         * @param boot   start time of its process, in milliseconds since the Unix epoch
+         * @param random source of randomness, which may have the same seed as that of another process
+         * @return the value
+         */
+        public static long firstCallNumber(String node, long boot, Random random) {
+            return new SplittableRandom(((long) node.hashCode() << Integer.SIZE) ^ boot).nextLong() ^ random.nextLong();
+        }
+    }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -305,9 +305,9 @@
         core.frameServer().on(FrameKind.PART, (CallMessage request) -> gate.part(request));
         core.frameServer().on(FrameKind.CANCEL, (CallMessage call) -> gate.cancel(call));
         core.frameServer().on(FrameKind.ROUTES, (CataloguePull request) -> routes.answer(request));
-        core.directory()
-                .useFrames(new ServerDirectory.FrameTransport(
-                        core.frames(), packing, new AtomicLong(core.random().nextLong()), loop));
+        AtomicLong callNumbers = new AtomicLong(ServerDirectory.FrameTransport.firstCallNumber(
+                settings.getId(), core.members().self().getBoot(), core.random()));
+        core.directory().useFrames(new ServerDirectory.FrameTransport(core.frames(), packing, callNumbers, loop));
     }
 
     private void registerGauges() {
