Handle answers of the local gate on the event loop

What callers saw: nothing was seen at callers. Answers of the gate of the same process were split and collected on threads of Armeria's common pool, of which there are two for each processor, because no request context names an event loop. The entry handled them there and sent calls again from there, to the gate of the same process among others.

The local link now receives answers on the loop that the links to other nodes use, so that all steps of a call run there. Without frames the context still decides.

--- a/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
@@ -21,6 +21,7 @@
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
+import io.netty.util.concurrent.EventExecutor;
 
 /** A request to the next hop and its answer. */
 public interface Exchange {
@@ -40,7 +41,7 @@
                 .build();
         try (ClientRequestContextCaptor captor = Clients.newContextCaptor()) {
             HttpResponse response = client.execute(request, options);
-            return new ForStreamedAnswer(response, captor.getOrNull());
+            return new ForStreamedAnswer(response, response.defaultSubscriberExecutor(), captor.getOrNull());
         }
     }
 
@@ -51,7 +52,18 @@
      * @return the exchange
      */
     static Exchange ofLocal(HttpResponse response) {
-        return new ForStreamedAnswer(response, null);
+        return ofLocal(response, response.defaultSubscriberExecutor());
+    }
+
+    /**
+     * Creates an exchange for an answer that is produced in this process.
+     *
+     * @param response the answer
+     * @param executor executor on which the answer is received
+     * @return the exchange
+     */
+    static Exchange ofLocal(HttpResponse response, EventExecutor executor) {
+        return new ForStreamedAnswer(response, executor, null);
     }
 
     /**
@@ -115,12 +127,14 @@
     final class ForStreamedAnswer implements Exchange {
 
         private final HttpResponse response;
+        private final EventExecutor executor;
         private final SplitHttpResponse split;
         private final ClientRequestContext context;
 
-        private ForStreamedAnswer(HttpResponse response, ClientRequestContext context) {
+        private ForStreamedAnswer(HttpResponse response, EventExecutor executor, ClientRequestContext context) {
             this.response = response;
-            this.split = response.split();
+            this.executor = executor;
+            this.split = response.split(executor);
             this.context = context;
         }
 
@@ -153,7 +167,7 @@
 
         @Override
         public CompletableFuture<HttpResponse> aggregate(ResponseHeaders headers) {
-            return split.body().collect().thenApply(parts -> {
+            return split.body().collect(executor).thenApply(parts -> {
                 int length = parts.stream().mapToInt(HttpData::length).sum();
                 byte[] bytes = new byte[length];
                 int offset = 0;
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
@@ -1,12 +1,14 @@
 package io.mustardusher.entry;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.frame.Peers;
@@ -31,12 +33,16 @@
      * A link to the gate of the same process.
      *
      * @param gate the gate
+     * @param loop executor that receives the answers; empty for that of the context in which a call is sent
      */
-    record ForLocal(Gate gate) implements GateLink {
+    record ForLocal(Gate gate, Optional<EventExecutor> loop) implements GateLink {
 
         @Override
         public Exchange send(HttpRequest request, long remainingNanos, CompletionStage<?> cancelled) {
-            return Exchange.ofLocal(gate.handle(request, cancelled));
+            HttpResponse response = gate.handle(request, cancelled);
+            // Without a context, the response would be received on a thread of a pool.
+            return loop.map(executor -> Exchange.ofLocal(response, executor))
+                    .orElseGet(() -> Exchange.ofLocal(response));
         }
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -302,7 +302,7 @@
      */
     private GateLink createLink(MemberRecord member, TransferRate rate) {
         if (isSelf(member)) {
-            return new GateLink.ForLocal(gate);
+            return new GateLink.ForLocal(gate, Optional.ofNullable(transport).map(FrameTransport::loop));
         }
         Endpoint endpoint = Endpoint.of(member.getHost(), (int) member.getGatePort());
         SessionProtocol protocol = transport == null ? SessionProtocol.H2C : SessionProtocol.H1C;
