Start another check for a crash once the last one has ended

What callers saw: nothing was seen at callers; by reading, a crash without number or suspects, so that a call that crashes servers is tried on.

Cause: the stages of a future run in reverse order, so that a check that found the server running was discarded only after the calls that waited for it had gone on. A connection that is lost meanwhile shared its result. Whether a check has ended is now read from it. A stage of an older check can no longer discard a newer one either, and a check that failed is not kept for good.

CrashDetectorTest.lossAfterCheckStartsAnotherCheck failed before ("expected to be true") and passes now.

--- a/mustardusher-node/src/main/java/io/mustardusher/gate/CrashDetector.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/CrashDetector.java
@@ -42,10 +42,7 @@
 
     private volatile int crashCount;
 
-    /**
-     * The running check, or the check that found a crash from which the server has not recovered; otherwise
-     * {@code null}.
-     */
+    /** The last check; {@code null} before the first, and after the server has recovered. */
     private CompletableFuture<OptionalLong> crashCheck;
 
     /**
@@ -97,16 +94,11 @@
      * @return id of the crash, or empty if the server still accepts connections
      */
     synchronized CompletableFuture<OptionalLong> checkAfterLoss(Ticket ticket) {
-        if (crashCheck != null) {
-            return crashCheck;
+        if (crashCheck == null || hasFoundNoCrash(crashCheck)) {
+            List<Long> fingerprints = new ArrayList<>(inFlight.values());
+            crashCheck = CompletableFuture.supplyAsync(() -> check(fingerprints), connectExecutor);
         }
-        List<Long> fingerprints = new ArrayList<>(inFlight.values());
-        CompletableFuture<OptionalLong> started =
-                CompletableFuture.supplyAsync(() -> check(fingerprints), connectExecutor);
-        crashCheck = started;
-        // Discards the check at once if it has ended already, so the field cannot be returned here.
-        started.thenAccept(this::discardIfNoCrash);
-        return started;
+        return crashCheck;
     }
 
     /** Discards the crash found last, since the server is serving again. */
@@ -117,10 +109,9 @@
     }
 
     // A check that found a crash is kept, so that calls which detect their loss late receive the id of that crash.
-    private synchronized void discardIfNoCrash(OptionalLong crash) {
-        if (crash.isEmpty()) {
-            crashCheck = null;
-        }
+    private static boolean hasFoundNoCrash(CompletableFuture<OptionalLong> check) {
+        return check.isDone()
+                && (check.isCompletedExceptionally() || check.join().isEmpty());
     }
 
     private OptionalLong check(List<Long> fingerprints) {
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/CrashDetectorTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/CrashDetectorTest.java
@@ -1,9 +1,14 @@
 package io.mustardusher.gate;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 
 import io.mustardusher.admission.AdmissionListener;
 import io.mustardusher.admission.Ticket;
@@ -33,6 +38,33 @@
         }
     }
 
+    /** Guards against a crash that is missed because the result of an earlier check is still being passed on. */
+    @Test
+    void lossAfterCheckStartsAnotherCheck() throws IOException {
+        Deque<Runnable> checks = new ArrayDeque<>();
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+            CrashDetector detector = new CrashDetector(0, () -> address, checks::add, report -> {}, () -> {});
+            CompletableFuture<OptionalLong> second = detector.checkAfterLoss(ticket())
+                    .thenCompose(first -> {
+                        closeUnchecked(server);
+                        return detector.checkAfterLoss(ticket());
+                    });
+            while (!checks.isEmpty()) {
+                checks.removeFirst().run();
+            }
+            assertThat(second.join().isPresent()).isTrue();
+        }
+    }
+
+    private static void closeUnchecked(ServerSocket server) {
+        try {
+            server.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     // Guards against a call that is refused everywhere because its server, which went on, accepted no connections at
     // times.
     @Test
