--- a/review/standins/src/review/AnswerLedger.java
+++ b/review/standins/src/review/AnswerLedger.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** What upstreams did with each request and what its client got, and the rules that the two break. */
-final class AnswerLedger {
+class AnswerLedger {
 
     /** One arrival of a request at an upstream. */
     static final class Arrival {
@@ -47,7 +47,7 @@
         count(true, "requests repeated by clients");
     }
 
-    private record Received(String machine, String id, boolean idempotent, Client.Answer answer) {}
+    record Received(String machine, String id, boolean idempotent, Client.Answer answer) {}
 
     private final Record record;
     private final Queue<Received> received = new ConcurrentLinkedQueue<>();
@@ -102,14 +102,22 @@
         boolean refusedRun = refusal && runs > 0 && !repeated.contains(taken.id);
         breaks(refusedRun, taken.idempotent ? "REFUSED idempotent" : "REFUSED", taken, known);
         breaks(!taken.idempotent && runs > 1, "TWICE", taken, known);
+        judged(taken, known);
     }
 
+    /** Called for each answer that has been judged, with the arrivals of its request. */
+    void judged(Received taken, List<Arrival> known) {}
+
+    /** Called for each rule that an answer broke. */
+    void broken(String rule, Received taken, List<Arrival> known) {}
+
     private void breaks(boolean broken, String rule, Received taken, List<Arrival> known) {
         if (broken) {
             count(true, rule);
             StringBuilder runs = new StringBuilder();
             known.forEach(arrival -> runs.append("; ").append(arrival.describe()));
             record.add("%s: client on %s: %s got %s%s", rule, taken.machine, taken.id, taken.answer.describe(), runs);
+            broken(rule, taken, known);
         }
     }
 
--- a/review/standins/src/review/Client.java
+++ b/review/standins/src/review/Client.java
@@ -38,6 +38,9 @@
     private final InputStream in;
     private final OutputStream out;
 
+    /** How long the client waits beyond the time that it names in the request. */
+    int patienceMillis = 3000;
+
     /** Speed at which bodies of known length are sent. */
     double bytesPerSecond = Double.MAX_VALUE;
 
@@ -61,12 +64,12 @@
     Answer send(String method, String path, String id, int timeoutMillis, byte[] body, boolean chunked) {
         Future<?> giveUp = null;
         try {
-            socket.setSoTimeout(timeoutMillis + 3000);
+            socket.setSoTimeout(timeoutMillis + patienceMillis);
             giveUp = TIMERS.schedule(() -> {
                 expired = true;
                 socket.close();
                 return null;
-            }, timeoutMillis + 3000, TimeUnit.MILLISECONDS);
+            }, timeoutMillis + patienceMillis, TimeUnit.MILLISECONDS);
             String head = method + " " + path + " HTTP/1.1\r\nHost: " + Manifest.HOST + "\r\nX-Attempt-Id: " + id
                     + "\r\nX-Timeout-Ms: " + timeoutMillis + "\r\n";
             if (body == null) {
--- a/review/standins/src/review/Fleet.java
+++ b/review/standins/src/review/Fleet.java
@@ -30,6 +30,9 @@
         Process node;
         Path settings;
 
+        /** Checkout whose build the node runs. */
+        Path root;
+
         Machine(String name, String zone, String service, String ip) {
             this.name = name;
             this.zone = zone;
@@ -51,7 +54,6 @@
     final List<Machine> machines = new ArrayList<>();
 
     private final Path temporary;
-    private final List<String> command;
 
     Fleet(Path root, Path folder) throws IOException {
         this.root = root;
@@ -59,7 +61,6 @@
         this.record = new Record(folder.resolve("record.txt"));
         this.store = new Store("127.0.0.1");
         this.temporary = Files.createTempDirectory("review");
-        this.command = command(root.resolve("deploy/system.toml"));
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
@@ -97,6 +98,7 @@
             machine.controlPort = first + 3;
             machine.appPort = first + 4;
             machine.internalPort = first + 5;
+            machine.root = root;
             machines.add(machine);
         }
     }
@@ -118,7 +120,8 @@
     void startNode(Machine machine) throws IOException {
         machine.settings = temporary.resolve(machine.name + ".json");
         Files.writeString(machine.settings, settings(machine));
-        ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile());
+        List<String> command = command(machine.root.resolve("deploy/system.toml"));
+        ProcessBuilder builder = new ProcessBuilder(command).directory(machine.root.toFile());
         builder.environment().put("MUSTARDUSHER_SETTINGS", machine.settings.toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(
--- /dev/null
+++ b/review/standins/src/review/NestedCalls.java
@@ -0,0 +1,304 @@
+package review;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Four services on 14 machines of three failure domains, whose upstreams call each other and answer some requests twice.
+ * Two bursts of disruptions follow each other after 40 seconds.
+ */
+final class NestedCalls extends Case {
+
+    private static final String[][] MACHINES = {
+        {"side-1", "baton-rouge", "hehi12f"},
+        {"side-2", "hattiesburg", "hehi12f"},
+        {"side-3", "mobile-bay", "hehi12f"},
+        {"side-4", "baton-rouge", "hehi12f"},
+        {"side-5", "hattiesburg", "hehi12f"},
+        {"side-6", "mobile-bay", "rifo48b"},
+        {"side-7", "baton-rouge", "rifo48b"},
+        {"side-8", "hattiesburg", "rifo48b"},
+        {"side-9", "mobile-bay", "byle80d"},
+        {"side-10", "baton-rouge", "byle80d"},
+        {"side-11", "hattiesburg", "byle80d"},
+        {"side-12", "mobile-bay", "tevu28a"},
+        {"side-13", "baton-rouge", "tevu28a"},
+        {"side-14", "hattiesburg", "tevu28a"},
+    };
+
+    private static final Map<String, StutteringService.Calls> CALLS = Map.of(
+            "hehi12f", new StutteringService.Calls("/claim/", 1, 0.7),
+            "tevu28a", new StutteringService.Calls("/strewn/", 2, 1));
+
+    private static final int CAPACITY = 13;
+    private static final int TIMEOUT_MILLIS = 3000;
+
+    /** Time from the start of a burst to the start of the next. */
+    private static final int BURST_INTERVAL_MILLIS = 40_000;
+
+    private static final int COLD_MILLIS = 3000;
+
+    private final long seed = number("SEED", 1);
+    private final int seconds = number("DURATION_S", 70);
+    private final int clientsPerMachine = number("CLIENTS", 4);
+    private final int thinkMillis = number("THINK_MS", 150);
+    private final int burstSize = number("BURST", 16);
+    private final boolean repeats = number("REPEATS", 0) == 1;
+    private final boolean sameNestedIds = "SAME".equals(System.getenv("NESTED_IDS"));
+    private final String oldRoot = System.getenv("ROOT_OLD");
+    private final Set<Disruption> disruptions = disruptions(System.getenv().getOrDefault("WAYS", ""));
+
+    private final Map<Fleet.Machine, Upstream> upstreams = new ConcurrentHashMap<>();
+    private final Map<Fleet.Machine, StutteringService> processes = new ConcurrentHashMap<>();
+    private final Map<Disruption, AtomicInteger> played = new ConcurrentHashMap<>();
+    private final AtomicInteger requestCount = new AtomicInteger();
+    private final AtomicInteger instanceCount = new AtomicInteger();
+    private RunLedger ledger;
+    private StutteringService.Setting setting;
+    private volatile boolean ended;
+
+    private static int number(String name, int otherwise) {
+        String text = System.getenv(name);
+        return text == null ? otherwise : Integer.parseInt(text);
+    }
+
+    private static Set<Disruption> disruptions(String names) {
+        Set<Disruption> chosen = EnumSet.noneOf(Disruption.class);
+        if (names.isEmpty()) {
+            return EnumSet.allOf(Disruption.class);
+        }
+        Arrays.stream(names.split(",")).map(Disruption::valueOf).forEach(chosen::add);
+        return chosen;
+    }
+
+    public static void main(String[] arguments) {
+        run(arguments, new NestedCalls());
+    }
+
+    @Override
+    boolean isBroken() throws Exception {
+        ledger = new RunLedger(record);
+        setting = new StutteringService.Setting(
+                seed,
+                ledger,
+                sameNestedIds,
+                trouble ? number("STUTTER_PERCENT", 4) : 0,
+                trouble ? number("STUTTER_FAILED_PERCENT", 50) : 0);
+        fleet.addMachines(MACHINES);
+        if (oldRoot != null) {
+            for (int number = 1; number < fleet.machines.size(); number += 2) {
+                fleet.machines.get(number).root = Path.of(oldRoot);
+            }
+        }
+        fleet.store.put("op", "config", new Manifest()
+                .service("hehi12f")
+                .service("rifo48b")
+                .service("byle80d")
+                .service("tevu28a")
+                .route("/clip/", "idempotent", "hehi12f", "300ms", "2500ms", 3)
+                .route("/claim/", "idempotent", "rifo48b", "100ms", "1000ms", 3)
+                .route("/strewn/", "idempotent", "byle80d", "100ms", "1000ms", 3)
+                .route("/vault/", "idempotent", "tevu28a", "300ms", "2500ms", 3)
+                .route("/file/", "non_idempotent", "rifo48b", "300ms", "2500ms", 3)
+                .route("/deposit/", "non_idempotent", "tevu28a", "300ms", "2500ms", 3)
+                .text(7));
+        for (Fleet.Machine machine : fleet.machines) {
+            Upstream upstream = new Upstream(machine, "i-" + machine.name, CAPACITY, record);
+            upstream.behaviour = (up, exchange) -> up.answer(exchange, 200, new byte[0]);
+            upstreams.put(machine, upstream);
+        }
+        startNodes();
+        for (String prefix : List.of("/clip/", "/claim/", "/strewn/", "/vault/")) {
+            awaitServed(prefix + "warm", 30);
+        }
+        fleet.machines.forEach(machine -> begin(machine, upstreams.get(machine)));
+        List<Thread> clients = new ArrayList<>();
+        for (Fleet.Machine machine : fleet.machines) {
+            for (int number = 0; number < clientsPerMachine; number++) {
+                Random random = new Random(seed * 1000 + clients.size());
+                clients.add(Fleet.daemon(() -> call(machine, random)));
+            }
+        }
+        long start = System.nanoTime();
+        Random random = new Random(seed);
+        sleepUntil(start, 6000);
+        burst(random);
+        while ((System.nanoTime() - start) / 1_000_000 < BURST_INTERVAL_MILLIS) {
+            Thread.sleep(800 + random.nextInt(1500));
+            start(random);
+        }
+        sleepUntil(start, 6000 + BURST_INTERVAL_MILLIS);
+        burst(random);
+        sleepUntil(start, seconds * 1000L);
+        ended = true;
+        for (Thread client : clients) {
+            client.join(TIMEOUT_MILLIS + 4000);
+        }
+        Thread.sleep(TIMEOUT_MILLIS);
+        ledger.judge();
+        recordLogLines();
+        String summary = String.format(
+                "%s%s, seed %d%s%s, %s: %s",
+                fleet.root.getFileName(),
+                oldRoot == null ? "" : " beside " + Path.of(oldRoot).getFileName(),
+                seed,
+                sameNestedIds ? ", same nested ids" : "",
+                repeats ? ", repeats" : "",
+                played,
+                ledger.summary());
+        record.add("%s", summary);
+        System.out.println(summary);
+        if (trouble && !ledger.isBroken() && ledger.counted("second answers behind failures") == 0) {
+            throw new IllegalStateException("no failure was followed by a second answer");
+        }
+        return ledger.isBroken();
+    }
+
+    private static void sleepUntil(long start, long millis) throws InterruptedException {
+        Thread.sleep(Math.max(0, millis - (System.nanoTime() - start) / 1_000_000));
+    }
+
+    Upstream upstream(Fleet.Machine machine) {
+        return upstreams.get(machine);
+    }
+
+    StutteringService process(Fleet.Machine machine) {
+        return processes.get(machine);
+    }
+
+    /** Lets an upstream answer as those of its service do. */
+    private void begin(Fleet.Machine machine, Upstream upstream) {
+        StutteringService process = new StutteringService(setting, CAPACITY, CALLS.get(machine.service));
+        processes.put(machine, process);
+        upstreams.put(machine, upstream);
+        upstream.behaviour = process;
+    }
+
+    /** Starts another process at the address of an upstream; the earlier one goes on for a while on its connections. */
+    void replace(Fleet.Machine machine, boolean sameId, int overlapMillis, int pauseMillis) throws Exception {
+        Upstream earlier = upstreams.get(machine);
+        earlier.beating = false;
+        earlier.stopAccepting();
+        Fleet.daemon(() -> {
+            Thread.sleep(overlapMillis);
+            earlier.close();
+        });
+        Thread.sleep(pauseMillis);
+        String id = sameId ? earlier.id : "i-" + machine.name + "-" + instanceCount.incrementAndGet();
+        Upstream upstream = new Upstream(machine, id, CAPACITY, record, false);
+        upstream.continueSequence(sameId ? earlier.lastSequence() : 0);
+        upstream.slownessPercent = 300;
+        begin(machine, upstream);
+        upstream.beating = true;
+        Fleet.daemon(() -> {
+            Thread.sleep(COLD_MILLIS);
+            upstream.slownessPercent = 100;
+        });
+    }
+
+    /** Starts many disruptions within two seconds, among them lost answers at half of the upstreams. */
+    private void burst(Random random) throws InterruptedException {
+        record.add("burst");
+        if (disruptions.contains(Disruption.LOSE_ANSWERS)) {
+            for (Fleet.Machine machine : fleet.machines) {
+                if (random.nextBoolean()) {
+                    start(Disruption.LOSE_ANSWERS, machine, random.nextLong());
+                }
+            }
+        }
+        if (disruptions.contains(Disruption.RESTART_DOMAIN)) {
+            Fleet.Machine machine = fleet.machines.get(random.nextInt(fleet.machines.size()));
+            start(Disruption.RESTART_DOMAIN, machine, random.nextLong());
+        }
+        for (int number = 0; number < burstSize; number++) {
+            Thread.sleep(random.nextInt(250));
+            start(random);
+        }
+    }
+
+    private void start(Random random) {
+        List<Disruption> chosen = disruptions.stream()
+                .filter(disruption -> disruption != Disruption.RESTART_DOMAIN)
+                .toList();
+        Fleet.Machine machine = fleet.machines.get(random.nextInt(fleet.machines.size()));
+        long own = random.nextLong();
+        if (!chosen.isEmpty()) {
+            start(chosen.get(random.nextInt(chosen.size())), machine, own);
+        }
+    }
+
+    private void start(Disruption disruption, Fleet.Machine machine, long own) {
+        if (!trouble) {
+            return;
+        }
+        record.add("%s at %s", disruption, machine.name);
+        played.computeIfAbsent(disruption, key -> new AtomicInteger()).incrementAndGet();
+        Fleet.daemon(() -> {
+            if (disruption == Disruption.RESTART_DOMAIN || disruption == Disruption.LOSE_ANSWERS) {
+                disruption.run(this, machine, new Random(own));
+                return;
+            }
+            // A machine has one disruption of its node or its process at a time.
+            synchronized (machine) {
+                disruption.run(this, machine, new Random(own));
+            }
+        });
+    }
+
+    private void call(Fleet.Machine machine, Random random) throws Exception {
+        Client client = null;
+        String repeatedId = null;
+        String prefix = null;
+        while (!ended) {
+            String id = repeatedId;
+            if (id == null) {
+                int kind = random.nextInt(100);
+                prefix = kind < 55 ? "/clip/" : kind < 75 ? "/vault/" : kind < 80 ? "/claim/" : kind < 85 ? "/strewn/"
+                        : kind < 93 ? "/file/" : "/deposit/";
+                id = String.format("%016x", requestCount.incrementAndGet() * 0x9e3779b97f4a7c15L);
+            } else {
+                ledger.noteRepeated(id);
+            }
+            try {
+                client = client == null ? new Client(machine) : client;
+            } catch (IOException e) {
+                Thread.sleep(50);
+                repeatedId = null;
+                continue;
+            }
+            boolean idempotent = !prefix.equals("/file/") && !prefix.equals("/deposit/");
+            Client.Answer answer = idempotent
+                    ? client.get(prefix + id, id, TIMEOUT_MILLIS)
+                    : client.send("POST", prefix + id, id, TIMEOUT_MILLIS, new byte[200], false);
+            ledger.noteAnswer(machine.name, id, idempotent, answer);
+            repeatedId = repeats && idempotent && repeatedId == null && answer.status() / 100 != 2 ? id : null;
+            if (answer.status() <= 0 || "close".equalsIgnoreCase(answer.head().field("Connection"))) {
+                client.close();
+                client = null;
+            }
+            Thread.sleep(random.nextInt(thinkMillis));
+        }
+    }
+
+    /** Records what the nodes wrote about requests whose answers broke a rule. */
+    private void recordLogLines() throws IOException {
+        for (Fleet.Machine machine : fleet.machines) {
+            for (String line : Files.readAllLines(fleet.log(machine), StandardCharsets.ISO_8859_1)) {
+                if (ledger.brokenIds.stream().limit(20).anyMatch(line::contains)) {
+                    record.add("log of %s: %s", machine.name, line);
+                }
+            }
+        }
+    }
+}
--- a/review/standins/src/review/Upstream.java
+++ b/review/standins/src/review/Upstream.java
@@ -108,6 +108,11 @@
         return call("/mustardusher/Instances.Heartbeat/" + id, text, phase + " " + number);
     }
 
+    /** Continues the check-ins of an earlier process of the same instance. */
+    void continueSequence(long last) {
+        sequence.set(last);
+    }
+
     long lastSequence() {
         return sequence.get();
     }
