--- a/review/standins/src/review/Disruption.java
+++ b/review/standins/src/review/Disruption.java
@@ -6,7 +6,6 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
-import java.util.concurrent.CountDownLatch;
 
 /** Something that goes wrong at a machine: at its upstream, at its node, or at both. */
 enum Disruption {
@@ -27,14 +26,14 @@
             upstream.slownessPercent = 100;
         }
     },
-    /** The upstream accepts no connections for a moment and resets some. */
+    /** The upstream accepts no connections for a moment and resets half of those that it has. */
     BOUNCE {
         @Override
         void run(NestedCalls run, Fleet.Machine machine, Random random) throws Exception {
             Upstream upstream = run.upstream(machine);
             upstream.stopAccepting();
-            resetSome(upstream, random);
-            Thread.sleep(200 + random.nextInt(500));
+            resetSome(upstream, random, upstream.sockets.size() / 2);
+            Thread.sleep(300 + random.nextInt(500));
             upstream.startAccepting();
             upstream.beat();
         }
@@ -43,7 +42,7 @@
     RESET {
         @Override
         void run(NestedCalls run, Fleet.Machine machine, Random random) throws Exception {
-            resetSome(run.upstream(machine), random);
+            resetSome(run.upstream(machine), random, 3);
         }
     },
     /** Another process takes the address of the upstream, while the earlier one ends what it has begun. */
@@ -81,6 +80,22 @@
             run.fleet.signal(machine, "CONT");
         }
     },
+    /** All nodes of a failure domain stop until the others take them for failed, and they the others. */
+    FREEZE_DOMAIN {
+        @Override
+        void run(NestedCalls run, Fleet.Machine machine, Random random) throws Exception {
+            int millis = 2500 + random.nextInt(2000);
+            for (Fleet.Machine other : run.domain(machine)) {
+                Fleet.daemon(() -> {
+                    synchronized (other) {
+                        run.fleet.signal(other, "STOP");
+                        Thread.sleep(millis);
+                        run.fleet.signal(other, "CONT");
+                    }
+                });
+            }
+        }
+    },
     /** The node is killed and started again. */
     KILL {
         @Override
@@ -99,31 +114,26 @@
     RESTART_DOMAIN {
         @Override
         void run(NestedCalls run, Fleet.Machine machine, Random random) throws Exception {
-            List<Fleet.Machine> domain = run.fleet.machines.stream()
-                    .filter(other -> other.zone.equals(machine.zone))
-                    .toList();
-            CountDownLatch restarted = new CountDownLatch(domain.size());
             String signal = random.nextBoolean() ? "KILL" : "TERM";
             int pauseMillis = random.nextInt(1500);
-            for (Fleet.Machine other : domain) {
+            for (Fleet.Machine other : run.domain(machine)) {
                 Fleet.daemon(() -> {
-                    try {
-                        // Waits for a disruption of the machine that is at work.
-                        synchronized (other) {
-                            run.fleet.signal(other, signal);
-                            run.replace(other, false, 0, pauseMillis);
-                            other.node.waitFor();
-                            run.fleet.startNode(other);
-                        }
-                    } finally {
-                        restarted.countDown();
+                    synchronized (other) {
+                        run.fleet.signal(other, signal);
+                        run.replace(other, false, 0, pauseMillis);
+                        other.node.waitFor();
+                        run.fleet.startNode(other);
                     }
                 });
             }
-            restarted.await();
         }
     };
 
+    /** Whether it concerns all machines of a failure domain. */
+    boolean ofDomain() {
+        return this == RESTART_DOMAIN || this == FREEZE_DOMAIN;
+    }
+
     abstract void run(NestedCalls run, Fleet.Machine machine, Random random) throws Exception;
 
     private static void restartNode(NestedCalls run, Fleet.Machine machine, String signal) throws Exception {
@@ -133,10 +143,10 @@
         run.fleet.awaitReady(List.of(machine), 20);
     }
 
-    private static void resetSome(Upstream upstream, Random random) throws IOException {
+    private static void resetSome(Upstream upstream, Random random, int count) throws IOException {
         List<Socket> open = new ArrayList<>(upstream.sockets);
         Collections.shuffle(open, random);
-        for (Socket socket : open.subList(0, Math.min(3, open.size()))) {
+        for (Socket socket : open.subList(0, Math.min(count, open.size()))) {
             socket.setSoLinger(true, 0);
             socket.close();
         }
--- a/review/standins/src/review/NestedCalls.java
+++ b/review/standins/src/review/NestedCalls.java
@@ -42,7 +42,7 @@
             "tevu28a", new StutteringService.Calls("/strewn/", 2, 1));
 
     private static final int CAPACITY = 13;
-    private static final int TIMEOUT_MILLIS = 3000;
+    private static final int TIMEOUT_MILLIS = 8000;
 
     /** Time from the start of a burst to the start of the next. */
     private static final int BURST_INTERVAL_MILLIS = 40_000;
@@ -51,8 +51,8 @@
 
     private final long seed = number("SEED", 1);
     private final int seconds = number("DURATION_S", 70);
-    private final int clientsPerMachine = number("CLIENTS", 4);
-    private final int thinkMillis = number("THINK_MS", 150);
+    private final int clientsPerMachine = number("CLIENTS", 5);
+    private final int thinkMillis = number("THINK_MS", 300);
     private final int burstSize = number("BURST", 16);
     private final boolean repeats = number("REPEATS", 0) == 1;
     private final boolean sameNestedIds = "SAME".equals(System.getenv("NESTED_IDS"));
@@ -94,7 +94,8 @@
                 ledger,
                 sameNestedIds,
                 trouble ? number("STUTTER_PERCENT", 4) : 0,
-                trouble ? number("STUTTER_FAILED_PERCENT", 50) : 0);
+                trouble ? number("STUTTER_FAILED_PERCENT", 50) : 0,
+                number("LONG_PERCENT", 15));
         fleet.addMachines(MACHINES);
         if (oldRoot != null) {
             for (int number = 1; number < fleet.machines.size(); number += 2) {
@@ -106,12 +107,12 @@
                 .service("rifo48b")
                 .service("byle80d")
                 .service("tevu28a")
-                .route("/clip/", "idempotent", "hehi12f", "300ms", "2500ms", 3)
+                .route("/clip/", "idempotent", "hehi12f", "300ms", "8000ms", 3)
                 .route("/claim/", "idempotent", "rifo48b", "100ms", "1000ms", 3)
                 .route("/strewn/", "idempotent", "byle80d", "100ms", "1000ms", 3)
-                .route("/vault/", "idempotent", "tevu28a", "300ms", "2500ms", 3)
-                .route("/file/", "non_idempotent", "rifo48b", "300ms", "2500ms", 3)
-                .route("/deposit/", "non_idempotent", "tevu28a", "300ms", "2500ms", 3)
+                .route("/vault/", "idempotent", "tevu28a", "300ms", "8000ms", 3)
+                .route("/file/", "non_idempotent", "rifo48b", "300ms", "8000ms", 3)
+                .route("/deposit/", "non_idempotent", "tevu28a", "300ms", "8000ms", 3)
                 .text(7));
         for (Fleet.Machine machine : fleet.machines) {
             Upstream upstream = new Upstream(machine, "i-" + machine.name, CAPACITY, record);
@@ -135,7 +136,7 @@
         sleepUntil(start, 6000);
         burst(random);
         while ((System.nanoTime() - start) / 1_000_000 < BURST_INTERVAL_MILLIS) {
-            Thread.sleep(800 + random.nextInt(1500));
+            Thread.sleep(400 + random.nextInt(800));
             start(random);
         }
         sleepUntil(start, 6000 + BURST_INTERVAL_MILLIS);
@@ -185,6 +186,13 @@
         upstream.behaviour = process;
     }
 
+    /** Returns the machines of the same failure domain. */
+    List<Fleet.Machine> domain(Fleet.Machine machine) {
+        return fleet.machines.stream()
+                .filter(other -> other.zone.equals(machine.zone))
+                .toList();
+    }
+
     /** Starts another process at the address of an upstream; the earlier one goes on for a while on its connections. */
     void replace(Fleet.Machine machine, boolean sameId, int overlapMillis, int pauseMillis) throws Exception {
         Upstream earlier = upstreams.get(machine);
@@ -217,19 +225,24 @@
                 }
             }
         }
-        if (disruptions.contains(Disruption.RESTART_DOMAIN)) {
-            Fleet.Machine machine = fleet.machines.get(random.nextInt(fleet.machines.size()));
-            start(Disruption.RESTART_DOMAIN, machine, random.nextLong());
+        for (Disruption disruption : List.of(Disruption.FREEZE_DOMAIN, Disruption.RESTART_DOMAIN)) {
+            if (disruptions.contains(disruption)) {
+                Fleet.Machine machine = fleet.machines.get(random.nextInt(fleet.machines.size()));
+                start(disruption, machine, random.nextLong());
+            }
         }
         for (int number = 0; number < burstSize; number++) {
             Thread.sleep(random.nextInt(250));
             start(random);
+            if (disruptions.contains(Disruption.BOUNCE)) {
+                start(Disruption.BOUNCE, fleet.machines.get(random.nextInt(fleet.machines.size())), random.nextLong());
+            }
         }
     }
 
     private void start(Random random) {
         List<Disruption> chosen = disruptions.stream()
-                .filter(disruption -> disruption != Disruption.RESTART_DOMAIN)
+                .filter(disruption -> !disruption.ofDomain())
                 .toList();
         Fleet.Machine machine = fleet.machines.get(random.nextInt(fleet.machines.size()));
         long own = random.nextLong();
@@ -245,7 +258,7 @@
         record.add("%s at %s", disruption, machine.name);
         played.computeIfAbsent(disruption, key -> new AtomicInteger()).incrementAndGet();
         Fleet.daemon(() -> {
-            if (disruption == Disruption.RESTART_DOMAIN || disruption == Disruption.LOSE_ANSWERS) {
+            if (disruption.ofDomain() || disruption == Disruption.LOSE_ANSWERS) {
                 disruption.run(this, machine, new Random(own));
                 return;
             }
--- a/review/standins/src/review/StutteringService.java
+++ b/review/standins/src/review/StutteringService.java
@@ -35,14 +35,24 @@
 
         final int stutterFailedPercent;
 
+        /** Share of runs with calls of their own that take 0.3 to 2.5 s; two in five of them fail. */
+        final int longPercent;
+
         private final AtomicInteger connectionCount = new AtomicInteger();
 
-        Setting(long seed, RunLedger ledger, boolean sameNestedIds, int stutterPercent, int stutterFailedPercent) {
+        Setting(
+                long seed,
+                RunLedger ledger,
+                boolean sameNestedIds,
+                int stutterPercent,
+                int stutterFailedPercent,
+                int longPercent) {
             this.seed = seed;
             this.ledger = ledger;
             this.sameNestedIds = sameNestedIds;
             this.stutterPercent = stutterPercent;
             this.stutterFailedPercent = stutterFailedPercent;
+            this.longPercent = longPercent;
         }
     }
 
@@ -124,8 +134,11 @@
     private int work(
             Upstream upstream, Upstream.Exchange exchange, AnswerLedger.Arrival arrival, long limit, Random random)
             throws Exception {
-        boolean fails = random.nextInt(100) == 0;
-        long nanos = (3 + random.nextInt(20)) * 10_000L * upstream.slownessPercent;
+        boolean isLong = calls != null && random.nextInt(100) < setting.longPercent;
+        boolean fails = random.nextInt(100) < (isLong ? 40 : 1);
+        long nanos = isLong
+                ? (300 + random.nextInt(2200)) * 1_000_000L
+                : (3 + random.nextInt(20)) * 10_000L * upstream.slownessPercent;
         long left = limit - System.nanoTime();
         TimeUnit.NANOSECONDS.sleep(Math.max(0, Math.min(nanos, left)));
         if (nanos >= left) {
