Compare signatures and tell apart earlier and later failed runs

A caller's answer has to bear the signature of the run whose body it has. Whether the failed run beside a success had answered before or after it is counted, since a judge that takes the last answer of a request would see the latter.

--- a/review/standins/src/review/AnswerLedger.java
+++ b/review/standins/src/review/AnswerLedger.java
@@ -29,6 +29,9 @@
 
         volatile byte[] body = new byte[0];
 
+        /** Time of that answer, as {@link System#nanoTime()}, if the upstream states it. */
+        volatile long answeredNanos;
+
         Arrival(String upstream, int connection, int number) {
             this.upstream = upstream;
             this.connection = connection;
--- a/review/standins/src/review/RunLedger.java
+++ b/review/standins/src/review/RunLedger.java
@@ -9,6 +9,8 @@
 /** Tells apart where an answer that is not due came from, and which successes stand beside failures of other runs. */
 final class RunLedger extends AnswerLedger {
 
+    private static final String FOREIGN_SIGNATURE = "MIXED, signature of another run";
+
     /** Ids of the requests whose answers broke a rule. */
     final Set<String> brokenIds = new TreeSet<>();
 
@@ -47,28 +49,45 @@
         return kind + (same ? "another run at the same upstream" : "a run beside one at another upstream");
     }
 
+    @Override
+    boolean isBroken() {
+        return super.isBroken() || counted(FOREIGN_SIGNATURE) > 0;
+    }
+
     @Override
     void judged(Received taken, List<Arrival> known) {
         Client.Answer answer = taken.answer();
-        if (answer.status() / 100 != 2) {
+        Arrival own = known.stream()
+                .filter(arrival -> arrival.status == answer.status() && Arrays.equals(arrival.body, answer.body()))
+                .findFirst()
+                .orElse(null);
+        if (own == null || own.body.length == 0) {
             return;
         }
-        for (Arrival own : known) {
-            if (own.status == answer.status() && Arrays.equals(own.body, answer.body())) {
-                count(anyOther(known, own, true, true), "OBSERVED success beside a failed run at the same upstream");
-                count(anyOther(known, own, false, true), "OBSERVED success beside a failed run at another upstream");
-                count(anyOther(known, own, true, false), "OBSERVED success beside a refusal by the same upstream");
-                count(anyOther(known, own, false, false), "OBSERVED success beside a refusal by another upstream");
-                return;
-            }
+        String signature = answer.head().field("X-Server-Signature");
+        if (!Upstream.signature(own.upstream, taken.id()).equals(signature)) {
+            count(true, FOREIGN_SIGNATURE);
+            brokenIds.add(taken.id());
+        }
+        if (answer.status() / 100 == 2) {
+            observe(known, own);
         }
     }
 
-    private static boolean anyOther(List<Arrival> known, Arrival own, boolean sameUpstream, boolean ran) {
-        return known.stream()
-                .anyMatch(other -> other != own
-                        && other.upstream.equals(own.upstream) == sameUpstream
-                        && other.ran == ran
-                        && other.status >= 400);
+    /** Counts what breaks no rule, but might be taken for a success of a request that has failed. */
+    private void observe(List<Arrival> known, Arrival own) {
+        for (boolean same : new boolean[] {true, false}) {
+            List<Arrival> others = known.stream()
+                    .filter(other -> other != own && other.upstream.equals(own.upstream) == same && other.status >= 400)
+                    .toList();
+            String where = same ? "at the same upstream" : "at another upstream";
+            count(others.stream().anyMatch(other -> !other.ran), "OBSERVED success beside a refusal " + where);
+            count(
+                    others.stream().anyMatch(other -> other.ran && other.answeredNanos <= own.answeredNanos),
+                    "OBSERVED success behind a failed run " + where);
+            count(
+                    others.stream().anyMatch(other -> other.ran && other.answeredNanos > own.answeredNanos),
+                    "OBSERVED success before a failed run " + where);
+        }
     }
 }
--- a/review/standins/src/review/StutteringService.java
+++ b/review/standins/src/review/StutteringService.java
@@ -211,6 +211,7 @@
         }
         arrival.body = body;
         arrival.status = status;
+        arrival.answeredNanos = System.nanoTime();
         int percent = status == 200 ? setting.stutterPercent : setting.stutterFailedPercent;
         if (random.nextInt(100) >= percent) {
             write(connection, exchange, first);
--- a/review/standins/src/review/Upstream.java
+++ b/review/standins/src/review/Upstream.java
@@ -203,8 +203,12 @@
 
     /** Returns the head of a signed answer without the length of its body and the empty line. */
     String answerHead(Exchange exchange, int status) {
-        return "HTTP/1.1 " + status + " X\r\nX-Attempt-Id: " + exchange.id() + "\r\nX-Server-Signature: sig-" + id + "-"
-                + exchange.id() + "\r\nX-Server-Load: " + load() + "\r\n";
+        return "HTTP/1.1 " + status + " X\r\nX-Attempt-Id: " + exchange.id() + "\r\nX-Server-Signature: "
+                + signature(id, exchange.id()) + "\r\nX-Server-Load: " + load() + "\r\n";
+    }
+
+    static String signature(String instance, String requestId) {
+        return "sig-" + instance + "-" + requestId;
     }
 
     /** Refuses a request that has not run. */
