Keep bodies of responses in blocks, so that small chunks take no more than their bytes

A backend server that sends its body in chunks of one byte, without end, exhausted the memory of the node beside it long before the bounds on a body and on all bodies applied: these counted bytes, and an array was kept for each part.

A million parts of one byte took 38.6 MB where 1 MB was counted (ResponseBufferTest, which failed before with these figures); with the bound of 8 MB a node has a heap of 64 MB.

A body is now kept in blocks that double up to 64 KiB, and the bound on all bodies counts the blocks. The test holds: what is allocated stays within what is reserved.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseBuffer.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseBuffer.java
@@ -1,9 +1,7 @@
 package io.mustardusher.server;
 
-import java.util.ArrayList;
-import java.util.List;
-
 import com.linecorp.armeria.common.HttpData;
+import io.mustardusher.call.BodyBuffer;
 import io.netty.buffer.ByteBuf;
 
 /** Body of a response that is held until it is complete, within the limits of one response and of all together. */
@@ -13,8 +11,10 @@
     static final int MAX_BODY_BYTES = 8 << 20;
 
     private final Budget budget;
-    private final List<byte[]> parts = new ArrayList<>();
-    private int length;
+    private final BodyBuffer body = new BodyBuffer();
+
+    /** Memory that is reserved for the body, in bytes. */
+    private int reserved;
 
     /**
      * Creates an empty buffer.
@@ -33,13 +33,12 @@
      */
     boolean add(ByteBuf bytes) {
         int added = bytes.readableBytes();
-        if (added > MAX_BODY_BYTES - length || !budget.tryReserve(added)) {
+        int additional = body.additionalBytes(added);
+        if (added > MAX_BODY_BYTES - body.length() || !budget.tryReserve(additional)) {
             return false;
         }
-        byte[] part = new byte[added];
-        bytes.getBytes(bytes.readerIndex(), part);
-        parts.add(part);
-        length += added;
+        reserved += additional;
+        body.add(bytes);
         return true;
     }
 
@@ -49,26 +48,16 @@
      * @return the body
      */
     HttpData complete() {
-        byte[] whole = parts.size() == 1 ? parts.get(0) : join();
+        byte[] whole = body.toArray();
         release();
         return HttpData.wrap(whole);
     }
 
     /** Releases the memory. */
     void release() {
-        budget.release(length);
-        parts.clear();
-        length = 0;
-    }
-
-    private byte[] join() {
-        byte[] whole = new byte[length];
-        int offset = 0;
-        for (byte[] part : parts) {
-            System.arraycopy(part, 0, whole, offset, part.length);
-            offset += part.length;
-        }
-        return whole;
+        budget.release(reserved);
+        reserved = 0;
+        body.clear();
     }
 
     /** Memory for the bodies of all responses that are arriving from a server. Confined to an event loop. */
