Bound the memory for bodies of requests, and give up the largest first

What callers saw: bodies without end in chunks, from three callers on, exhausted the heap of the nodes beside the called servers.

Cause: a body that arrives as a stream was kept whole before it was sent to the server, up to the operator's limit (64 MB, as large as the heap), and nothing limited all of them together. The same held for bodies of up to 512 kB that an entry collects for a frame, for frames at a gate, and for the first 64 kB of each body on a listener, whose number only the connections bounded. Responses had a budget; requests had none.

A node now has 16 MiB for the bodies that it holds. If they are used up, the largest body that is still arriving is given up, so that a sender without end pays and not the others. Its call is refused as not run (new code 2019, 503), and so is at once a body whose stated length never fits. Bodies are no longer copied into one array before they are sent.

EndlessRequestsTest does not end on the earlier code, where nothing refuses such a body. Also held: BodyMemoryTest, and new cases of FramedGateTest and HttpConnectionTest. Gauges bodies.reservedBytes and bodies.givenUp.

--- a/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/result/ResultCode.java
@@ -103,6 +103,10 @@
     DEPENDENCY_REFUSED(
             2018, 503, Outcome.NOT_RUN, "A service that the call needs has no room.", "Come back after Retry-After."),
 
+    /** The node holds so many bodies of requests that it has no memory for this one. */
+    BODY_MEMORY_EXHAUSTED(
+            2019, 503, Outcome.NOT_RUN, "The node has no memory for the body.", "Come back after Retry-After."),
+
     /** The connection was lost after dispatch. */
     CONNECTION_LOST(3001, 502, Outcome.UNKNOWN, "The connection was lost after dispatch.", "Resend with the same key."),
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
@@ -2,13 +2,17 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
+import io.mustardusher.call.BodyCollector;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.frame.Peers;
@@ -77,6 +81,7 @@
      * @param packing     encoding of headers
      * @param callNumbers supplies the number of each call
      * @param loop        executor that aggregates requests
+     * @param bodyMemory  memory for the bodies of requests
      * @param clock       source of time
      * @param parts       requests the rest of large responses
      * @param fallback    link for calls that do not fit into a frame
@@ -88,6 +93,7 @@
             HeaderPacking packing,
             LongSupplier callNumbers,
             EventExecutor loop,
+            BodyMemory bodyMemory,
             Clock clock,
             PartFetcher parts,
             GateLink fallback)
@@ -103,7 +109,7 @@
                 return fallback.send(request, remainingNanos, cancelled);
             }
             FramedCall call = new FramedCall(this, request.headers(), remainingNanos);
-            request.aggregate(loop).whenComplete((aggregated, failure) -> {
+            aggregate(request, call).whenComplete((aggregated, failure) -> {
                 if (failure == null) {
                     call.send(aggregated.content().array());
                 } else {
@@ -114,5 +120,15 @@
             exchange.abortOn(cancelled);
             return exchange;
         }
+
+        // A body that is complete is held by the entry's connection until the response.
+        private CompletableFuture<AggregatedHttpRequest> aggregate(HttpRequest request, FramedCall call) {
+            if (!request.isOpen()) {
+                return request.aggregate(loop);
+            }
+            BodyCollector.Collected collected = BodyCollector.collect(request, bodyMemory, loop);
+            call.answer().whenComplete((ignored, failure) -> collected.memory().release());
+            return collected.request();
+        }
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -18,6 +18,7 @@
 import com.linecorp.armeria.client.Endpoint;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.SessionProtocol;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.call.Lazy;
 import io.mustardusher.catalogue.ServiceName;
@@ -321,6 +322,7 @@
                 transport.packing(),
                 transport.callNumbers()::incrementAndGet,
                 transport.loop(),
+                transport.bodyMemory(),
                 clock,
                 new PartFetcher(transport.peers(), address, transferMemory, rate, clock),
                 streams);
@@ -362,8 +364,10 @@
      * @param packing     encoding of headers
      * @param callNumbers last call number; starts at a value that differs from those of other entries
      * @param loop        executor that aggregates requests
+     * @param bodyMemory  memory for the bodies of requests
      */
-    public record FrameTransport(Peers peers, HeaderPacking packing, AtomicLong callNumbers, EventExecutor loop) {
+    public record FrameTransport(
+            Peers peers, HeaderPacking packing, AtomicLong callNumbers, EventExecutor loop, BodyMemory bodyMemory) {
 
         /**
          * Returns the value at which the call numbers of a process start. Gates know a call by its number alone.
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
@@ -14,6 +14,7 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.call.Problem;
@@ -55,6 +56,7 @@
     private final HeaderPacking packing;
     private final long boot;
     private final EventExecutor loop;
+    private final BodyMemory bodyMemory;
     private final Clock clock;
     private final LargeResponses largeResponses;
     private final Map<Long, RetainedCall> calls = new HashMap<>();
@@ -75,13 +77,15 @@
      * @param packing encodes and decodes headers
      * @param boot    start time of the process, in milliseconds since the Unix epoch
      * @param loop    aggregates responses; the event loop that receives the frames, which avoids a change of thread
+     * @param memory  memory for the bodies of requests
      * @param clock   source of time
      */
-    public FramedGate(Gate gate, HeaderPacking packing, long boot, EventExecutor loop, Clock clock) {
+    public FramedGate(Gate gate, HeaderPacking packing, long boot, EventExecutor loop, BodyMemory memory, Clock clock) {
         this.gate = gate;
         this.packing = packing;
         this.boot = boot;
         this.loop = loop;
+        this.bodyMemory = memory;
         this.clock = clock;
         this.largeResponses = new LargeResponses(clock);
     }
@@ -99,8 +103,12 @@
             return retained.response;
         }
         RequestHeaders headers = packing.unpackRequest(message.head());
-        HttpResponse response = gate.handle(HttpRequest.of(headers, HttpData.wrap(message.body())), received.cancelled);
+        BodyMemory.Share memory = bodyMemory.open();
+        HttpResponse response = memory.reserve(message.body().length)
+                ? gate.handle(HttpRequest.of(headers, HttpData.wrap(message.body())), received.cancelled)
+                : gate.reject(ResultCode.BODY_MEMORY_EXHAUSTED, headers);
         response.aggregate(loop).whenComplete((aggregated, failure) -> {
+            memory.release();
             end(received, failure == null ? reply(message.call(), aggregated) : responseUnavailable(message.call()));
         });
         return received.response;
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -16,6 +16,7 @@
 import com.linecorp.armeria.common.HttpRequestWriter;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.time.Clock;
@@ -72,6 +73,7 @@
     private final RequestHandler handler;
     private final Supplier<RequestLimits> limits;
     private final BiConsumer<HttpResponseStatus, String> rejectionListener;
+    private final BodyMemory bodyMemory;
     private final Clock clock;
 
     /** Requests without a response, in the order of their arrival. */
@@ -104,11 +106,13 @@
             RequestHandler handler,
             Supplier<RequestLimits> limits,
             BiConsumer<HttpResponseStatus, String> rejectionListener,
+            BodyMemory bodyMemory,
             Clock clock) {
         this.channel = channel;
         this.handler = handler;
         this.limits = limits;
         this.rejectionListener = rejectionListener;
+        this.bodyMemory = bodyMemory;
         this.clock = clock;
         this.lastActiveNanos = clock.nanoTime();
     }
@@ -195,6 +199,7 @@
         receiving = null;
         while (!pending.isEmpty()) {
             PendingRequest lost = pending.removeFirst();
+            lost.memory.release();
             lost.cancelled.complete(null);
             lost.ended.complete(null);
         }
@@ -356,6 +361,11 @@
         private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
         private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
+        /** Memory of the first bytes of the body, which may be held until the response. */
+        private final BodyMemory.Share memory = bodyMemory.open();
+
+        private int heldBytes;
+
         /** Body until the request is handed over; {@code null} afterwards. */
         private ByteArrayOutputStream collected;
 
@@ -408,10 +418,16 @@
         }
 
         void append(ByteBuf bytes) {
-            if (!bytes.isReadable() || response != null) {
+            boolean discarded = response != null || writer != null && !writer.isOpen();
+            if (!bytes.isReadable() || discarded) {
                 return;
             }
             expectsContinue = false;
+            if (!hold(bytes.readableBytes())) {
+                handOver();
+                writer.close(BodyMemory.exhausted());
+                return;
+            }
             byte[] copy = new byte[bytes.readableBytes()];
             bytes.getBytes(bytes.readerIndex(), copy);
             if (writer != null) {
@@ -427,6 +443,16 @@
             }
         }
 
+        // What follows behind these bytes is only read once it has been consumed.
+        private boolean hold(int added) {
+            int held = Math.min(added, MAX_COLLECTED_BYTES - heldBytes);
+            if (held > 0 && !memory.reserve(held)) {
+                return false;
+            }
+            heldBytes += held;
+            return true;
+        }
+
         // Hands the request over while its body is still arriving.
         void handOver() {
             if (handedOver) {
@@ -459,6 +485,7 @@
 
         void respond(AggregatedHttpResponse complete) {
             response = complete;
+            memory.release();
             if (receiving == this) {
                 // The rest of the body is discarded, and nothing is known of its length.
                 closeAfterResponse();
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.frame.DeadPeerDetection;
 import io.mustardusher.log.LoggedTask;
 import io.mustardusher.log.NodeLog;
@@ -50,6 +51,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final MetricRegistry metrics;
+    private final BodyMemory bodyMemory;
     private final List<Channel> listeningChannels = new ArrayList<>();
 
     /** Open connections. Confined to the event loop. */
@@ -58,15 +60,28 @@
     private Future<?> timeoutChecks;
 
     /**
-     * Creates a listener without addresses.
+     * Creates a listener without addresses, with a memory of its own.
      *
      * @param group   event loops, of which one is used
      * @param clock   source of time
      * @param metrics registry of metrics
      */
     public HttpListener(EventLoopGroup group, Clock clock, MetricRegistry metrics) {
+        this(group, BodyMemory.ofNode(), clock, metrics);
+    }
+
+    /**
+     * Creates a listener without addresses.
+     *
+     * @param group      event loops, of which one is used
+     * @param bodyMemory memory for the bodies of requests
+     * @param clock      source of time
+     * @param metrics    registry of metrics
+     */
+    public HttpListener(EventLoopGroup group, BodyMemory bodyMemory, Clock clock, MetricRegistry metrics) {
         this.group = group;
         this.metrics = metrics;
+        this.bodyMemory = bodyMemory;
         this.loop = group.next();
         this.clock = clock;
     }
@@ -120,7 +135,8 @@
     }
 
     private void initialize(Channel accepted, RequestHandler handler, Supplier<RequestLimits> limits) {
-        HttpConnection connection = new HttpConnection(accepted, handler, limits, this::recordRejection, clock);
+        HttpConnection connection =
+                new HttpConnection(accepted, handler, limits, this::recordRejection, bodyMemory, clock);
         connections.add(connection);
         accepted.closeFuture().addListener(closed -> connections.remove(connection));
         connection.addHandlers();
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -20,6 +20,7 @@
 import com.linecorp.armeria.common.metric.NoopMeterRegistry;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.admission.EventLoopDelay;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.Lazy;
 import io.mustardusher.entry.ServerDirectory;
 import io.mustardusher.evacuation.EvacuationOrders;
@@ -98,6 +99,7 @@
      */
     private final Lazy<ClientFactory> clientFactory = new Lazy<>(() -> createClientFactory(group));
 
+    private final BodyMemory bodyMemory = BodyMemory.ofNode();
     private final EventLoopDelay eventLoopDelay = new EventLoopDelay(clock);
     private final FrameTraffic traffic = new FrameTraffic();
     private final Credential credential;
@@ -153,6 +155,8 @@
         frameServer
                 .on(FrameKind.GOSSIP, (Gossip request) -> gossiper.answer(request))
                 .on(FrameKind.SUSPECT, (SuspectRecord message) -> suspectReplicator.answer(message));
+        metrics.gauge("bodies.reservedBytes", () -> bodyMemory::reservedBytes);
+        metrics.gauge("bodies.givenUp", () -> bodyMemory::givenUp);
         metrics.gauge("frames.sentBytes", () -> traffic::sentBytes);
         metrics.gauge("frames.receivedBytes", () -> traffic::receivedBytes);
         metrics.gauge("frames.silentConnections", () -> traffic::silentConnections);
@@ -357,6 +361,15 @@
         }
     }
 
+    /**
+     * Returns the memory for the bodies of requests.
+     *
+     * @return the memory
+     */
+    BodyMemory bodyMemory() {
+        return bodyMemory;
+    }
+
     /**
      * Returns the address at which a node accepts frames.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -124,6 +124,7 @@
                         created.group(),
                         environment.serverDialect(),
                         new GateReports(created::gate, created.metrics()),
+                        created.bodyMemory(),
                         created.clock()),
                 time -> Admission.withLatencyTargets(time, SAFE_SLOT_FRACTION),
                 SuspectTable.Policy.REJECT_AFTER_THREE_CRASHES,
@@ -162,7 +163,7 @@
         entry = new Entry(router, null, protocol, call -> {}, core.eventLoopDelay(), clock, core.metrics());
         allowances = createAllowances(allowanceBounds);
         entry.limitAccounts(allowances);
-        listener = new HttpListener(core.group(), clock, core.metrics());
+        listener = new HttpListener(core.group(), core.bodyMemory(), clock, core.metrics());
         registerGauges();
     }
 
@@ -299,7 +300,7 @@
         HeaderPacking packing = new HeaderPacking(environment.frequentHeaders());
         EventExecutor loop = core.group().next();
         FramedGate gate =
-                new FramedGate(core.gate(), packing, core.members().self().getBoot(), loop, clock);
+                new FramedGate(core.gate(), packing, core.members().self().getBoot(), loop, core.bodyMemory(), clock);
         core.frameServer().on(FrameKind.CALL, (CallMessage call) -> gate.call(call));
         core.frameServer().on(FrameKind.RESUME, (CallMessage request) -> gate.resume(request));
         core.frameServer().on(FrameKind.PART, (CallMessage request) -> gate.part(request));
@@ -307,7 +308,9 @@
         core.frameServer().on(FrameKind.ROUTES, (CataloguePull request) -> routes.answer(request));
         AtomicLong callNumbers = new AtomicLong(ServerDirectory.FrameTransport.firstCallNumber(
                 settings.getId(), core.members().self().getBoot(), core.random()));
-        core.directory().useFrames(new ServerDirectory.FrameTransport(core.frames(), packing, callNumbers, loop));
+        core.directory()
+                .useFrames(new ServerDirectory.FrameTransport(
+                        core.frames(), packing, callNumbers, loop, core.bodyMemory()));
     }
 
     private void registerGauges() {
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -15,6 +15,8 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.BodyCollector;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.frame.DeadPeerDetection;
@@ -67,6 +69,7 @@
     private final String instance;
     private final ServerDialect dialect;
     private final ServerReports reports;
+    private final BodyMemory bodyMemory;
     private final Clock clock;
     private final Deque<ServerConnection> idleConnections = new ArrayDeque<>();
     private final ResponseBuffer.Budget bufferBudget = new ResponseBuffer.Budget();
@@ -83,12 +86,14 @@
             String instance,
             ServerDialect dialect,
             ServerReports reports,
+            BodyMemory bodyMemory,
             Clock clock) {
         this.loop = group.next();
         this.address = address;
         this.instance = instance;
         this.dialect = dialect;
         this.reports = reports;
+        this.bodyMemory = bodyMemory;
         this.clock = clock;
         this.bootstrap = new Bootstrap()
                 .group(loop)
@@ -107,7 +112,7 @@
     }
 
     /**
-     * Returns a factory of links to backend servers.
+     * Returns a factory of links to backend servers that share a memory of their own.
      *
      * @param group   event loops of the connections
      * @param dialect conventions for the headers of requests and responses
@@ -116,12 +121,28 @@
      * @return factory of buffered links
      */
     public static Factory factory(EventLoopGroup group, ServerDialect dialect, ServerReports reports, Clock clock) {
+        return factory(group, dialect, reports, BodyMemory.ofNode(), clock);
+    }
+
+    /**
+     * Returns a factory of links to backend servers.
+     *
+     * @param group   event loops of the connections
+     * @param dialect conventions for the headers of requests and responses
+     * @param reports receives what a server reports in a response
+     * @param memory  memory for the bodies of requests
+     * @param clock   source of time
+     * @return factory of buffered links
+     */
+    public static Factory factory(
+            EventLoopGroup group, ServerDialect dialect, ServerReports reports, BodyMemory memory, Clock clock) {
         return announcement -> new BufferedServerLink(
                 group,
                 new InetSocketAddress(announcement.getHost(), (int) announcement.getPort()),
                 announcement.getInstance(),
                 dialect,
                 reports,
+                memory,
                 clock);
     }
 
@@ -135,7 +156,13 @@
      */
     public static BufferedServerLink toService(EventLoopGroup group, InetSocketAddress address, Clock clock) {
         BufferedServerLink link = new BufferedServerLink(
-                group, address, null, ServerDialect.Plain.INSTANCE, ServerReports.Discarding.INSTANCE, clock);
+                group,
+                address,
+                null,
+                ServerDialect.Plain.INSTANCE,
+                ServerReports.Discarding.INSTANCE,
+                BodyMemory.ofNode(),
+                clock);
         DeadPeerDetection.configureForService(
                 link.bootstrap, Transport.of(group).socketChannelType());
         return link;
@@ -165,10 +192,7 @@
         boolean idempotent = "1".equals(call.headers().get(CallHeaders.IDEMPOTENT));
         ServerExchange exchange = new ServerExchange(dialect, reports, clock, response);
         long deadlineNanos = clock.nanoTime() + remainingNanos;
-        if (call.isOpen()) {
-            incompleteBodies.put(exchange, deadlineNanos);
-        }
-        call.aggregate(loop)
+        aggregate(call, exchange, deadlineNanos)
                 .whenComplete((request, failure) -> runOnLoop(() -> {
                     incompleteBodies.remove(exchange);
                     if (failure != null) {
@@ -181,6 +205,18 @@
         return Exchange.ofAggregated(response, () -> loop.execute(exchange::cancel));
     }
 
+    // Whoever made a call whose body is complete holds its body until the response.
+    private CompletableFuture<AggregatedHttpRequest> aggregate(
+            HttpRequest call, ServerExchange exchange, long deadlineNanos) {
+        if (!call.isOpen()) {
+            return call.aggregate(loop);
+        }
+        incompleteBodies.put(exchange, deadlineNanos);
+        BodyCollector.Collected collected = BodyCollector.collect(call, bodyMemory, loop);
+        exchange.whenEnded(collected.memory()::release);
+        return collected.request();
+    }
+
     // Exchanges and connections are confined to the event loop. A body that is complete is aggregated at once, on the
     // thread of the caller.
     private void runOnLoop(Runnable task) {
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -112,7 +112,7 @@
         next.requestId().ifPresent(carried::add);
         ByteBuf content = request.content().isEmpty()
                 ? Unpooled.EMPTY_BUFFER
-                : Unpooled.wrappedBuffer(request.content().array());
+                : request.content().byteBuf();
         FullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(requestHeaders.method().name()),
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/AnswersOfRunsSimulation.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/AnswersOfRunsSimulation.java
@@ -19,6 +19,7 @@
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.admission.EventLoopDelay;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
@@ -149,7 +150,7 @@
                 new Credential("secret"),
                 clock);
         directory.useFrames(new ServerDirectory.FrameTransport(
-                new Network(), packing, new AtomicLong(), ImmediateEventExecutor.INSTANCE));
+                new Network(), packing, new AtomicLong(), ImmediateEventExecutor.INSTANCE, BodyMemory.ofNode()));
         directory.refresh();
         return new Router(
                 directory,
@@ -273,7 +274,7 @@
                     .withSlots(2L)
                     .withState(Announcement.State.SERVING));
             gate.configureLimits(1, 0);
-            framed = new FramedGate(gate, packing, boot, ImmediateEventExecutor.INSTANCE, clock);
+            framed = new FramedGate(gate, packing, boot, ImmediateEventExecutor.INSTANCE, BodyMemory.ofNode(), clock);
         }
     }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/ExchangeSimulation.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/ExchangeSimulation.java
@@ -20,6 +20,7 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.HeaderPacking;
@@ -100,7 +101,16 @@
 
     private void send(InetSocketAddress to, InetSocketAddress next) {
         GateLink link = new GateLink.ForFrames(
-                new Network(), to, gates.get(to).boot, packing, numbers::incrementAndGet, LOOP, clock, null, null);
+                new Network(),
+                to,
+                gates.get(to).boot,
+                packing,
+                numbers::incrementAndGet,
+                LOOP,
+                BodyMemory.ofNode(),
+                clock,
+                null,
+                null);
         RequestHeaders headers = RequestHeaders.builder(HttpMethod.POST, "/")
                 .set(CallHeaders.SERVICE, GateFixture.SERVICE)
                 .set(CallHeaders.TIMEOUT, Timeout.format(CALL_TIMEOUT_MILLIS * Clock.NANOS_PER_MILLI))
@@ -226,7 +236,7 @@
 
         private void createGate() {
             Gate gate = GateFixture.of(clock, TIMERS, 8, ExchangeSimulation.this::run);
-            framed = new FramedGate(gate, packing, boot, LOOP, clock);
+            framed = new FramedGate(gate, packing, boot, LOOP, BodyMemory.ofNode(), clock);
         }
     }
 }
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/LargeResponseTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/LargeResponseTest.java
@@ -19,6 +19,7 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.HeaderPacking;
@@ -147,6 +148,7 @@
                 packing,
                 1,
                 ImmediateEventExecutor.INSTANCE,
+                BodyMemory.ofNode(),
                 clock);
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
         link = new GateLink.ForFrames(
@@ -156,6 +158,7 @@
                 packing,
                 new AtomicLong()::incrementAndGet,
                 ImmediateEventExecutor.INSTANCE,
+                BodyMemory.ofNode(),
                 clock,
                 new PartFetcher(network, address, memory, new TransferRate(), clock),
                 null);
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/LocalAnswerThreadsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/LocalAnswerThreadsTest.java
@@ -13,6 +13,7 @@
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.util.EventLoopGroups;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.HeaderPacking;
@@ -90,7 +91,7 @@
                 new Credential("secret"),
                 clock);
         directory.useFrames(new ServerDirectory.FrameTransport(
-                new UnreachablePeers(), new HeaderPacking(List.of()), new AtomicLong(), loop));
+                new UnreachablePeers(), new HeaderPacking(List.of()), new AtomicLong(), loop, BodyMemory.ofNode()));
         directory.refresh();
         Router router = new Router(
                 directory,
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/RouterFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/RouterFixture.java
@@ -11,6 +11,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.RequestHeaders;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallOptions;
 import io.mustardusher.call.HeaderPacking;
@@ -68,8 +69,8 @@
                 },
                 new Credential("secret"),
                 clock);
-        directory.useFrames(
-                new ServerDirectory.FrameTransport(gates, packing, new AtomicLong(), ImmediateEventExecutor.INSTANCE));
+        directory.useFrames(new ServerDirectory.FrameTransport(
+                gates, packing, new AtomicLong(), ImmediateEventExecutor.INSTANCE, BodyMemory.ofNode()));
         directory.refresh();
         return new Router(
                 directory,
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/ServerTriedOnceTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/ServerTriedOnceTest.java
@@ -10,6 +10,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.HeaderPacking;
@@ -142,8 +143,8 @@
     }
 
     private void join(int servers) {
-        directory.useFrames(
-                new ServerDirectory.FrameTransport(gates, packing, new AtomicLong(), ImmediateEventExecutor.INSTANCE));
+        directory.useFrames(new ServerDirectory.FrameTransport(
+                gates, packing, new AtomicLong(), ImmediateEventExecutor.INSTANCE, BodyMemory.ofNode()));
         for (int i = 1; i <= servers; i++) {
             members.merge(List.of(member(i)));
         }
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/SharedGatesSimulation.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/SharedGatesSimulation.java
@@ -20,6 +20,7 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.HeaderPacking;
@@ -354,6 +355,7 @@
                             packing,
                             ownNumbers::incrementAndGet,
                             LOOP,
+                            BodyMemory.ofNode(),
                             clock,
                             new PartFetcher(network, gate.address, memory, new TransferRate(), clock),
                             null));
@@ -532,7 +534,12 @@
             seen = new HashMap<>();
             long process = boot;
             framed = new FramedGate(
-                    GateFixture.of(clock, timers, SLOTS, new Server(this, process)), packing, boot, LOOP, clock);
+                    GateFixture.of(clock, timers, SLOTS, new Server(this, process)),
+                    packing,
+                    boot,
+                    LOOP,
+                    BodyMemory.ofNode(),
+                    clock);
         }
     }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/SilentConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/SilentConnectionTest.java
@@ -20,6 +20,7 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.HeaderPacking;
@@ -73,8 +74,8 @@
 
     @BeforeEach
     void open() throws IOException {
-        FramedGate gate =
-                new FramedGate(GateFixture.of(CLOCK, timers, 8, this::run), packing, BOOT, group.next(), CLOCK);
+        FramedGate gate = new FramedGate(
+                GateFixture.of(CLOCK, timers, 8, this::run), packing, BOOT, group.next(), BodyMemory.ofNode(), CLOCK);
         server.on(FrameKind.CALL, (CallMessage call) -> gate.call(call))
                 .on(FrameKind.RESUME, (CallMessage call) -> gate.resume(call))
                 .on(FrameKind.CANCEL, (CallMessage call) -> gate.cancel(call))
@@ -90,6 +91,7 @@
                 packing,
                 new AtomicLong()::incrementAndGet,
                 group.next(),
+                BodyMemory.ofNode(),
                 CLOCK,
                 new PartFetcher(client, relay.address(), new TransferMemory(), new TransferRate(), CLOCK),
                 null);
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/FramedGateTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/FramedGateTest.java
@@ -12,11 +12,13 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.call.Timeout;
 import io.mustardusher.frame.CallMessage;
 import io.mustardusher.result.Outcome;
+import io.mustardusher.result.ResultCode;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.ImmediateEventExecutor;
 import org.junit.jupiter.api.AfterEach;
@@ -31,6 +33,8 @@
  */
 class FramedGateTest {
 
+    private static final int MEMORY_BYTES = 1_000;
+
     private final Clock.Manual clock = new Clock.Manual();
     private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
     private final HeaderPacking packing = new HeaderPacking(List.of());
@@ -44,7 +48,8 @@
             runs.incrementAndGet();
             return serverResponse;
         });
-        framedGate = new FramedGate(gate, packing, 1, ImmediateEventExecutor.INSTANCE, clock);
+        framedGate =
+                new FramedGate(gate, packing, 1, ImmediateEventExecutor.INSTANCE, new BodyMemory(MEMORY_BYTES), clock);
     }
 
     @AfterEach
@@ -89,16 +94,32 @@
         assertThat(runs.get()).isEqualTo(1);
     }
 
+    /** Guards against a gate that runs out of memory because many nodes send it large bodies at once. */
+    @Test
+    void callsWhoseBodiesExceedMemoryAreRefusedAsNotRun() {
+        framedGate.call(call(1, MEMORY_BYTES));
+        CompletableFuture<CallMessage> refused = framedGate.call(call(2, 1));
+        assertThat(packing.unpackResponse(refused.join().head()).get(CallHeaders.CODE))
+                .isEqualTo(Integer.toString(ResultCode.BODY_MEMORY_EXHAUSTED.number()));
+        completeServerResponse();
+        framedGate.call(call(3, MEMORY_BYTES));
+        assertThat(runs.get()).isEqualTo(2);
+    }
+
     private void completeServerResponse() {
         ResponseHeaders headers = ResponseHeaders.of(HttpStatus.OK);
         serverResponse.complete(AggregatedHttpResponse.of(headers, HttpData.ofUtf8("done")));
     }
 
     private CallMessage call(long number) {
+        return call(number, 0);
+    }
+
+    private CallMessage call(long number, int bodyBytes) {
         RequestHeaders headers = RequestHeaders.builder(HttpMethod.POST, "/")
                 .set(CallHeaders.SERVICE, GateFixture.SERVICE)
                 .set(CallHeaders.TIMEOUT, Timeout.format(60_000 * Clock.NANOS_PER_MILLI))
                 .build();
-        return new CallMessage(number, packing.pack(headers), new byte[0]);
+        return new CallMessage(number, packing.pack(headers), new byte[bodyBytes]);
     }
 }
--- a/mustardusher-node/src/test/java/io/mustardusher/http/CallerChannel.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/CallerChannel.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.time.Clock;
 import io.netty.buffer.ByteBuf;
@@ -19,22 +20,38 @@
 public final class CallerChannel {
 
     private final Clock.Manual clock;
+    private final BodyMemory bodyMemory;
     private final HalfClosableChannel channel = new HalfClosableChannel();
     private final HttpConnection connection;
     private final StringBuilder answers = new StringBuilder();
     private final List<String> rejections = new ArrayList<>();
 
     /**
-     * Opens a connection.
+     * Opens a connection whose listener has the usual memory.
      *
      * @param handler handles the requests
      * @param limits  supplies the limits in force
      * @param clock   clock of the connection
      */
     public CallerChannel(RequestHandler handler, Supplier<RequestLimits> limits, Clock.Manual clock) {
+        this(handler, limits, BodyMemory.ofNode(), clock);
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @param handler    handles the requests
+     * @param limits     supplies the limits in force
+     * @param bodyMemory memory for the bodies of requests
+     * @param clock      clock of the connection
+     */
+    public CallerChannel(
+            RequestHandler handler, Supplier<RequestLimits> limits, BodyMemory bodyMemory, Clock.Manual clock) {
         this.clock = clock;
+        this.bodyMemory = bodyMemory;
         channel.freezeTime();
-        connection = new HttpConnection(channel, handler, limits, (status, cause) -> rejections.add(cause), clock);
+        connection = new HttpConnection(
+                channel, handler, limits, (status, cause) -> rejections.add(cause), bodyMemory, clock);
         connection.addHandlers();
     }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpData;
@@ -12,13 +13,17 @@
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.http.AnswerReader.Answer;
+import io.mustardusher.result.MustardusherException;
+import io.mustardusher.result.ResultCode;
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.ImmediateEventExecutor;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class HttpConnectionTest {
 
@@ -202,6 +207,43 @@
         }
     }
 
+    /** Guards against a node that runs out of memory because many callers send the beginning of a body. */
+    @Test
+    void requestWhoseBodyExceedsMemoryFailsAtOnce() {
+        BodyMemory memory = new BodyMemory(1_000);
+        CallerChannel first = new CallerChannel(this::receive, () -> LIMITS, memory, clock);
+        CallerChannel second = new CallerChannel(this::receive, () -> LIMITS, memory, clock);
+        String head = "POST /upload HTTP/1.1\r\nHost: s\r\nContent-Length: 800\r\n\r\n";
+        first.send(head + "x".repeat(700));
+        second.send(head + "x".repeat(700));
+        assertThat(received).hasSize(1);
+        assertThat(bodyFailure(received.get(0).request)).isEqualTo(ResultCode.BODY_MEMORY_EXHAUSTED);
+        received.get(0).answer("refused");
+        assertThat(second.answers()).endsWith("refused");
+        first.send("x".repeat(100));
+        assertThat(received.get(1).request.aggregate().join().content().length())
+                .isEqualTo(800);
+        received.get(1).answer("done");
+        assertThat(memory.reservedBytes()).isEqualTo(0);
+    }
+
+    @Test
+    void memoryIsReleasedWhenCallerLeaves() {
+        BodyMemory memory = new BodyMemory(1_000);
+        CallerChannel leaving = new CallerChannel(this::receive, () -> LIMITS, memory, clock);
+        leaving.send("POST /upload HTTP/1.1\r\nHost: s\r\nContent-Length: 800\r\n\r\nabc");
+        assertThat(memory.reservedBytes()).isEqualTo(3);
+        leaving.disconnect();
+        assertThat(memory.reservedBytes()).isEqualTo(0);
+    }
+
+    private static ResultCode bodyFailure(HttpRequest request) {
+        CompletionException thrown =
+                assertThrows(CompletionException.class, () -> request.aggregate(ImmediateEventExecutor.INSTANCE)
+                        .join());
+        return ((MustardusherException) thrown.getCause()).code();
+    }
+
     private List<Answer> answers() {
         return AnswerReader.read(caller.answers(), number -> false);
     }
--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/EndlessRequestsTest.java
@@ -0,0 +1,145 @@
+package io.mustardusher.server;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpRequestWriter;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
+import io.mustardusher.call.BodyMemory;
+import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.Exchange;
+import io.mustardusher.result.MustardusherException;
+import io.mustardusher.result.ResultCode;
+import io.mustardusher.time.Clock;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/**
+ * Load pattern: callers send bodies without end. They must not fill the memory of the node beside the called server,
+ * which others pay for.
+ */
+class EndlessRequestsTest {
+
+    private static final long REMAINING_NANOS = 60_000 * Clock.NANOS_PER_MILLI;
+    private static final int MEMORY_BYTES = 1 << 20;
+    private static final HttpData PART = HttpData.wrap(new byte[50_000]);
+
+    private final EventLoopGroup group = new NioEventLoopGroup(1);
+    private final BodyMemory memory = new BodyMemory(MEMORY_BYTES);
+    private ScriptedServer server;
+    private ServerLink link;
+
+    @BeforeEach
+    void open() throws IOException {
+        server = new ScriptedServer();
+        server.serve((number, id) -> "HTTP/1.1 200 OK\r\nid: a\r\ncontent-length: 2\r\n\r\nok");
+        link = BufferedServerLink.factory(
+                        group,
+                        EchoDialect.INSTANCE,
+                        ServerReports.Discarding.INSTANCE,
+                        memory,
+                        Clock.ForSystem.INSTANCE)
+                .open(server.announcement());
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        link.close();
+        server.close();
+        group.shutdownGracefully();
+    }
+
+    /** Guards against a node that runs out of memory because it keeps all bytes of a body without end. */
+    @Test
+    void bodyBeyondMemoryIsRefusedAsNotRun() {
+        HttpRequestWriter body = HttpRequest.streaming(headers());
+        Exchange exchange = link.send(body, REMAINING_NANOS);
+        int written = writeWhileAccepted(body, 10 * MEMORY_BYTES);
+        assertRefused(exchange);
+        assertThat(written).isAtMost(2 * MEMORY_BYTES);
+        assertThat(memory.reservedBytes()).isEqualTo(0);
+        assertThat(server.connections()).isEqualTo(0);
+    }
+
+    /** Guards against calls that fail because other callers send bodies without end. */
+    @Test
+    void soundBodiesHaveRoomBesideEndlessOnes() {
+        List<HttpRequestWriter> endless = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            HttpRequestWriter body = HttpRequest.streaming(headers());
+            link.send(body, REMAINING_NANOS);
+            endless.add(body);
+        }
+        for (int i = 0; i < 40; i++) {
+            endless.forEach(body -> writeWhileAccepted(body, PART.length()));
+            HttpRequestWriter sound = HttpRequest.streaming(headers());
+            Exchange exchange = link.send(sound, REMAINING_NANOS);
+            writeWhileAccepted(sound, PART.length());
+            sound.close();
+            assertThat(body(exchange)).isEqualTo("ok");
+        }
+        assertThat(memory.reservedBytes()).isAtMost(MEMORY_BYTES);
+        assertThat(endless.stream().anyMatch(body -> !body.isOpen())).isTrue();
+    }
+
+    @Test
+    void bodyOfKnownLengthThatNeverFitsIsRefusedAtOnce() {
+        RequestHeaders tooLong =
+                headers().toBuilder().contentLength(MEMORY_BYTES + 1).build();
+        assertRefused(link.send(HttpRequest.streaming(tooLong), REMAINING_NANOS));
+    }
+
+    @Test
+    void memoryIsReleasedAfterResponse() {
+        HttpRequestWriter body = HttpRequest.streaming(headers());
+        Exchange exchange = link.send(body, REMAINING_NANOS);
+        writeWhileAccepted(body, MEMORY_BYTES / 2);
+        assertThat(memory.reservedBytes()).isAtLeast(MEMORY_BYTES / 2);
+        body.close();
+        assertThat(body(exchange)).isEqualTo("ok");
+        assertThat(memory.reservedBytes()).isEqualTo(0);
+    }
+
+    private static int writeWhileAccepted(HttpRequestWriter body, int atMost) {
+        int written = 0;
+        while (written < atMost && body.tryWrite(PART)) {
+            written += PART.length();
+            body.whenConsumed().exceptionally(failure -> null).join();
+        }
+        return written;
+    }
+
+    private static String body(Exchange exchange) {
+        return exchange.headers()
+                .thenCompose(exchange::aggregate)
+                .thenCompose(HttpResponse::aggregate)
+                .join()
+                .contentUtf8();
+    }
+
+    private static void assertRefused(Exchange exchange) {
+        CompletionException thrown =
+                assertThrows(CompletionException.class, () -> exchange.headers().join());
+        assertThat(((MustardusherException) thrown.getCause()).code()).isEqualTo(ResultCode.BODY_MEMORY_EXHAUSTED);
+    }
+
+    private static RequestHeaders headers() {
+        return RequestHeaders.builder(HttpMethod.POST, "/")
+                .authority("h.example")
+                .set("id", "a")
+                .set(CallHeaders.IDEMPOTENT, "0")
+                .build();
+    }
+}
