End a process that has run out of memory

What was seen: nodes whose heap had been exhausted lived on without the thread that writes the log, or without their event loop, and answered nothing; the platform starts only a process that has ended.

The JVM now ends at the first OutOfMemoryError of its own. MemoryExhaustionTest starts a process with the options of the deploy file; without the new one it lived on (exit status 42). Errors of Netty's own accounting of direct memory don't end the process: they fail the operation alone.

--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeProcess.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/cluster/NodeProcess.java
@@ -19,6 +19,7 @@
      * processors of one machine.
      */
     public static final List<String> JVM_FLAGS = List.of(
+            "-XX:+ExitOnOutOfMemoryError",
             "-Xmx64m",
             "-Xss512k",
             "-XX:+UseSerialGC",
