Bound the fields and the memory of header blocks that are being received

What was seen (a real node each, 300 callers in all): callers that sent 60 kB of lines "a:" each and stalled, 17 MB once, exhausted the heap of all four nodes, and no call of others was answered from then on. A server's response can do the same to the node beside it.

Cause: limits on header blocks count bytes, but a field takes some hundred bytes of memory however short it is, so that a block of 64 kB took 1 to 2 MB; and nothing limited all blocks together.

A header block or trailer now has at most 256 fields, in both directions. What callers have sent of a header block counts as memory for bodies, and so does the beginning of a body, which may now be given up as well while it arrives; the caller with the most is told 503. New cases of EndlessResponsesTest and HttpConnectionTest failed before: the fields were accepted.

--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -63,6 +63,9 @@
      */
     private static final long MAX_LINGER_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
 
+    /** Memory that a byte of an incomplete header block takes, in bytes: in the read buffer and as text. */
+    private static final int MEMORY_PER_HEADER_BYTE = 2;
+
     private static final ByteBuf CONTINUE = Unpooled.unreleasableBuffer(
             Unpooled.copiedBuffer("HTTP/1.1 100 Continue\r\n\r\n", StandardCharsets.US_ASCII));
 
@@ -94,6 +97,9 @@
     /** Whether a part of a header block has arrived, but not its end. */
     private boolean headIncomplete;
 
+    /** Memory of the part of a header block that has arrived; {@code null} if there is none. */
+    private BodyMemory.Share headMemory;
+
     /** Whether a limit was exceeded at the last check and nothing has arrived since. */
     private boolean overdue;
 
@@ -129,15 +135,42 @@
             public void channelRead(ChannelHandlerContext context, Object message) {
                 lastActiveNanos = clock.nanoTime();
                 overdue = false;
+                int bytes = ((ByteBuf) message).readableBytes();
                 if (receiving == null && !headIncomplete) {
                     headIncomplete = true;
                     headStartNanos = lastActiveNanos;
                 }
                 context.fireChannelRead(message);
+                if (headIncomplete && !closing) {
+                    holdHead(bytes);
+                }
             }
         };
     }
 
+    private void holdHead(int bytes) {
+        if (headMemory == null) {
+            headMemory = bodyMemory.open(() -> runOnLoop(this::giveUpHead));
+        }
+        if (!headMemory.reserve(bytes * MEMORY_PER_HEADER_BYTE)) {
+            giveUpHead();
+        }
+    }
+
+    private void giveUpHead() {
+        if (headIncomplete && !closing) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the head");
+        }
+    }
+
+    private void endHead() {
+        headIncomplete = false;
+        if (headMemory != null) {
+            headMemory.release();
+            headMemory = null;
+        }
+    }
+
     /** Closes the connection, also while requests are in flight. */
     void close() {
         channel.close();
@@ -195,6 +228,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
+        endHead();
         PendingRequest incomplete = receiving;
         receiving = null;
         while (!pending.isEmpty()) {
@@ -220,7 +254,7 @@
     }
 
     private void receiveHead(io.netty.handler.codec.http.HttpRequest head) {
-        headIncomplete = false;
+        endHead();
         if (closing) {
             return;
         }
@@ -276,7 +310,7 @@
     // Answers what is not a request after the outstanding responses, and closes the connection.
     private void reject(HttpResponseStatus status, String cause) {
         rejectionListener.accept(status, cause);
-        headIncomplete = false;
+        endHead();
         closing = true;
         PendingRequest malformed = new PendingRequest(null, false, false);
         pending.addLast(malformed);
@@ -335,6 +369,14 @@
         }
     }
 
+    private void runOnLoop(Runnable task) {
+        if (channel.eventLoop().inEventLoop()) {
+            task.run();
+        } else {
+            channel.eventLoop().execute(task);
+        }
+    }
+
     private static boolean exceeds(long nanos, long limitMillis) {
         return limitMillis > 0 && nanos > limitMillis * Clock.NANOS_PER_MILLI;
     }
@@ -362,7 +404,7 @@
         private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
         /** Memory of the first bytes of the body, which may be held until the response. */
-        private final BodyMemory.Share memory = bodyMemory.open();
+        private final BodyMemory.Share memory = bodyMemory.open(() -> runOnLoop(this::giveUpBody));
 
         private int heldBytes;
 
@@ -424,8 +466,7 @@
             }
             expectsContinue = false;
             if (!hold(bytes.readableBytes())) {
-                handOver();
-                writer.close(BodyMemory.exhausted());
+                giveUpBody();
                 return;
             }
             byte[] copy = new byte[bytes.readableBytes()];
@@ -453,6 +494,13 @@
             return true;
         }
 
+        private void giveUpBody() {
+            if (receiving == this && response == null) {
+                handOver();
+                writer.close(BodyMemory.exhausted());
+            }
+        }
+
         // Hands the request over while its body is still arriving.
         void handOver() {
             if (handedOver) {
@@ -468,6 +516,7 @@
         }
 
         void endBody() {
+            memory.complete();
             if (writer != null) {
                 writer.close();
                 return;
@@ -532,13 +581,5 @@
                 channel.close();
             }
         }
-
-        private void runOnLoop(Runnable task) {
-            if (channel.eventLoop().inEventLoop()) {
-                task.run();
-            } else {
-                channel.eventLoop().execute(task);
-            }
-        }
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
@@ -148,9 +148,9 @@
      * @return the codec
      */
     static HttpServerCodec createCodec() {
-        return new HttpServerCodec(new HttpDecoderConfig()
+        return new HttpServerCodec(BoundedHeaders.configure(new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                .setMaxHeaderSize(MAX_HEADER_BYTES));
+                .setMaxHeaderSize(MAX_HEADER_BYTES)));
     }
 
     private void recordRejection(HttpResponseStatus status, String cause) {
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -20,6 +20,7 @@
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.frame.DeadPeerDetection;
+import io.mustardusher.http.BoundedHeaders;
 import io.mustardusher.http.Transport;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
@@ -270,7 +271,8 @@
      * @return the codec
      */
     static HttpClientCodec createCodec() {
-        return new HttpClientCodec(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES), true, false);
+        HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
+        return new HttpClientCodec(BoundedHeaders.configure(config), true, false);
     }
 
     /**
--- a/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/HttpConnectionTest.java
@@ -227,6 +227,31 @@
         assertThat(memory.reservedBytes()).isEqualTo(0);
     }
 
+    /** Guards against a node that runs out of memory because callers send heads of many short fields and stall. */
+    @Test
+    void headWithTooManyFieldsIsRejectedBeforeItsEnd() {
+        caller.send("GET / HTTP/1.1\r\n" + "a:\r\n".repeat(BoundedHeaders.MAX_FIELDS) + "b: c\r\n");
+        caller.send("\r\n");
+        assertThat(received).isEmpty();
+        assertThat(caller.answers()).startsWith("HTTP/1.1 431 ");
+    }
+
+    /** Guards against a node that runs out of memory because many callers send the beginning of a head and stall. */
+    @Test
+    void largestIncompleteHeadIsGivenUpWhenMemoryEnds() {
+        BodyMemory memory = new BodyMemory(1_000);
+        CallerChannel first = new CallerChannel(this::receive, () -> LIMITS, memory, clock);
+        CallerChannel second = new CallerChannel(this::receive, () -> LIMITS, memory, clock);
+        first.send("GET / HTTP/1.1\r\nfiller: " + "x".repeat(400));
+        second.send("GET / HTTP/1.1\r\nfiller: " + "x".repeat(200));
+        assertThat(first.answers()).startsWith("HTTP/1.1 503 ");
+        second.send("\r\n\r\n");
+        received.get(0).answer("sound");
+        assertThat(second.answers()).endsWith("sound");
+        first.send("x".repeat(400));
+        assertThat(memory.reservedBytes()).isEqualTo(0);
+    }
+
     @Test
     void memoryIsReleasedWhenCallerLeaves() {
         BodyMemory memory = new BodyMemory(1_000);
--- a/mustardusher-node/src/test/java/io/mustardusher/server/EndlessResponsesTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/EndlessResponsesTest.java
@@ -75,6 +75,8 @@
                 arguments("noise", "", FILLER, ResponseFault.MALFORMED_HEAD),
                 arguments("header line", OK + "filler: ", FILLER, ResponseFault.MALFORMED_HEAD),
                 arguments("header block", OK, "filler: " + FILLER + "\r\n", ResponseFault.MALFORMED_HEAD),
+                arguments("header fields", OK, "a:\r\n", ResponseFault.MALFORMED_HEAD),
+                arguments("trailer fields", chunked("0\r\n"), "a:\r\n", ResponseFault.MALFORMED_BODY),
                 arguments("interim", "", "HTTP/1.1 103 Early Hints\r\n\r\n", ResponseFault.ENDLESS_INTERIM),
                 arguments("chunk size", chunked(""), FILLER.replace('x', '1'), ResponseFault.MALFORMED_BODY),
                 arguments("chunk extension", chunked("5;"), FILLER, ResponseFault.MALFORMED_BODY),
@@ -125,6 +127,15 @@
         assertThat(reservedBytes()).isEqualTo(0);
     }
 
+    /** Guards against a node that runs out of memory because the fields of a header block take many times its bytes. */
+    @Test
+    void responseWithThousandShortFieldsIsGivenUp() throws Exception {
+        serve(OK + "a:\r\n".repeat(1_000) + "content-length: 2\r\n\r\nok", "", 1);
+        Exchange exchange = send(link);
+        assertThrows(CompletionException.class, () -> exchange.headers().join());
+        assertThat(faults).isEqualTo(Map.of(ResponseFault.MALFORMED_HEAD, 1));
+    }
+
     /** Bytes behind a complete response belong to no request: the response counts, and the connection ends. */
     @Test
     void noiseBehindCompleteResponseClosesConnection() throws Exception {
