Bound the log events that wait by their memory, and tell how many are dropped

The queue of the log was bounded by number only. Identifiers of callers and servers may be 32 kB long, so that 8,192 waiting lines could take four times the heap of a node; and events that were dropped left no trace, so that a missing line proved nothing.

The events of queue and batch together now take 2 MB at most. Dropped events are counted (gauge log.dropped) and told by MUSH1008 behind the events that waited. Formatted lines are written in pieces of 64 kB, so that a batch isn't kept twice.

Before: BatchWriterTest.boundsMemoryOfEventsThatWait had 32,040,000 bytes of 1,000 events waiting (bound of the test: 4,194,304), and writesNumberOfDroppedEventsOnceThereIsRoom found no line. Both pass now.

--- a/mustardusher-node/src/main/java/io/mustardusher/log/BatchWriter.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/BatchWriter.java
@@ -9,14 +9,21 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.spi.IThrowableProxy;
+import ch.qos.logback.classic.spi.LoggingEvent;
 import ch.qos.logback.core.AppenderBase;
 import ch.qos.logback.core.Layout;
 
 /**
  * Writes events from a thread of its own, those of a tenth of a second at a time. While events keep coming, the threads
- * that log them neither wait nor wake another thread up.
+ * that log them neither wait nor wake another thread up. Events are dropped while too many wait, and those that cannot
+ * be written are lost; a line tells how many.
  */
 final class BatchWriter extends AppenderBase<ILoggingEvent> {
 
@@ -29,10 +36,36 @@
     /** Maximum time that a stop waits for the last batch, in milliseconds. */
     private static final long STOP_TIMEOUT_MILLIS = 1_000;
 
+    /** Memory that the events of a queue may take, in bytes. */
+    private static final long MAX_QUEUED_BYTES = 2 << 20;
+
+    /** Memory of an event without the characters of its message, in bytes. */
+    private static final int EVENT_BYTES = 200;
+
+    /** Memory of a stack frame of an event's exception, in bytes. */
+    private static final int FRAME_BYTES = 150;
+
+    /** Size from which formatted lines are written, in bytes. */
+    private static final int CHUNK_BYTES = 64 << 10;
+
+    /** Why an event is dropped that is not the fault of the output. */
+    private static final String NO_ROOM = "too many wait to be written";
+
     private final BlockingQueue<ILoggingEvent> queue;
     private final Layout<ILoggingEvent> layout;
     private final OutputStream output;
     private final Thread writer = new Thread(this::run, "mushd-log");
+    /** Events that are being written. Its capacity suffices for all that may be queued. */
+    private final List<ILoggingEvent> batch;
+
+    private final AtomicLong queuedBytes = new AtomicLong();
+    private final AtomicLong dropped = new AtomicLong();
+
+    /** Why an event was dropped last. */
+    private volatile String dropCause = NO_ROOM;
+
+    /** Number of dropped events that lines have told. Confined to the writing thread. */
+    private long reportedDrops;
 
     /**
      * Creates a writer that is not started.
@@ -44,11 +77,21 @@
      */
     BatchWriter(int capacity, Layout<ILoggingEvent> layout, OutputStream output) {
         this.queue = new ArrayBlockingQueue<>(capacity);
+        this.batch = new ArrayList<>(capacity + 1);
         this.layout = layout;
         this.output = output;
         writer.setDaemon(true);
     }
 
+    /**
+     * Returns the number of events that were not written.
+     *
+     * @return number of events since the start
+     */
+    long dropped() {
+        return dropped.get();
+    }
+
     @Override
     public void start() {
         super.start();
@@ -73,46 +116,101 @@
     @Override
     protected void append(ILoggingEvent event) {
         event.prepareForDeferredProcessing();
-        queue.offer(event);
+        long bytes = bytesOf(event);
+        if (queuedBytes.addAndGet(bytes) > MAX_QUEUED_BYTES || !queue.offer(event)) {
+            queuedBytes.addAndGet(-bytes);
+            recordDrop(1, NO_ROOM);
+        }
+    }
+
+    private static long bytesOf(ILoggingEvent event) {
+        long bytes = EVENT_BYTES
+                + (long) Character.BYTES * event.getFormattedMessage().length();
+        for (IThrowableProxy cause = event.getThrowableProxy(); cause != null; cause = cause.getCause()) {
+            bytes += (long) FRAME_BYTES * cause.getStackTraceElementProxyArray().length;
+        }
+        return bytes;
+    }
+
+    private void recordDrop(int events, String cause) {
+        dropCause = cause;
+        dropped.addAndGet(events);
     }
 
     private void run() {
-        List<ILoggingEvent> batch = new ArrayList<>();
-        try {
-            while (isStarted()) {
+        while (isStarted()) {
+            try {
                 batch.add(queue.take());
-                writeUntilQuiet(batch);
+                writeUntilQuiet();
+            } catch (InterruptedException e) {
+                // Interrupted by stop; what is queued is still written.
             }
-        } catch (InterruptedException e) {
-            // Interrupted by stop; what is queued is still written.
         }
         queue.drainTo(batch);
-        write(batch);
+        writeBatch();
     }
 
-    private void writeUntilQuiet(List<ILoggingEvent> batch) throws InterruptedException {
+    private void writeUntilQuiet() throws InterruptedException {
         for (int empty = 0; empty < EMPTY_BATCHES_UNTIL_SLEEP; ) {
             queue.drainTo(batch);
             empty = batch.isEmpty() ? empty + 1 : 0;
-            write(batch);
-            batch.clear();
+            writeBatch();
             TimeUnit.MILLISECONDS.sleep(BATCH_INTERVAL_MILLIS);
         }
     }
 
-    private void write(List<ILoggingEvent> batch) {
-        if (batch.isEmpty()) {
-            return;
+    private void writeBatch() {
+        if (!batch.isEmpty()) {
+            writeLines();
         }
+        reportDrops();
+    }
+
+    private void writeLines() {
         ByteArrayOutputStream lines = new ByteArrayOutputStream();
+        int formatted = 0;
         for (ILoggingEvent event : batch) {
-            lines.writeBytes(layout.doLayout(event).getBytes(StandardCharsets.UTF_8));
+            format(event, lines);
+            formatted++;
+            if (lines.size() >= CHUNK_BYTES) {
+                write(lines, formatted);
+                formatted = 0;
+            }
+        }
+        write(lines, formatted);
+        queuedBytes.addAndGet(-batch.stream().mapToLong(BatchWriter::bytesOf).sum());
+        batch.clear();
+    }
+
+    private void format(ILoggingEvent event, ByteArrayOutputStream lines) {
+        lines.writeBytes(layout.doLayout(event).getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void write(ByteArrayOutputStream lines, int events) {
+        if (events == 0) {
+            return;
         }
         try {
             lines.writeTo(output);
             output.flush();
         } catch (IOException e) {
+            recordDrop(events, e.getClass().getName());
             addError("cannot write the log", e);
         }
+        lines.reset();
+    }
+
+    // The line is written directly, since it would be dropped from a queue that is full again.
+    private void reportDrops() {
+        long total = dropped.get();
+        Logger logger = ((LoggerContext) getContext()).getLogger(NodeLog.NODE_LOGGER);
+        if (total == reportedDrops || !logger.isWarnEnabled()) {
+            return;
+        }
+        String text = "MUSH1008: " + (total - reportedDrops) + " log events dropped: " + dropCause;
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        format(new LoggingEvent(BatchWriter.class.getName(), logger, Level.WARN, text, null, null), line);
+        write(line, 1);
+        reportedDrops = total;
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/log/LogOutput.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/LogOutput.java
@@ -18,6 +18,9 @@
     /** Name of the logger for routing and admission decisions. */
     private static final String DECISIONS = NodeLog.DECISION_LOGGER;
 
+    /** Writes the events; {@code null} before the configuration. */
+    private static volatile BatchWriter writer;
+
     private LogOutput() {}
 
     /**
@@ -29,12 +32,13 @@
         System.setProperty("org.jboss.logging.provider", "slf4j");
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         context.reset();
-        BatchWriter writer = new BatchWriter(
+        BatchWriter created = new BatchWriter(
                 QUEUE_SIZE, LineLayout.of(settings.getFormat().value()), new FileOutputStream(FileDescriptor.out));
-        writer.setContext(context);
-        writer.start();
+        created.setContext(context);
+        created.start();
+        writer = created;
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
-        root.addAppender(writer);
+        root.addAppender(created);
         root.setLevel(Level.WARN);
         context.getLogger("io.mustardusher")
                 .setLevel(Level.toLevel(settings.getLevel().value()));
@@ -42,6 +46,16 @@
         context.getLogger(DECISIONS).setLevel(decisions);
     }
 
+    /**
+     * Returns the number of events that were dropped because too many waited, or that could not be written.
+     *
+     * @return number of events since the configuration
+     */
+    public static long droppedEvents() {
+        BatchWriter current = writer;
+        return current == null ? 0 : current.dropped();
+    }
+
     /**
      * Runs an action while the logging of decisions is switched off in the whole process.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -12,11 +12,14 @@
 @MessageLogger(projectCode = "MUSH", length = 4)
 public interface NodeLog extends BasicLogger {
 
+    /** Name of the logger for events of the node, its members and its catalogue. */
+    String NODE_LOGGER = "io.mustardusher.node";
+
     /** Name of the logger for routing and admission decisions. */
     String DECISION_LOGGER = "io.mustardusher.decision";
 
     /** Logger for events of the node, its members and its catalogue. */
-    NodeLog LOG = Logger.getMessageLogger(MethodHandles.lookup(), NodeLog.class, "io.mustardusher.node");
+    NodeLog LOG = Logger.getMessageLogger(MethodHandles.lookup(), NodeLog.class, NODE_LOGGER);
 
     /** Logger for routing and admission decisions. */
     NodeLog DECISIONS = Logger.getMessageLogger(MethodHandles.lookup(), NodeLog.class, DECISION_LOGGER);
@@ -80,6 +83,16 @@
     @Message(id = 1007, value = "request rejected with status %d: %s")
     void requestRejected(int status, String cause);
 
+    /**
+     * Events were not written. The line follows as soon as there is room again.
+     *
+     * @param dropped number of events since the last such line
+     * @param cause   why the last of them was dropped
+     */
+    @LogMessage(level = Logger.Level.WARN)
+    @Message(id = 1008, value = "%d log events dropped: %s")
+    void eventsDropped(long dropped, String cause);
+
     /**
      * A connection to another node carried no more bytes while the node answered on another one, and was given up.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -43,6 +43,7 @@
 import io.mustardusher.gossip.SuspectReplicator;
 import io.mustardusher.health.SuspectTable;
 import io.mustardusher.http.Transport;
+import io.mustardusher.log.LogOutput;
 import io.mustardusher.log.LoggedTask;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.membership.MemberState;
@@ -153,6 +154,7 @@
         frameServer
                 .on(FrameKind.GOSSIP, (Gossip request) -> gossiper.answer(request))
                 .on(FrameKind.SUSPECT, (SuspectRecord message) -> suspectReplicator.answer(message));
+        metrics.gauge("log.dropped", () -> LogOutput::droppedEvents);
         metrics.gauge("frames.sentBytes", () -> traffic::sentBytes);
         metrics.gauge("frames.receivedBytes", () -> traffic::receivedBytes);
         metrics.gauge("frames.silentConnections", () -> traffic::silentConnections);
--- a/mustardusher-node/src/test/java/io/mustardusher/log/BatchWriterTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/log/BatchWriterTest.java
@@ -3,19 +3,25 @@
 import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.LoggingEvent;
 import ch.qos.logback.classic.util.LogbackMDCAdapter;
+import ch.qos.logback.core.Layout;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
 
 class BatchWriterTest {
 
+    /** Memory that waiting events may take. */
+    private static final int MAX_WAITING_BYTES = 2 << 20;
+
     private final LoggerContext context = new LoggerContext();
 
     BatchWriterTest() {
@@ -66,8 +72,47 @@
         assertThat(lines.get()).isLessThan(100);
     }
 
+    /** Waiting lines with names of 32 kB each once could take four times the memory of a node. */
+    @Test
+    void boundsMemoryOfEventsThatWait() {
+        HeldOutput output = new HeldOutput();
+        BatchWriter writer = writer(8_192, output);
+        String name = "x".repeat(32_000);
+        for (int i = 0; i < 1_000; i++) {
+            writer.doAppend(event(name));
+        }
+        output.release();
+        writer.stop();
+        assertThat(output.bytes()).isGreaterThan(MAX_WAITING_BYTES / 4);
+        assertThat(output.bytes()).isAtMost(2 * MAX_WAITING_BYTES);
+    }
+
+    /** Dropped lines once left no trace, so that a log could not be told from one that is complete. */
+    @Test
+    void writesNumberOfDroppedEventsOnceThereIsRoom() {
+        HeldOutput output = new HeldOutput();
+        BatchWriter writer = writer(10, output);
+        for (int i = 0; i < 1_000; i++) {
+            writer.doAppend(event("event " + i));
+        }
+        output.release();
+        writer.stop();
+        List<String> lines = output.lines();
+        List<String> events =
+                lines.stream().filter(line -> line.contains(" event ")).toList();
+        List<String> reports =
+                lines.stream().filter(line -> line.contains("MUSH1008")).toList();
+        assertThat(reports).hasSize(1);
+        assertThat(reports.get(0)).contains(" WARN MUSH1008 " + (1_000 - events.size()) + " log events dropped");
+        assertThat(writer.dropped()).isEqualTo(1_000 - events.size());
+    }
+
     private BatchWriter writer(int capacity, OutputStream output) {
-        BatchWriter writer = new BatchWriter(capacity, LineLayout.of("text"), output);
+        return writer(capacity, LineLayout.of("text"), output);
+    }
+
+    private BatchWriter writer(int capacity, Layout<ILoggingEvent> layout, OutputStream output) {
+        BatchWriter writer = new BatchWriter(capacity, layout, output);
         writer.setContext(context);
         writer.start();
         return writer;
@@ -76,4 +121,40 @@
     private LoggingEvent event(String message) {
         return new LoggingEvent("test", context.getLogger("io.mustardusher.test"), Level.INFO, message, null, null);
     }
+
+    /** Takes lines only after its release. */
+    private static final class HeldOutput extends OutputStream {
+
+        private final CountDownLatch released = new CountDownLatch(1);
+        private final ByteArrayOutputStream received = new ByteArrayOutputStream();
+
+        @Override
+        public void write(int value) {
+            throw new AssertionError("lines are written whole");
+        }
+
+        @Override
+        public void write(byte[] bytes, int offset, int length) {
+            try {
+                released.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            synchronized (this) {
+                received.write(bytes, offset, length);
+            }
+        }
+
+        void release() {
+            released.countDown();
+        }
+
+        synchronized int bytes() {
+            return received.size();
+        }
+
+        synchronized List<String> lines() {
+            return received.toString(StandardCharsets.UTF_8).lines().toList();
+        }
+    }
 }
