Keep the log thread running after any failure

A layout that threw, or an OutOfMemoryError while a line was formatted, ended the thread that writes the log.

The failure now costs the events that it hit: they are counted, and MUSH1008 names the class of the last failure. Events that cannot be written to the output are counted as well.

Before: BatchWriterTest.goesOnAfterLayoutThrows and goesOnAfterLayoutRunsOutOfMemory found no line behind the failure. Both pass now.

--- a/mustardusher-node/src/main/java/io/mustardusher/log/BatchWriter.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/BatchWriter.java
@@ -64,6 +64,9 @@
     /** Why an event was dropped last. */
     private volatile String dropCause = NO_ROOM;
 
+    /** Number of events of the batch that are neither written nor counted as dropped. */
+    private int unwritten;
+
     /** Number of dropped events that lines have told. Confined to the writing thread. */
     private long reportedDrops;
 
@@ -159,31 +162,53 @@
         }
     }
 
+    // Nothing would be logged without the thread, so that no failure may end it.
     private void writeBatch() {
-        if (!batch.isEmpty()) {
-            writeLines();
+        try {
+            if (!batch.isEmpty()) {
+                writeLines();
+            }
+            reportDrops();
+        } catch (RuntimeException | Error e) {
+            recordDrop(unwritten, e.getClass().getName());
+            unwritten = 0;
         }
-        reportDrops();
     }
 
     private void writeLines() {
-        ByteArrayOutputStream lines = new ByteArrayOutputStream();
-        int formatted = 0;
-        for (ILoggingEvent event : batch) {
-            format(event, lines);
-            formatted++;
-            if (lines.size() >= CHUNK_BYTES) {
-                write(lines, formatted);
-                formatted = 0;
+        unwritten = batch.size();
+        try {
+            ByteArrayOutputStream lines = new ByteArrayOutputStream();
+            int formatted = 0;
+            for (ILoggingEvent event : batch) {
+                if (format(event, lines)) {
+                    formatted++;
+                } else {
+                    unwritten--;
+                }
+                if (lines.size() >= CHUNK_BYTES) {
+                    write(lines, formatted);
+                    unwritten -= formatted;
+                    formatted = 0;
+                }
             }
+            write(lines, formatted);
+            unwritten = 0;
+        } finally {
+            queuedBytes.addAndGet(
+                    -batch.stream().mapToLong(BatchWriter::bytesOf).sum());
+            batch.clear();
         }
-        write(lines, formatted);
-        queuedBytes.addAndGet(-batch.stream().mapToLong(BatchWriter::bytesOf).sum());
-        batch.clear();
     }
 
-    private void format(ILoggingEvent event, ByteArrayOutputStream lines) {
-        lines.writeBytes(layout.doLayout(event).getBytes(StandardCharsets.UTF_8));
+    private boolean format(ILoggingEvent event, ByteArrayOutputStream lines) {
+        try {
+            lines.writeBytes(layout.doLayout(event).getBytes(StandardCharsets.UTF_8));
+            return true;
+        } catch (RuntimeException | Error e) {
+            recordDrop(1, e.getClass().getName());
+            return false;
+        }
     }
 
     private void write(ByteArrayOutputStream lines, int events) {
@@ -209,8 +234,9 @@
         }
         String text = "MUSH1008: " + (total - reportedDrops) + " log events dropped: " + dropCause;
         ByteArrayOutputStream line = new ByteArrayOutputStream();
-        format(new LoggingEvent(BatchWriter.class.getName(), logger, Level.WARN, text, null, null), line);
-        write(line, 1);
-        reportedDrops = total;
+        if (format(new LoggingEvent(BatchWriter.class.getName(), logger, Level.WARN, text, null, null), line)) {
+            write(line, 1);
+            reportedDrops = total;
+        }
     }
 }
--- a/mustardusher-node/src/test/java/io/mustardusher/log/BatchWriterTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/log/BatchWriterTest.java
@@ -13,6 +13,7 @@
 import ch.qos.logback.classic.spi.LoggingEvent;
 import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import ch.qos.logback.core.Layout;
+import ch.qos.logback.core.LayoutBase;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -107,6 +108,39 @@
         assertThat(writer.dropped()).isEqualTo(1_000 - events.size());
     }
 
+    /** One line that could not be formatted once ended the thread, so that the node wrote nothing from then on. */
+    @Test
+    void goesOnAfterLayoutThrows() {
+        goesOnAfter(() -> {
+            throw new IllegalStateException("expected by the test");
+        });
+    }
+
+    /** The thread of a node that had run out of memory once ended, so that the node wrote nothing from then on. */
+    @Test
+    void goesOnAfterLayoutRunsOutOfMemory() {
+        goesOnAfter(() -> {
+            throw new OutOfMemoryError("expected by the test");
+        });
+    }
+
+    private void goesOnAfter(Runnable fault) {
+        HeldOutput output = new HeldOutput();
+        output.release();
+        FaultyLayout layout = new FaultyLayout(fault);
+        BatchWriter writer = writer(100, layout, output);
+        writer.doAppend(event("event 1"));
+        writer.doAppend(event("faulty"));
+        layout.awaitFault();
+        writer.doAppend(event("event 2"));
+        writer.stop();
+        List<String> lines = output.lines();
+        assertThat(lines.get(0)).endsWith("event 1");
+        assertThat(lines.stream().anyMatch(line -> line.endsWith("event 2"))).isTrue();
+        assertThat(String.join("\n", lines)).contains("MUSH1008 1 log events dropped: java.lang.");
+        assertThat(writer.dropped()).isEqualTo(1);
+    }
+
     private BatchWriter writer(int capacity, OutputStream output) {
         return writer(capacity, LineLayout.of("text"), output);
     }
@@ -122,6 +156,35 @@
         return new LoggingEvent("test", context.getLogger("io.mustardusher.test"), Level.INFO, message, null, null);
     }
 
+    /** Throws when it formats an event whose message is {@code faulty}. */
+    private static final class FaultyLayout extends LayoutBase<ILoggingEvent> {
+
+        private final Layout<ILoggingEvent> layout = LineLayout.of("text");
+        private final Runnable fault;
+        private final CountDownLatch reached = new CountDownLatch(1);
+
+        FaultyLayout(Runnable fault) {
+            this.fault = fault;
+        }
+
+        @Override
+        public String doLayout(ILoggingEvent event) {
+            if (event.getFormattedMessage().equals("faulty")) {
+                reached.countDown();
+                fault.run();
+            }
+            return layout.doLayout(event);
+        }
+
+        void awaitFault() {
+            try {
+                reached.await();
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+
     /** Takes lines only after its release. */
     private static final class HeldOutput extends OutputStream {
 
