Cut names that callers and servers give to 200 characters in log lines

Identifiers of calls, authorities and the identifiers in responses went into the log whole, and may be as long as a head (32 kB). A few of them now take the 2 MB that may wait, so that other lines would be dropped for them.

--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -27,6 +27,7 @@
 import io.mustardusher.catalogue.CatalogueEntry;
 import io.mustardusher.http.RequestExchange;
 import io.mustardusher.http.RequestHandler;
+import io.mustardusher.log.LoggedName;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
@@ -40,9 +41,6 @@
     /** Largest body of a call without an idempotency key that is buffered rather than streamed, in bytes. */
     private static final long MAX_BUFFERED_BODY_BYTES = 64L << 10;
 
-    /** Longest part of a path that is logged with a rejection. */
-    private static final int MAX_LOGGED_PATH_CHARS = 200;
-
     /** Largest body of a call with an idempotency key, in bytes. */
     private static final long MAX_KEYED_BODY_BYTES = 1L << 20;
 
@@ -292,13 +290,12 @@
         // A line for each rejection that is due to load would add to the load.
         if (code.blamesRequest()) {
             RequestHeaders headers = request.headers();
-            String path = headers.path();
             NodeLog.DECISIONS.callRejected(
-                    protocol.callName(headers),
+                    LoggedName.of(protocol.callName(headers)),
                     code.number(),
                     headers.method().name(),
-                    headers.authority(),
-                    path.substring(0, Math.min(path.length(), MAX_LOGGED_PATH_CHARS)),
+                    LoggedName.of(headers.authority()),
+                    LoggedName.of(headers.path()),
                     rejection.getMessage());
         }
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -26,6 +26,7 @@
 import io.mustardusher.health.ServiceShedding;
 import io.mustardusher.instance.InstanceConditions;
 import io.mustardusher.log.DecisionLog;
+import io.mustardusher.log.LoggedName;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.Outcome;
@@ -460,7 +461,11 @@
         }
         router.countAnswer(call.owner(), reported.label());
         NodeLog.DECISIONS.callFailed(
-                call.options().id(), call.service().value(), reported.number(), servers.attempt(), detail);
+                LoggedName.of(call.options().id()),
+                call.service().value(),
+                reported.number(),
+                servers.attempt(),
+                detail);
         answer.complete(new Reply(Problem.response(reported, detail, retryDelayMillis), reported.outcome()));
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -35,6 +35,7 @@
 import io.mustardusher.instance.InstanceConditions;
 import io.mustardusher.instance.ServerConditions;
 import io.mustardusher.log.DecisionLog;
+import io.mustardusher.log.LoggedName;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.nested.RunningCall;
 import io.mustardusher.nested.RunningCalls;
@@ -499,7 +500,7 @@
      */
     void logServerFailure(RequestHeaders headers, long dispatchedNanos, MustardusherException failure) {
         NodeLog.DECISIONS.dispatchFailed(
-                callNames.apply(headers),
+                LoggedName.of(callNames.apply(headers)),
                 headers.get(CallHeaders.SERVICE, ""),
                 failure.code().number(),
                 (clock.nanoTime() - dispatchedNanos) / Clock.NANOS_PER_MILLI,
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/GateReports.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/GateReports.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.mustardusher.instance.ServerConditions;
+import io.mustardusher.log.LoggedName;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.nested.NestedCallForecast;
 import io.mustardusher.nested.RunningCalls;
@@ -37,7 +38,7 @@
         NestedCallForecast forecast = new NestedCallForecast(clock, NodeLog.LOG::rootsRefused);
         return new RunningCalls(forecast, call -> {
             overlaps.inc();
-            NodeLog.DECISIONS.runOverlaps(call);
+            NodeLog.DECISIONS.runOverlaps(LoggedName.of(call));
         });
     }
 
@@ -65,12 +66,12 @@
     @Override
     public void onDiscardedResponse(Optional<String> received, Optional<String> awaited) {
         metrics.counter("gate.discardedResponses").inc();
-        NodeLog.DECISIONS.responseDiscarded(received.orElse(NONE), awaited.orElse(NONE));
+        NodeLog.DECISIONS.responseDiscarded(LoggedName.of(received.orElse(NONE)), LoggedName.of(awaited.orElse(NONE)));
     }
 
     @Override
     public void onRepeatedRequest(String request) {
         metrics.counter("gate.repeatedRequests").inc();
-        NodeLog.DECISIONS.requestRepeated(request);
+        NodeLog.DECISIONS.requestRepeated(LoggedName.of(request));
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/log/DecisionLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/DecisionLog.java
@@ -36,8 +36,8 @@
     public void routed(
             String call, String service, String node, String policy, int attempt, long micros, int candidates) {
         if (logger.isInfoEnabled()) {
-            logger.info("MUSH2001: call " + call + ": route " + service + " to " + node + " by " + policy + ", attempt "
-                    + attempt + ", estimate " + micros + " us, of " + candidates);
+            logger.info("MUSH2001: call " + LoggedName.of(call) + ": route " + service + " to " + node + " by " + policy
+                    + ", attempt " + attempt + ", estimate " + micros + " us, of " + candidates);
         }
     }
 
@@ -52,8 +52,8 @@
      */
     public void answered(String call, String server, int status, int attempt, long micros) {
         if (logger.isInfoEnabled()) {
-            logger.info("MUSH2005: call " + call + ": " + server + " answers " + status + " after attempt " + attempt
-                    + ", " + micros + " us");
+            logger.info("MUSH2005: call " + LoggedName.of(call) + ": " + server + " answers " + status
+                    + " after attempt " + attempt + ", " + micros + " us");
         }
     }
 
@@ -69,8 +69,8 @@
      */
     public void gateRefused(String call, String service, int code, int busy, int queued, int limit) {
         if (logger.isInfoEnabled()) {
-            logger.info("MUSH2003: call " + call + ": gate of " + service + " refuses with " + code + "; busy " + busy
-                    + ", queued " + queued + ", limit " + limit);
+            logger.info("MUSH2003: call " + LoggedName.of(call) + ": gate of " + service + " refuses with " + code
+                    + "; busy " + busy + ", queued " + queued + ", limit " + limit);
         }
     }
 
@@ -83,7 +83,8 @@
      */
     public void nestedCall(String call, String service, String parent) {
         if (logger.isInfoEnabled()) {
-            logger.info("MUSH2021: call " + call + ": nested call to " + service + " by a request of " + parent);
+            logger.info("MUSH2021: call " + LoggedName.of(call) + ": nested call to " + service + " by a request of "
+                    + parent);
         }
     }
 }
--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/GateReportsTest.java
@@ -0,0 +1,49 @@
+package io.mustardusher.gate;
+
+import java.util.List;
+import java.util.Optional;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
+import com.codahale.metrics.MetricRegistry;
+import io.mustardusher.log.NodeLog;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class GateReportsTest {
+
+    private final Logger decisions = (Logger) LoggerFactory.getLogger(NodeLog.DECISION_LOGGER);
+    private final ListAppender<ILoggingEvent> events = new ListAppender<>();
+    private final GateReports reports = new GateReports(() -> null, new MetricRegistry());
+
+    @BeforeEach
+    void start() {
+        decisions.setLevel(Level.INFO);
+        events.start();
+        decisions.addAppender(events);
+    }
+
+    @AfterEach
+    void stop() {
+        decisions.detachAppender(events);
+        decisions.setLevel(null);
+    }
+
+    /** Identifiers in responses once went into the log whole, up to the size of a head. */
+    @Test
+    void cutsIdentifiersInLines() {
+        String id = "x".repeat(32_000);
+        reports.onDiscardedResponse(Optional.of(id), Optional.of(id));
+        reports.onRepeatedRequest(id);
+        List<String> lines =
+                events.list.stream().map(ILoggingEvent::getFormattedMessage).toList();
+        assertThat(lines).hasSize(2);
+        lines.forEach(line -> assertThat(line.length()).isLessThan(500));
+    }
+}
--- a/mustardusher-node/src/test/java/io/mustardusher/log/DecisionLogTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/log/DecisionLogTest.java
@@ -51,6 +51,19 @@
         }
     }
 
+    /** Names that callers give once went into the log whole, up to the size of a head. */
+    @Test
+    void cutsNamesOfCalls() {
+        String call = "x".repeat(32_000);
+        decisions.routed(call, "clips", "node-2", "least_cost", 3, 45_000, 6);
+        decisions.answered(call, "node-2", 200, 3, 45_000);
+        decisions.gateRefused(call, "clips", 2_002, 7, 8, 9);
+        decisions.nestedCall(call, "clips", "route");
+        assertThat(events.list).hasSize(4);
+        events.list.forEach(
+                event -> assertThat(event.getFormattedMessage().length()).isLessThan(400));
+    }
+
     @Test
     void writesNothingWhileDecisionsAreOff() {
         output.setLevel(Level.OFF);
