Test second responses in pieces on one connection

A second response may arrive in pieces, its first bytes while the connection is idle and the rest behind the next request. No test covered that: the simulation writes whole answers between two requests. At every cut of three second responses, with all further bytes one at a time, the next request gets its own failure.

--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
@@ -0,0 +1,119 @@
+package io.mustardusher.server;
+
+import java.net.InetAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import io.mustardusher.generated.Announcement;
+import io.mustardusher.time.Clock;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.ReferenceCountUtil;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/** Guards against bytes of one response that are taken for those of another on the same connection. */
+class ServerConnectionTest {
+
+    private final EventLoopGroup group = new NioEventLoopGroup(1);
+    private final BufferedServerLink link = (BufferedServerLink) BufferedServerLink.factory(
+                    group, EchoDialect.INSTANCE, ServerReports.Discarding.INSTANCE, new Clock.Manual())
+            .open(new Announcement()
+                    .withHost(InetAddress.getLoopbackAddress().getHostAddress())
+                    .withPort(1L));
+    private EmbeddedChannel channel;
+    private ServerConnection connection;
+
+    @AfterEach
+    void close() {
+        channel.finishAndReleaseAll();
+        group.shutdownGracefully();
+    }
+
+    // Guards against a failure that is lost because a second response arrives in pieces before and behind the request.
+    @Test
+    void secondResponseInPiecesHidesNoFailure() {
+        List<String> secondResponses = List.of(
+                response("200 OK", "one", "again"),
+                "HTTP/1.1 200 OK\r\nid: one\r\ntransfer-encoding: chunked\r\n\r\n5\r\nagain\r\n0\r\n\r\n",
+                "HTTP/1.1 204 No Content\r\nid: one\r\n\r\n");
+        for (String second : secondResponses) {
+            // The connection is closed as soon as the head is whole.
+            for (int cut = 0; cut < second.indexOf("\r\n\r\n") + 4; cut++) {
+                connect();
+                send(HttpMethod.GET, "one");
+                receive(response("200 OK", "one", "own"));
+                receive(second.substring(0, cut));
+                CompletableFuture<AggregatedHttpResponse> two = send(HttpMethod.GET, "two");
+                receiveBytes(
+                        second.substring(cut) + response("500 Failed", "two", "own") + response("200 OK", "two", "x"));
+                assertWithMessage(second + " cut at " + cut)
+                        .that(two.join().status().code())
+                        .isEqualTo(500);
+            }
+        }
+    }
+
+    // Guards against an idle connection that is used again although a response has arrived for which nothing waits.
+    @Test
+    void connectionIsClosedByResponseWithoutRequest() {
+        connect();
+        send(HttpMethod.GET, "one");
+        receive(response("200 OK", "one", "own"));
+        assertThat(channel.isOpen()).isTrue();
+        receiveBytes("HTTP/1.1 200 OK\r\nid: one\r\ncontent-length: 9\r\n\r\n");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    // Guards against a call that never ends because content follows a status that has none.
+    @Test
+    void exchangeEndsWithContentBehindStatusWithoutContent() {
+        connect();
+        CompletableFuture<AggregatedHttpResponse> one = send(HttpMethod.GET, "one");
+        receive(response("205 Reset Content", "one", "content"));
+        assertThat(one.isDone()).isTrue();
+    }
+
+    private void connect() {
+        channel = new EmbeddedChannel();
+        connection = new ServerConnection(link, channel, new Clock.Manual());
+        channel.pipeline().addLast(BufferedServerLink.createCodec(), connection);
+    }
+
+    private CompletableFuture<AggregatedHttpResponse> send(HttpMethod method, String id) {
+        CompletableFuture<AggregatedHttpResponse> response = new CompletableFuture<>();
+        ServerExchange exchange = new ServerExchange(
+                EchoDialect.INSTANCE, ServerReports.Discarding.INSTANCE, new Clock.Manual(), response);
+        RequestHeadersBuilder headers = RequestHeaders.builder(method, "/").authority("h.example");
+        headers.set("id", id);
+        connection.send(exchange, AggregatedHttpRequest.of(headers.build()), null, 1);
+        ReferenceCountUtil.release(channel.readOutbound());
+        return response;
+    }
+
+    private void receive(String bytes) {
+        if (channel.isOpen()) {
+            channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+        }
+    }
+
+    // Receives one byte at a time.
+    private void receiveBytes(String bytes) {
+        bytes.chars().forEach(next -> receive(Character.toString(next)));
+    }
+
+    private static String response(String status, String id, String body) {
+        return "HTTP/1.1 " + status + "\r\nid: " + id + "\r\ncontent-length: " + body.length() + "\r\n\r\n" + body;
+    }
+}
