Add a case of peers that send bytes without end

Callers, upstreams, check-ins, the store and whoever reaches a port of a node send without end, or hold what they have begun, while sound clients ask another service from the same machines. A form is broken if a node runs out of memory, ends, logs no more, or leaves sound requests without an answer.

--- a/review/standins/src/review/Fleet.java
+++ b/review/standins/src/review/Fleet.java
@@ -64,6 +64,22 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
+    /** Starts a deployment of its own with the same record. */
+    private Fleet(Fleet previous) throws IOException {
+        this.root = previous.root;
+        this.folder = previous.folder;
+        this.record = previous.record;
+        this.store = new Store("127.0.0.1");
+        this.temporary = Files.createTempDirectory("review");
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
+    }
+
+    /** Ends the nodes of this deployment; returns an empty one that writes to the same record. */
+    Fleet restart() throws IOException {
+        close();
+        return new Fleet(this);
+    }
+
     static Thread daemon(Task task) {
         Thread thread = new Thread(() -> {
             try {
--- a/review/standins/src/review/Store.java
+++ b/review/standins/src/review/Store.java
@@ -20,6 +20,15 @@
 
     private record Row(String table, String key, String value, long version) {}
 
+    /** Writes bytes in place of an answer. */
+    interface Flood {
+
+        void write(OutputStream out) throws Exception;
+    }
+
+    /** Takes the place of all answers; {@code null} if the store answers by itself. */
+    volatile Flood flood;
+
     private final ServerSocket listener;
     private final Map<String, Row> rows = new TreeMap<>();
     private final List<Row> history = new ArrayList<>();
@@ -57,12 +66,17 @@
         history.add(row);
     }
 
-    private void serve(Socket socket) throws IOException {
+    private void serve(Socket socket) throws Exception {
         try (socket) {
             InputStream in = new java.io.BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
             for (Http.Head head = Http.readHead(in); head != null; head = Http.readHead(in)) {
                 byte[] body = Http.readBody(in, head);
+                Flood current = flood;
+                if (current != null) {
+                    current.write(out);
+                    return;
+                }
                 String[] answer = answer(head.path(), new String(body, StandardCharsets.UTF_8));
                 byte[] bytes = answer[1].getBytes(StandardCharsets.UTF_8);
                 out.write(("HTTP/1.1 " + answer[0] + " X\r\nContent-Type: application/json\r\nContent-Length: "
