--- a/review/standins/src/review/EndlessPeers.java
+++ b/review/standins/src/review/EndlessPeers.java
@@ -6,10 +6,13 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** Other peers that send without end: check-ins, the store, and processes that reach the ports of other nodes. */
 final class EndlessPeers {
 
+    private static final AtomicLong PAGES = new AtomicLong(1000);
+
     private EndlessPeers() {}
 
     static void addTo(Map<String, EndlessForm> forms) {
@@ -53,6 +56,22 @@
             run.count("answers");
             out.write(("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + text.length() + "\r\n\r\n" + text).getBytes());
         });
+        forms.put("store-pages", run -> run.fleet.store.flood = out -> {
+            // Pages of 1 MB in the protocol that never end, each with other keys.
+            String value = "A".repeat(13_000);
+            StringBuilder text = new StringBuilder("{\"rows\":[");
+            long page = PAGES.incrementAndGet() * 1000;
+            for (int i = 0; i < 70; i++) {
+                text.append(i == 0 ? "" : ",").append("{\"table\":\"op\",\"part\":\"\",\"key\":\"k")
+                        .append(page + i).append("\",\"ver\":").append(i + 1).append(",\"value\":\"").append(value)
+                        .append("\"}");
+            }
+            text.append("],\"truncated\":true,\"ver\":").append(page).append(",\"now\":\"1ms\"}");
+            run.count("answers");
+            out.write(("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + text.length()
+                            + "\r\n\r\n" + text)
+                    .getBytes());
+        });
         forms.put("store-rows-small", run -> run.fleet.store.flood = out -> {
             // Rows of four bytes each, which take far more memory when they are parsed.
             String text = "{\"rows\":[" + "{},".repeat(2_000_000) + "{}],\"truncated\":true,\"ver\":100}";
--- a/review/standins/src/review/Fleet.java
+++ b/review/standins/src/review/Fleet.java
@@ -7,8 +7,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** A small deployment on loopback addresses: one node beside each upstream, started by the command of the deploy file. */
@@ -53,6 +55,9 @@
     final Store store;
     final List<Machine> machines = new ArrayList<>();
 
+    /** Variables of the environment of the nodes, in addition to those of this process. */
+    final Map<String, String> environment = new HashMap<>();
+
     private final Path temporary;
 
     Fleet(Path root, Path folder) throws IOException {
@@ -138,6 +143,7 @@
         Files.writeString(machine.settings, settings(machine));
         List<String> command = command(machine.root.resolve("deploy/system.toml"));
         ProcessBuilder builder = new ProcessBuilder(command).directory(machine.root.toFile());
+        builder.environment().putAll(environment);
         builder.environment().put("MUSTARDUSHER_SETTINGS", machine.settings.toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(
