--- a/review/standins/src/review/EndlessCallers.java
+++ b/review/standins/src/review/EndlessCallers.java
@@ -48,6 +48,29 @@
             slow(run, 1500);
             uploads(run, 60, LARGE_BYTES, true);
         });
+        for (int bytes : new int[] {500_000, LARGE_BYTES}) {
+            forms.put("body-" + (bytes < 1 << 20 ? "500k" : "6m") + "-unread-60", run -> {
+                // The upstreams take the head of a request and read nothing more.
+                Upstream.BeforeBody stuck = (upstream, exchange) -> {
+                    while (run.isTroubled()) {
+                        Thread.sleep(50);
+                    }
+                    exchange.socket().close();
+                };
+                run.troubledUpstreams().forEach(upstream -> upstream.behaviour = stuck);
+                uploads(run, 60, bytes, false);
+            });
+        }
+        forms.put("body-500k-frozen-60", run -> {
+            // The node beside an upstream stands still, as long as its peers take it for present and somewhat longer.
+            Fleet.Machine machine = run.fleet.machines.get(2);
+            run.fleet.signal(machine, "STOP");
+            Fleet.daemon(() -> {
+                Thread.sleep(3000);
+                run.fleet.signal(machine, "CONT");
+            });
+            uploads(run, 60, 500_000, false);
+        });
         forms.put("long-ids-100", exchanges(100, (id, text) -> head("GET", "/read/", id + text, "")));
         forms.put("long-paths-100", exchanges(100, (id, text) -> head("GET", "/read/" + text, id, "")));
         forms.put("long-unknown-paths-100", exchanges(100, (id, text) -> head("GET", "/none/" + text, id, "")));
