--- a/review/standins/src/review/Fleet.java
+++ b/review/standins/src/review/Fleet.java
@@ -7,8 +7,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** A small deployment on loopback addresses: one node beside each upstream, started by the command of the deploy file. */
@@ -53,6 +55,9 @@
     final Store store;
     final List<Machine> machines = new ArrayList<>();
 
+    /** Variables of the environment of the nodes, in addition to those of this process. */
+    final Map<String, String> environment = new HashMap<>();
+
     private final Path temporary;
 
     Fleet(Path root, Path folder) throws IOException {
@@ -64,6 +69,22 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
+    /** Starts a deployment of its own with the same record. */
+    private Fleet(Fleet previous) throws IOException {
+        this.root = previous.root;
+        this.folder = previous.folder;
+        this.record = previous.record;
+        this.store = new Store("127.0.0.1");
+        this.temporary = Files.createTempDirectory("review");
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
+    }
+
+    /** Ends the nodes of this deployment; returns an empty one that writes to the same record. */
+    Fleet restart() throws IOException {
+        close();
+        return new Fleet(this);
+    }
+
     static Thread daemon(Task task) {
         Thread thread = new Thread(() -> {
             try {
@@ -122,6 +143,7 @@
         Files.writeString(machine.settings, settings(machine));
         List<String> command = command(machine.root.resolve("deploy/system.toml"));
         ProcessBuilder builder = new ProcessBuilder(command).directory(machine.root.toFile());
+        builder.environment().putAll(environment);
         builder.environment().put("MUSTARDUSHER_SETTINGS", machine.settings.toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(
