Count in review/7 which successes a comparison with other answers would take for wrong ones

The ledger now keeps every answer that an upstream wrote, the second ones too, with its time and whether the node had ended the connection, and counts for repeatable, nested and once-only requests: another upstream failed or refused, a gate returned the call, the last answer that any upstream wrote is a failure or a refusal (of the same upstream or another, as a first or a second answer), and a second answer that met an ended connection. No rule is judged otherwise than before.

The stand-in looks for the end of the stream before it counts an answer as written. New options: second answers that repeat the first, shapes of second answers (pieces, in front of a body or of a probe's answer, with the head of the next answer), a share of refusals, noisy upstreams, the number of machines, the size of a body, similar identifiers, no disruption.

--- a/review/standins/src/review/AnswerLedger.java
+++ b/review/standins/src/review/AnswerLedger.java
@@ -32,6 +32,9 @@
         /** Time of that answer, as {@link System#nanoTime()}, if the upstream states it. */
         volatile long answeredNanos;
 
+        /** Answers that the upstream wrote to this arrival, or tried to. */
+        final Queue<Written> written = new ConcurrentLinkedQueue<>();
+
         Arrival(String upstream, int connection, int number) {
             this.upstream = upstream;
             this.connection = connection;
@@ -44,6 +47,12 @@
         }
     }
 
+    /**
+     * An answer that was written to a connection, at a time as {@link System#nanoTime()}; whether it is the second to
+     * its run, and whether the node had not ended the connection.
+     */
+    record Written(long nanos, int status, boolean second, boolean open) {}
+
     /** Notes that a client sends a request once more under the same id, so that a refusal may follow a run. */
     void noteRepeated(String id) {
         repeated.add(id);
--- a/review/standins/src/review/NestedCalls.java
+++ b/review/standins/src/review/NestedCalls.java
@@ -7,40 +7,37 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.EnumSet;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
- * Four services on 14 machines of three failure domains. Their upstreams call each other and answer some requests
+ * Four services on machines of three failure domains. Their upstreams call each other and answer some requests
  * twice. Two bursts of disruptions follow each other after 40 seconds.
  */
 final class NestedCalls extends Case {
 
-    private static final String[][] MACHINES = {
-        {"side-1", "baton-rouge", "hehi12f"},
-        {"side-2", "hattiesburg", "hehi12f"},
-        {"side-3", "mobile-bay", "hehi12f"},
-        {"side-4", "baton-rouge", "hehi12f"},
-        {"side-5", "hattiesburg", "hehi12f"},
-        {"side-6", "mobile-bay", "rifo48b"},
-        {"side-7", "baton-rouge", "rifo48b"},
-        {"side-8", "hattiesburg", "rifo48b"},
-        {"side-9", "mobile-bay", "byle80d"},
-        {"side-10", "baton-rouge", "byle80d"},
-        {"side-11", "hattiesburg", "byle80d"},
-        {"side-12", "mobile-bay", "tevu28a"},
-        {"side-13", "baton-rouge", "tevu28a"},
-        {"side-14", "hattiesburg", "tevu28a"},
+    private static final String[] ZONES = {"baton-rouge", "hattiesburg", "mobile-bay"};
+
+    /** Services of 14 machines; another number of machines has them in the same proportions. */
+    private static final String[] SERVICES = {
+        "hehi12f", "hehi12f", "hehi12f", "hehi12f", "hehi12f", "rifo48b", "rifo48b", "rifo48b", "byle80d", "byle80d",
+        "byle80d", "tevu28a", "tevu28a", "tevu28a",
     };
 
     private static final Map<String, StutteringService.Calls> CALLS = Map.of(
             "hehi12f", new StutteringService.Calls("/claim/", 1, 0.7),
             "tevu28a", new StutteringService.Calls("/strewn/", 2, 1));
 
+    private static final Pattern LIGHT = Pattern.compile("busy [0-2],");
+    private static final Pattern RETURNED = Pattern.compile("call (\\S+): gate of \\S+ refuses with");
     private static final int CAPACITY = 13;
     private static final int TIMEOUT_MILLIS = 8000;
 
@@ -55,6 +52,9 @@
     private final int thinkMillis = number("THINK_MS", 250);
     private final int burstSize = number("BURST", 16);
     private final boolean repeats = number("REPEATS", 0) == 1;
+    private final int bodyBytes = number("BODY_BYTES", 200);
+    private final boolean noisy = number("NOISE", 0) == 1;
+    private final boolean similarIds = "SIMILAR".equals(System.getenv("IDS"));
     private final boolean sameNestedIds = "SAME".equals(System.getenv("NESTED_IDS"));
     private final String oldRoot = System.getenv("ROOT_OLD");
     private final Set<Disruption> disruptions = disruptions(System.getenv().getOrDefault("WAYS", ""));
@@ -75,6 +75,9 @@
 
     private static Set<Disruption> disruptions(String names) {
         Set<Disruption> chosen = EnumSet.noneOf(Disruption.class);
+        if (names.equals("NONE")) {
+            return chosen;
+        }
         if (names.isEmpty()) {
             return EnumSet.allOf(Disruption.class);
         }
@@ -86,6 +89,16 @@
         run(arguments, new NestedCalls());
     }
 
+    private static String[][] machines(int count) {
+        String[][] machines = new String[count][];
+        for (int number = 0; number < count; number++) {
+            machines[number] = new String[] {
+                "side-" + (number + 1), ZONES[number % ZONES.length], SERVICES[number * SERVICES.length / count]
+            };
+        }
+        return machines;
+    }
+
     @Override
     boolean isBroken() throws Exception {
         ledger = new RunLedger(record);
@@ -96,7 +109,15 @@
                 trouble ? number("STUTTER_PERCENT", 4) : 0,
                 trouble ? number("STUTTER_FAILED_PERCENT", 50) : 0,
                 number("LONG_PERCENT", 15));
-        fleet.addMachines(MACHINES);
+        setting.refusedPercent = trouble ? number("REFUSED_PERCENT", 0) : 0;
+        setting.sameAnswers = "SAME".equals(System.getenv("SECOND_ANSWERS"));
+        String shapes = System.getenv().getOrDefault("SHAPES", "");
+        if (!shapes.isEmpty()) {
+            setting.shapes = Arrays.stream(shapes.split(","))
+                    .map(StutteringService.Shape::valueOf)
+                    .toList();
+        }
+        fleet.addMachines(machines(number("MACHINES", SERVICES.length)));
         if (oldRoot != null) {
             for (int number = 1; number < fleet.machines.size(); number += 2) {
                 fleet.machines.get(number).root = Path.of(oldRoot);
@@ -124,6 +145,11 @@
             awaitServed(prefix + "warm", 30);
         }
         fleet.machines.forEach(machine -> begin(machine, upstreams.get(machine)));
+        if (noisy) {
+            for (Fleet.Machine machine : fleet.machines) {
+                Fleet.daemon(() -> beNoisy(machine, new Random(seed + machine.name.hashCode())));
+            }
+        }
         List<Thread> clients = new ArrayList<>();
         for (Fleet.Machine machine : fleet.machines) {
             for (int number = 0; number < clientsPerMachine; number++) {
@@ -135,12 +161,14 @@
         Random random = new Random(seed);
         sleepUntil(start, 6000);
         burst(random);
-        while ((System.nanoTime() - start) / 1_000_000 < BURST_INTERVAL_MILLIS) {
+        while ((System.nanoTime() - start) / 1_000_000 < Math.min(BURST_INTERVAL_MILLIS, seconds * 1000L)) {
             Thread.sleep(400 + random.nextInt(800));
             start(random);
         }
-        sleepUntil(start, 6000 + BURST_INTERVAL_MILLIS);
-        burst(random);
+        if (seconds * 1000 > 6000 + BURST_INTERVAL_MILLIS) {
+            sleepUntil(start, 6000 + BURST_INTERVAL_MILLIS);
+            burst(random);
+        }
         sleepUntil(start, seconds * 1000L);
         ended = true;
         for (Thread client : clients) {
@@ -184,6 +212,25 @@
         processes.put(machine, process);
         upstreams.put(machine, upstream);
         upstream.behaviour = process;
+        upstream.healthBehaviour = process::answerProbe;
+    }
+
+    /** Lets the work of an upstream take up to four times as long, another time every 50 to 300 ms. */
+    private void beNoisy(Fleet.Machine machine, Random random) throws InterruptedException {
+        while (!ended) {
+            upstreams.get(machine).slownessPercent = 100 + random.nextInt(300);
+            Thread.sleep(50 + random.nextInt(250));
+        }
+    }
+
+    /** Returns a new id; similar ones differ in case or in length only, and are at work at the same time. */
+    private String nextId() {
+        int number = requestCount.incrementAndGet();
+        if (!similarIds) {
+            return String.format("%016x", number * 0x9e3779b97f4a7c15L);
+        }
+        String id = String.format("%015xa", number / 3 * 0x9e3779b97f4a7c15L >>> 4);
+        return number % 3 == 0 ? id : number % 3 == 1 ? id.toUpperCase(Locale.ROOT) : id + "0";
     }
 
     /** Returns the machines of the same failure domain. */
@@ -279,7 +326,7 @@
                 int kind = random.nextInt(100);
                 prefix = kind < 55 ? "/clip/" : kind < 75 ? "/vault/" : kind < 80 ? "/claim/" : kind < 85 ? "/strewn/"
                         : kind < 93 ? "/file/" : "/deposit/";
-                id = String.format("%016x", requestCount.incrementAndGet() * 0x9e3779b97f4a7c15L);
+                id = nextId();
             } else {
                 ledger.noteRepeated(id);
             }
@@ -293,7 +340,7 @@
             boolean idempotent = !prefix.equals("/file/") && !prefix.equals("/deposit/");
             Client.Answer answer = idempotent
                     ? client.get(prefix + id, id, TIMEOUT_MILLIS)
-                    : client.send("POST", prefix + id, id, TIMEOUT_MILLIS, new byte[200], false);
+                    : client.send("POST", prefix + id, id, TIMEOUT_MILLIS, new byte[bodyBytes], false);
             ledger.noteAnswer(machine.name, id, idempotent, answer);
             repeatedId = repeats && idempotent && repeatedId == null && answer.status() / 100 != 2 ? id : null;
             if (answer.status() <= 0 || "close".equalsIgnoreCase(answer.head().field("Connection"))) {
@@ -304,14 +351,27 @@
         }
     }
 
-    /** Records what the nodes wrote about requests whose answers broke a rule. */
+    /** Records what the nodes wrote about requests whose answers broke a rule, and counts some kinds of lines. */
     private void recordLogLines() throws IOException {
+        Set<String> returnedIds = new HashSet<>();
         for (Fleet.Machine machine : fleet.machines) {
             for (String line : Files.readAllLines(fleet.log(machine), StandardCharsets.ISO_8859_1)) {
                 if (ledger.brokenIds.stream().limit(20).anyMatch(line::contains)) {
                     record.add("log of %s: %s", machine.name, line);
                 }
+                Matcher refused = RETURNED.matcher(line);
+                if (refused.find()) {
+                    returnedIds.add(refused.group(1));
+                }
+                boolean returned = line.contains("refuses with 2012");
+                ledger.count(returned, "LINES returned with 2012");
+                ledger.count(returned && LIGHT.matcher(line).find(), "LINES returned with 2012 while busy is 0 to 2");
+                ledger.count(line.contains("code 3001"), "LINES connection lost (3001)");
+                ledger.count(line.contains("\"event\":2024"), "LINES repeated request (2024)");
+                ledger.count(line.contains("\"event\":2025"), "LINES discarded response (2025)");
+                ledger.count(line.contains("\"event\":2026"), "LINES overlapping runs (2026)");
             }
         }
+        ledger.compareReturned(returnedIds);
     }
 }
--- a/review/standins/src/review/RunLedger.java
+++ b/review/standins/src/review/RunLedger.java
@@ -2,7 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -14,6 +17,9 @@
     /** Ids of the requests whose answers broke a rule. */
     final Set<String> brokenIds = new TreeSet<>();
 
+    /** Kinds of the requests that succeeded, by id. */
+    private final Map<String, String> succeeded = new HashMap<>();
+
     RunLedger(Record record) {
         super(record);
     }
@@ -71,6 +77,53 @@
         }
         if (answer.status() / 100 == 2) {
             observe(known, own);
+            String kind = taken.id().contains(".") ? "nested" : taken.idempotent() ? "repeatable" : "once only";
+            succeeded.put(taken.id(), kind);
+            compare(known, own, kind);
+        }
+    }
+
+    /** Counts successes of requests that gates had returned before. */
+    void compareReturned(Set<String> returnedIds) {
+        for (String kind : List.of("repeatable", "nested", "once only")) {
+            count(false, "COMPARED " + kind + ": a gate returned the call");
+        }
+        returnedIds.stream()
+                .map(succeeded::get)
+                .filter(Objects::nonNull)
+                .forEach(kind -> count(true, "COMPARED " + kind + ": a gate returned the call"));
+    }
+
+    /** Counts successes that a comparison with other answers to the same id would take for wrong ones. */
+    private void compare(List<Arrival> known, Arrival own, String kind) {
+        count(true, "COMPARED " + kind);
+        List<Arrival> others = known.stream()
+                .filter(other -> !other.upstream.equals(own.upstream) && other.status >= 400)
+                .toList();
+        count(others.stream().anyMatch(other -> other.ran), "COMPARED " + kind + ": another upstream failed");
+        count(others.stream().anyMatch(other -> !other.ran), "COMPARED " + kind + ": another upstream refused");
+        boolean unwritten = own.written.stream().anyMatch(written -> written.second() && !written.open());
+        count(unwritten, "COMPARED " + kind + ": its second answer met an ended connection");
+        Arrival latest = own;
+        Written last = null;
+        for (Arrival arrival : known) {
+            for (Written written : arrival.written) {
+                if (written.open() && (last == null || written.nanos() > last.nanos())) {
+                    last = written;
+                    latest = arrival;
+                }
+            }
+        }
+        for (String where : List.of("the same", "another")) {
+            for (boolean second : new boolean[] {false, true}) {
+                boolean failed = last != null
+                        && last.status() >= 400
+                        && last.second() == second
+                        && where.equals(latest.upstream.equals(own.upstream) ? "the same" : "another");
+                String by = " is last as a " + (second ? "second" : "first") + " answer of " + where + " upstream";
+                count(failed && last.status() != 503, "COMPARED " + kind + ": a failure" + by);
+                count(failed && last.status() == 503, "COMPARED " + kind + ": a refusal" + by);
+            }
         }
     }
 
--- a/review/standins/src/review/StutteringService.java
+++ b/review/standins/src/review/StutteringService.java
@@ -3,12 +3,17 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
+import java.util.EnumSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Semaphore;
@@ -16,7 +21,29 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A process of an upstream that waits for a slot, works, makes calls of its own, and answers some requests twice. */
-final class StutteringService implements Upstream.Behaviour {
+final class StutteringService implements Upstream.BeforeBody {
+
+    /** When a second answer is written, and in which pieces. */
+    enum Shape {
+        /** In one write with the first. */
+        AT_ONCE,
+        /** Unasked, 1 to 300 ms behind the first. */
+        LATER,
+        /** When the next request is on the connection. */
+        NEXT,
+        /** When the same request is on the connection again. */
+        AGAIN,
+        /** When the head of the next request is on the connection, before its body is read. */
+        BEFORE_BODY,
+        /** When the next request is on the connection, in two writes 2 to 20 ms apart. */
+        PIECES,
+        /** A first piece right behind the first answer, the rest when the next request is on the connection. */
+        SPLIT,
+        /** In one write with the head of the next answer, whose body follows 1 to 10 ms later. */
+        WITH_HEAD,
+        /** In front of the next answer to a health probe on the connection. */
+        PROBE
+    }
 
     /** Calls that a run makes through the node on its own machine. */
     record Calls(String prefix, int count, double probability) {}
@@ -38,6 +65,15 @@
         /** Share of runs with calls of their own that take 0.3 to 2.5 s; two in five of them fail. */
         final int longPercent;
 
+        /** Share of requests that are refused although there is room, in percent. */
+        int refusedPercent;
+
+        /** Whether a second answer is the first one again; otherwise it may be another. */
+        boolean sameAnswers;
+
+        /** When second answers are written; empty for a mix of {@link Shape#AT_ONCE} to {@link Shape#AGAIN}. */
+        List<Shape> shapes = List.of();
+
         private final AtomicInteger connectionCount = new AtomicInteger();
 
         Setting(
@@ -63,13 +99,17 @@
         /** Second answers that are written when the next request is on the connection. */
         final Deque<Late> late = new ArrayDeque<>();
 
+        /** Whether a request is at work, so that nobody reads from the connection. */
+        boolean atWork;
+
         Connection(int number) {
             this.number = number;
         }
     }
 
-    /** A second answer; one that is kept waits for another run of its request. */
-    private record Late(String id, byte[] bytes, boolean kept) {}
+    /** A second answer that waits for its moment. */
+    private record Late(
+            String id, byte[] bytes, int status, Shape shape, int sentBytes, AnswerLedger.Arrival arrival) {}
 
     private static final int QUEUE_LENGTH = 8;
     private static final int NESTED_TIMEOUT_MILLIS = 250;
@@ -98,10 +138,29 @@
         long limit = System.nanoTime() + (timeout == null ? 3000 : Long.parseLong(timeout)) * 1_000_000;
         Connection connection = connections.computeIfAbsent(
                 exchange.socket(), socket -> new Connection(setting.connectionCount.incrementAndGet()));
+        writeDue(connection, exchange, EnumSet.of(Shape.BEFORE_BODY));
+        Http.readBody(exchange.in(), exchange.head());
         AnswerLedger.Arrival arrival = setting.ledger.arrive(exchange.id(), upstream.id, connection.number);
         Random random = new Random(setting.seed * 31 + exchange.id().hashCode() * 17L + arrival.number);
-        writeDue(connection, exchange);
-        if (!enter(limit)) {
+        setAtWork(connection, true);
+        try {
+            run(upstream, exchange, connection, arrival, limit, random);
+        } finally {
+            setAtWork(connection, false);
+        }
+    }
+
+    private void run(
+            Upstream upstream,
+            Upstream.Exchange exchange,
+            Connection connection,
+            AnswerLedger.Arrival arrival,
+            long limit,
+            Random random)
+            throws Exception {
+        writeDue(connection, exchange, EnumSet.of(Shape.NEXT, Shape.AGAIN, Shape.PIECES, Shape.SPLIT));
+        boolean refused = setting.refusedPercent > 0 && random.nextInt(100) < setting.refusedPercent;
+        if (refused || !enter(limit)) {
             answer(connection, upstream, exchange, arrival, 503, random);
             return;
         }
@@ -115,6 +174,25 @@
         answer(connection, upstream, exchange, arrival, status, random);
     }
 
+    private static void setAtWork(Connection connection, boolean atWork) {
+        synchronized (connection) {
+            connection.atWork = atWork;
+        }
+    }
+
+    /** Answers a health probe, behind the second answers that are due on its connection. */
+    void answerProbe(Upstream upstream, Upstream.Exchange exchange) throws Exception {
+        Connection connection = connections.computeIfAbsent(
+                exchange.socket(), socket -> new Connection(setting.connectionCount.incrementAndGet()));
+        writeDue(connection, exchange, EnumSet.of(Shape.NEXT, Shape.PIECES, Shape.SPLIT, Shape.PROBE));
+        boolean well = !upstream.leaving && upstream.state.equals("ready");
+        byte[] answer = ("HTTP/1.1 " + (well ? "200 OK" : "503 X") + "\r\nX-Instance-Id: " + upstream.id
+                        + "\r\nX-Server-Load: " + upstream.load() + "\r\nContent-Length: 0\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+        write(connection, exchange, answer);
+        setting.ledger.count(true, "health probes");
+    }
+
     private boolean enter(long limit) throws InterruptedException {
         if (slots.tryAcquire()) {
             return true;
@@ -213,34 +291,142 @@
         arrival.answeredNanos = System.nanoTime();
         int percent = status == 200 ? setting.stutterPercent : setting.stutterFailedPercent;
         if (random.nextInt(100) >= percent) {
-            write(connection, exchange, first);
+            writeFirst(connection, exchange, first, first.length - body.length, arrival);
             return;
         }
-        byte[] second = second(upstream, exchange, run, first, status, random);
+        byte[] second = setting.sameAnswers ? first : second(upstream, exchange, run, first, status, random);
         setting.ledger.count(status != 200, "second answers behind failures");
-        switch (random.nextInt(10)) {
-            case 0 -> {
-                ByteArrayOutputStream both = new ByteArrayOutputStream();
-                both.writeBytes(first);
-                both.writeBytes(second);
-                write(connection, exchange, both.toByteArray());
+        Shape shape = setting.shapes.isEmpty()
+                ? standingShape(random)
+                : setting.shapes.get(random.nextInt(setting.shapes.size()));
+        Late late = new Late(exchange.id(), second, statusOf(second), shape, 0, arrival);
+        switch (shape) {
+            case AT_ONCE -> {
+                synchronized (connection) {
+                    boolean open = isOpen(connection, exchange);
+                    ByteArrayOutputStream both = new ByteArrayOutputStream();
+                    both.writeBytes(first);
+                    both.writeBytes(second);
+                    write(connection, exchange, both.toByteArray());
+                    noteWritten(open, arrival, status, false);
+                    noteWritten(open, arrival, late.status, true);
+                }
                 setting.ledger.count(true, "second answers");
             }
-            case 1, 2, 3 -> {
-                write(connection, exchange, first);
+            case LATER -> {
+                writeFirst(connection, exchange, first, first.length - body.length, arrival);
                 int delay = 1 + random.nextInt(300);
                 Fleet.daemon(() -> {
                     Thread.sleep(delay);
-                    write(connection, exchange, second);
-                    setting.ledger.count(true, "second answers");
+                    writeSecond(connection, exchange, late);
                 });
             }
+            case SPLIT -> {
+                int piece = 1 + random.nextInt(Math.min(200, second.length - 1));
+                synchronized (connection) {
+                    connection.late.add(new Late(exchange.id(), second, late.status, shape, piece, arrival));
+                    writeFirst(connection, exchange, first, first.length - body.length, arrival);
+                    write(connection, exchange, Arrays.copyOf(second, piece));
+                }
+            }
             default -> {
                 synchronized (connection) {
-                    connection.late.add(new Late(exchange.id(), second, random.nextInt(3) == 0));
-                    write(connection, exchange, first);
+                    connection.late.add(late);
+                    writeFirst(connection, exchange, first, first.length - body.length, arrival);
+                }
+            }
+        }
+    }
+
+    private static Shape standingShape(Random random) {
+        int drawn = random.nextInt(10);
+        if (drawn < 4) {
+            return drawn == 0 ? Shape.AT_ONCE : Shape.LATER;
+        }
+        return random.nextInt(3) == 0 ? Shape.AGAIN : Shape.NEXT;
+    }
+
+    private static int statusOf(byte[] answer) {
+        return Integer.parseInt(new String(answer, 9, 3, StandardCharsets.ISO_8859_1));
+    }
+
+    /** Writes the first answer to a run, in pieces if a second answer goes with its head. */
+    private void writeFirst(
+            Connection connection, Upstream.Exchange exchange, byte[] bytes, int headLength, AnswerLedger.Arrival own)
+            throws Exception {
+        synchronized (connection) {
+            Late late = connection.late.stream()
+                    .filter(other -> other.shape == Shape.WITH_HEAD && other.arrival != own)
+                    .findFirst()
+                    .orElse(null);
+            boolean open = isOpen(connection, exchange);
+            if (late == null) {
+                write(connection, exchange, bytes);
+            } else {
+                connection.late.remove(late);
+                ByteArrayOutputStream both = new ByteArrayOutputStream();
+                both.writeBytes(late.bytes);
+                both.write(bytes, 0, headLength);
+                write(connection, exchange, both.toByteArray());
+                noteWritten(open, late.arrival, late.status, true);
+                setting.ledger.count(true, "second answers");
+                Thread.sleep(1 + bytes.length % 10);
+                write(connection, exchange, Arrays.copyOfRange(bytes, headLength, bytes.length));
+            }
+            noteWritten(open, own, statusOf(bytes), false);
+        }
+    }
+
+    private void writeSecond(Connection connection, Upstream.Exchange exchange, Late late) throws Exception {
+        synchronized (connection) {
+            boolean open = isOpen(connection, exchange);
+            try {
+                if (late.shape == Shape.PIECES) {
+                    int piece = 1 + Math.floorMod(late.id.hashCode(), Math.min(200, late.bytes.length - 1));
+                    write(connection, exchange, Arrays.copyOf(late.bytes, piece));
+                    Thread.sleep(2 + piece % 19);
+                    write(connection, exchange, Arrays.copyOfRange(late.bytes, piece, late.bytes.length));
+                } else {
+                    write(connection, exchange, Arrays.copyOfRange(late.bytes, late.sentBytes, late.bytes.length));
                 }
+            } catch (IOException e) {
+                noteWritten(false, late.arrival, late.status, true);
+                throw e;
             }
+            noteWritten(open, late.arrival, late.status, true);
+        }
+        setting.ledger.count(true, "second answers");
+    }
+
+    private void noteWritten(boolean open, AnswerLedger.Arrival arrival, int status, boolean second) {
+        arrival.written.add(new AnswerLedger.Written(System.nanoTime(), status, second, open));
+        setting.ledger.count(!open, second ? "second answers on ended connections" : "answers on ended connections");
+        setting.ledger.count(second && open, "second answers on open connections");
+    }
+
+    /** Returns whether the node has not ended the connection. */
+    private static boolean isOpen(Connection connection, Upstream.Exchange exchange) {
+        Socket socket = exchange.socket();
+        // While no request is at work, the thread that reads sees the end by itself and closes the socket.
+        if (socket.isClosed() || !connection.atWork) {
+            return !socket.isClosed();
+        }
+        try {
+            socket.setSoTimeout(1);
+            try {
+                exchange.in().mark(1);
+                boolean open = exchange.in().read() >= 0;
+                if (open) {
+                    exchange.in().reset();
+                }
+                return open;
+            } finally {
+                socket.setSoTimeout(0);
+            }
+        } catch (SocketTimeoutException e) {
+            return true;
+        } catch (IOException e) {
+            return false;
         }
     }
 
@@ -256,15 +442,14 @@
                 : first;
     }
 
-    /** Writes the second answers that are due when a request has come on their connection. */
-    private void writeDue(Connection connection, Upstream.Exchange exchange) throws IOException {
+    /** Writes the second answers of some shapes that are due when a request has come on their connection. */
+    private void writeDue(Connection connection, Upstream.Exchange exchange, Set<Shape> shapes) throws Exception {
         synchronized (connection) {
             for (Late late : connection.late.toArray(new Late[0])) {
                 boolean again = late.id.equals(exchange.id());
-                if (again || !late.kept) {
+                if (shapes.contains(late.shape) && (again || late.shape != Shape.AGAIN)) {
                     connection.late.remove(late);
-                    write(connection, exchange, late.bytes);
-                    setting.ledger.count(true, "second answers");
+                    writeSecond(connection, exchange, late);
                     setting.ledger.count(again, "second answers before another run of their request");
                 }
             }
