Reserve the room of a body of known length before it is read

A body of known length now has its room from the start and is not given up, or is refused at once; only bodies of unknown length are given up.

--- a/mustardusher-node/src/main/java/io/mustardusher/call/BodyCollector.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/BodyCollector.java
@@ -43,11 +43,12 @@
     @Override
     public void onSubscribe(Subscription started) {
         subscription = started;
-        if (memory.mayHold(request.headers().contentLength())) {
-            started.request(1);
-        } else {
+        long length = request.headers().contentLength();
+        if (length > 0 && !reserveWhole(length)) {
             giveUp();
+            return;
         }
+        started.request(1);
     }
 
     @Override
@@ -79,6 +80,16 @@
         whole.complete(AggregatedHttpRequest.of(request.headers(), data, trailers));
     }
 
+    // A body of known length has its room from the start, so that others cannot take it away before the end.
+    private boolean reserveWhole(long length) {
+        if (length > Integer.MAX_VALUE || !memory.reserve((int) length)) {
+            return false;
+        }
+        memory.complete();
+        body.allocate((int) length);
+        return true;
+    }
+
     private void giveUp() {
         request.abort(BodyMemory.exhausted());
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/call/BodyMemory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/BodyMemory.java
@@ -142,17 +142,7 @@
             }
         }
 
-        /**
-         * Returns whether a body of this length could ever have room.
-         *
-         * @param length length of the body, in bytes; negative if it is unknown
-         * @return {@code false} if it exceeds the whole memory
-         */
-        public boolean mayHold(long length) {
-            return length <= size;
-        }
-
-        /** Keeps the memory until it is released: the body has arrived whole and is no longer given up. */
+        /** Keeps the memory until it is released: the body is no longer given up. */
         public void complete() {
             synchronized (BodyMemory.this) {
                 arriving.remove(this);
