Bound the responses that callers do not take, and join chunks that arrive together

Responses on their way to callers had no limit: callers that take the head of an answer of 6 MB and ask again on another connection, or pipeline requests for 900 kB each, ended the memory of nodes. A response now counts as memory for bodies from its arrival until it is written. A body in chunks of one byte became a part with objects of its own for each chunk (280,000 of them in a heap histogram), and the first part that was consumed let the listener read on. Chunks of one read are now passed on as one part, and nothing is read before all parts are consumed.

HttpConnectionTest: connectionWithLargestResponseIsClosedWhenMemoryEnds and readsNothingUntilAllChunksOfReadAreConsumed failed before.

--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -225,6 +225,14 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (receiving != null) {
+            receiving.streamCollected();
+        }
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
@@ -234,6 +242,7 @@
         while (!pending.isEmpty()) {
             PendingRequest lost = pending.removeFirst();
             lost.memory.release();
+            lost.outgoing.release();
             lost.cancelled.complete(null);
             lost.ended.complete(null);
         }
@@ -324,14 +333,14 @@
             FullHttpResponse response = HttpMessages.toFullResponse(next.response, next.toHead);
             lastActiveNanos = clock.nanoTime();
             if (!next.closeAfter) {
-                channel.write(response).addListener(sent -> next.ended.complete(null));
+                channel.write(response).addListener(sent -> next.endResponse());
                 flush = true;
                 continue;
             }
             closing = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ChannelFuture written = channel.writeAndFlush(response);
-            written.addListener(sent -> next.ended.complete(null));
+            written.addListener(sent -> next.endResponse());
             if (next.isMalformed()) {
                 written.addListener(sent -> shutDownOutput());
                 linger();
@@ -408,9 +417,15 @@
 
         private int heldBytes;
 
-        /** Body until the request is handed over; {@code null} afterwards. */
+        /** Memory of the response until it is written. */
+        private final BodyMemory.Share outgoing = bodyMemory.open(() -> runOnLoop(channel::close));
+
+        /** What has arrived of the body and was not passed on; {@code null} if there is nothing. */
         private ByteArrayOutputStream collected;
 
+        /** Number of parts that were passed on and not consumed. */
+        private int unconsumedParts;
+
         /** Rest of the body after the request was handed over before its end. */
         private HttpRequestWriter writer;
 
@@ -471,19 +486,30 @@
             }
             byte[] copy = new byte[bytes.readableBytes()];
             bytes.getBytes(bytes.readerIndex(), copy);
-            if (writer != null) {
-                stream(copy);
-                return;
-            }
             if (collected == null) {
                 collected = new ByteArrayOutputStream(copy.length);
             }
             collected.writeBytes(copy);
-            if (collected.size() > MAX_COLLECTED_BYTES) {
+            if (collected.size() <= MAX_COLLECTED_BYTES) {
+                return;
+            }
+            if (handedOver) {
+                streamCollected();
+            } else {
                 handOver();
             }
         }
 
+        // Chunks that arrive together are passed on together, since each part takes memory of its own.
+        void streamCollected() {
+            // The request may have been answered at once; nobody reads the body then.
+            if (writer != null && collected != null && response == null) {
+                byte[] part = collected.toByteArray();
+                collected = null;
+                stream(part);
+            }
+        }
+
         // What follows behind these bytes is only read once it has been consumed.
         private boolean hold(int added) {
             int held = Math.min(added, MAX_COLLECTED_BYTES - heldBytes);
@@ -494,6 +520,11 @@
             return true;
         }
 
+        private void endResponse() {
+            outgoing.release();
+            ended.complete(null);
+        }
+
         private void giveUpBody() {
             if (receiving == this && response == null) {
                 handOver();
@@ -508,16 +539,13 @@
             }
             writer = HttpRequest.streaming(headers);
             handle(writer);
-            // The request may have been answered at once; nobody reads the body then.
-            if (collected != null && response == null) {
-                stream(collected.toByteArray());
-            }
-            collected = null;
+            streamCollected();
         }
 
         void endBody() {
             memory.complete();
             if (writer != null) {
+                streamCollected();
                 writer.close();
                 return;
             }
@@ -534,7 +562,12 @@
 
         void respond(AggregatedHttpResponse complete) {
             response = complete;
+            collected = null;
             memory.release();
+            if (!outgoing.reserve(complete.content().length())) {
+                channel.close();
+                return;
+            }
             if (receiving == this) {
                 // The rest of the body is discarded, and nothing is known of its length.
                 closeAfterResponse();
@@ -552,8 +585,16 @@
             CompletableFuture<Void> consumed = writer.whenConsumed();
             if (!consumed.isDone()) {
                 blocking = this;
+                unconsumedParts++;
                 updateReading();
-                consumed.whenComplete((ignored, failure) -> runOnLoop(this::unblock));
+                consumed.whenComplete((ignored, failure) -> runOnLoop(this::endPart));
+            }
+        }
+
+        private void endPart() {
+            unconsumedParts--;
+            if (unconsumedParts == 0) {
+                unblock();
             }
         }
 
