Bound the number of values in JSON texts

A single answer of the table service of 6 MB of empty objects became a tree of more than the heap of a node, and ended every node that read it. A text may now have 500,000 tokens; a page of the service has some thousands.

--- a/mustardusher-core/src/main/java/io/mustardusher/schema/JsonTree.java
+++ b/mustardusher-core/src/main/java/io/mustardusher/schema/JsonTree.java
@@ -28,13 +28,18 @@
     /** Maximum nesting of values. Trees are read and written by recursion, on stacks that may be small. */
     static final int MAX_NESTING = 64;
 
+    /** Maximum number of tokens of a text. A tree of empty objects takes some fifty times the memory of its text. */
+    static final int MAX_TOKENS = 500_000;
+
     /** Accepts comments and trailing commas, and rejects duplicate keys and deeply nested values. */
     static final JsonFactory FACTORY = JsonFactory.builder()
             .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
             .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-            .streamReadConstraints(
-                    StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING).build())
+            .streamReadConstraints(StreamReadConstraints.builder()
+                    .maxNestingDepth(MAX_NESTING)
+                    .maxTokenCount(MAX_TOKENS)
+                    .build())
             .build();
 
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
@@ -55,7 +60,7 @@
      *
      * @param text JSON with comments
      * @return the value, or a missing node if the text contains none
-     * @throws JsonProcessingException if the text is malformed or nested too deeply
+     * @throws JsonProcessingException if the text is malformed, nested too deeply or has too many values
      */
     public static JsonNode read(String text) throws JsonProcessingException {
         try (JsonParser parser = FACTORY.createParser(text)) {
--- a/mustardusher-core/src/test/java/io/mustardusher/schema/JsonTreeTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/schema/JsonTreeTest.java
@@ -67,6 +67,13 @@
         assertThat(failureOnSmallStack(arrays)).isInstanceOf(JsonProcessingException.class);
     }
 
+    /** Guards against an answer of the table service whose tree takes many times the memory of its text. */
+    @Test
+    void textWithTooManyValuesIsRejected() {
+        String values = "{},".repeat(JsonTree.MAX_TOKENS);
+        assertThrows(JsonProcessingException.class, () -> JsonTree.read("[" + values + "{}]"));
+    }
+
     @Test
     void nestingUpToLimitIsRead() throws JsonProcessingException {
         String text = "[".repeat(JsonTree.MAX_NESTING) + "]".repeat(JsonTree.MAX_NESTING);
