Write one line for each call that its entry has routed

Which server answered a call with what, over which connection, and whether the caller got that very answer, took several lines of two nodes (MUSH2001, 2005, 2025), and none of them told the connection or the signature. The hypotheses about stale successes could not be told apart by the logs of an operator.

MUSH2008, written at the entry when the response has ended: identifier, service, whether the call may run more than once, each attempt with its node, status or result code and time, the status that the caller got, and of the answer that was passed on the number of the connection between gate and server, the requests that it had carried, whether a response was discarded while the call waited there, and a digest of the signature as the gate received it and as the caller was sent it. Gates tell entries in the header that also names crashes, which nodes of all versions remove from answers and requests, so that it reaches neither callers nor servers while a deployment has nodes of both versions; what a server or a caller sends under that name is removed as before. With log.decisions off, nothing is recorded and nothing sent.

Calls with an idempotency key and calls that are rejected before they are routed have no such line. musherctl trace tells what the caller got.

--- a/mustardusher-ctl/src/main/java/io/mustardusher/ctl/LogLine.java
+++ b/mustardusher-ctl/src/main/java/io/mustardusher/ctl/LogLine.java
@@ -45,11 +45,15 @@
     /** A backend server did not answer a call that its gate had sent to it. */
     static final int DISPATCH_FAILED = 2006;
 
+    /** A call ended at its entry. */
+    static final int ENDED = 2008;
+
     private static final int FIRST_SERVER_ERROR = 500;
 
     private static final Pattern CALL = Pattern.compile("call ([^ :]+): .*", Pattern.DOTALL);
     private static final Pattern CODE = Pattern.compile("(?:, code|refuses with) (\\d+)");
     private static final Pattern STATUS = Pattern.compile(" answers (\\d+) after attempt");
+    private static final Pattern GIVEN = Pattern.compile("; caller got (.*? after \\d+ us), from ");
     private static final Pattern FILE_EXTENSION = Pattern.compile("\\.[a-z]+$");
 
     /**
@@ -137,4 +141,14 @@
         Matcher matcher = STATUS.matcher(text);
         return matcher.find() ? Integer.parseInt(matcher.group(1)) : 0;
     }
+
+    /**
+     * Returns what the caller got when its call ended at the entry.
+     *
+     * @return status and time, or empty if the event is not the end of a call
+     */
+    Optional<String> given() {
+        Matcher matcher = GIVEN.matcher(text);
+        return matcher.find() ? Optional.of(matcher.group(1)) : Optional.empty();
+    }
 }
--- a/mustardusher-ctl/src/main/java/io/mustardusher/ctl/Trace.java
+++ b/mustardusher-ctl/src/main/java/io/mustardusher/ctl/Trace.java
@@ -33,6 +33,13 @@
      * @return the cause, followed by the failure its last gate logged and the codes with which gates refused it, if any
      */
     String cause() {
+        return last(LogLine.ENDED)
+                .flatMap(LogLine::given)
+                .map(given -> ending() + "; its caller got " + given)
+                .orElseGet(this::ending);
+    }
+
+    private String ending() {
         if (lines.isEmpty()) {
             return "no node logged the call: it never arrived, or its lines were dropped";
         }
--- a/mustardusher-ctl/src/test/java/io/mustardusher/ctl/TraceTest.java
+++ b/mustardusher-ctl/src/test/java/io/mustardusher/ctl/TraceTest.java
@@ -50,6 +50,21 @@
         assertThat(Trace.of("2c70e9eafb246fe1", lines).cause()).isEqualTo("a backend server answered with 200");
     }
 
+    @Test
+    void tellsWhatCallerGot() {
+        LogLine answered =
+                new LogLine(Instant.EPOCH, "n", LogLine.ANSWERED, "call a: n-1 answers 200 after attempt 1, 45000 us");
+        LogLine ended = new LogLine(
+                Instant.EPOCH,
+                "n",
+                LogLine.ENDED,
+                "call a: repeatable to s; sent to n-1 200 45000 us; caller got 200 in part after 46000 us, from n-1 over"
+                        + " connection 7, request 3, no response discarded, signature cbf43926, passed on cbf43926");
+
+        assertThat(Trace.of("a", List.of(answered, ended)).cause())
+                .isEqualTo("a backend server answered with 200; its caller got 200 in part after 46000 us");
+    }
+
     @Test
     void ordersEventsByTime() {
         List<Integer> events = Trace.of("02be06841bffaa79", lines).lines().stream()
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -53,6 +53,12 @@
     /** Id of the crash of a backend server during which the call was in flight; only between nodes. */
     public static final AsciiString CRASH = AsciiString.cached("mustardusher-crash");
 
+    /**
+     * {@link RunReport} about the run that an answer comes from; only between nodes. The name is that of
+     * {@link #CRASH}, which nodes of all versions remove, and which no answer of a backend server has otherwise.
+     */
+    public static final AsciiString RUN = CRASH;
+
     /** Role in which the receiving node handles the call; only between nodes. */
     public static final AsciiString ROLE = AsciiString.cached("mustardusher-role");
 
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallerProtocol.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallerProtocol.java
@@ -1,9 +1,11 @@
 package io.mustardusher.call;
 
+import java.util.Optional;
 import java.util.function.Supplier;
 
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.catalogue.Catalogue;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
@@ -46,6 +48,16 @@
      */
     HttpResponse write(RequestHeaders request, HttpResponse answer);
 
+    /**
+     * Reads the signature of a backend server over its answer.
+     *
+     * @param answer headers of the answer for the caller
+     * @return the signature, or empty if there is none
+     */
+    default Optional<String> signature(ResponseHeaders answer) {
+        return Optional.empty();
+    }
+
     /**
      * The native protocol: a header names the service, whose settings come from the catalogue.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/call/NestedCallProtocol.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/NestedCallProtocol.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.log.DecisionLog;
 import io.mustardusher.nested.RunningCall;
 import io.mustardusher.nested.RunningCalls;
@@ -63,4 +64,9 @@
     public HttpResponse write(RequestHeaders request, HttpResponse answer) {
         return protocol.write(request, answer);
     }
+
+    @Override
+    public Optional<String> signature(ResponseHeaders answer) {
+        return protocol.signature(answer);
+    }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -177,22 +177,24 @@
         if (draining && !unanswerable) {
             exchange.closeAfterResponse();
         }
+        CallTrace trace = CallTrace.start(clock);
         HttpResponse response;
         try {
             if (unanswerable) {
                 throw new MustardusherException(ResultCode.NODE_STOPPING, "the connection closes before this call");
             }
-            response = accept(exchange, request);
+            response = accept(exchange, request, trace);
         } catch (MustardusherException e) {
             response = reject(request, e);
         }
-        response = protocol.write(request.headers(), response);
+        response = trace.observe(protocol.write(request.headers(), response), protocol);
         response.whenComplete().whenComplete((ignored, failure) -> {
             if (failure != null) {
                 exchange.cancelled().complete(null);
             }
             exchange.responseProduced();
             served.update(clock.nanoTime() - startNanos, TimeUnit.NANOSECONDS);
+            trace.end(failure == null);
         });
         return response;
     }
@@ -219,9 +221,10 @@
      *
      * @param exchange the request's place on its connection
      * @param request  the request
+     * @param trace    records what happens to the call
      * @return response for the caller
      */
-    private HttpResponse accept(RequestExchange exchange, HttpRequest request) {
+    private HttpResponse accept(RequestExchange exchange, HttpRequest request, CallTrace trace) {
         if (graceTime.hasBegun()) {
             throw stoppingRejection();
         }
@@ -242,14 +245,14 @@
         }
         if (length == 0) {
             request.abort();
-            return route(exchange, call, request, CallBody.Buffered.EMPTY);
+            return route(exchange, call, request, CallBody.Buffered.EMPTY, trace);
         }
         if (length > MAX_BUFFERED_BODY_BYTES) {
             limitBody(exchange, call, request);
-            return route(exchange, call, request, new CallBody.Streamed(request));
+            return route(exchange, call, request, new CallBody.Streamed(request), trace);
         }
         return HttpResponse.of(bufferBody(exchange, call, request)
-                .thenApply(body -> route(exchange, call, request, body))
+                .thenApply(body -> route(exchange, call, request, body, trace))
                 .exceptionally(failure -> rejectAfterBody(request, failure)));
     }
 
@@ -258,18 +261,19 @@
     }
 
     // A limited call needs its token only now, so that a slow body does not hold one until it expires.
-    private HttpResponse route(RequestExchange exchange, Call call, HttpRequest request, CallBody body) {
+    private HttpResponse route(
+            RequestExchange exchange, Call call, HttpRequest request, CallBody body, CallTrace trace) {
         boolean idempotent = call.isIdempotent();
         CompletableFuture<Void> cancelled = exchange.cancelled();
         Optional<Account> limited = call.options().account().filter(Account::isLimited);
         if (limited.isEmpty() || allowances == null) {
-            return router.route(call, body, idempotent, cancelled);
+            return router.route(call, body, idempotent, cancelled, trace);
         }
         CompletableFuture<Void> token = allowances.acquire(limited.get(), call.deadlineNanos(), cancelled);
         if (token.isDone() && !token.isCompletedExceptionally()) {
-            return router.route(call, body, idempotent, cancelled);
+            return router.route(call, body, idempotent, cancelled, trace);
         }
-        return HttpResponse.of(token.thenApply(granted -> router.route(call, body, idempotent, cancelled))
+        return HttpResponse.of(token.thenApply(granted -> router.route(call, body, idempotent, cancelled, trace))
                 .exceptionally(failure -> rejectAfterBody(request, failure)));
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/HedgedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/HedgedCall.java
@@ -133,7 +133,7 @@
             }
             selected = reply.isServerAnswer() || unanswered == null ? reply : reply.preferPossiblyRun(unanswered);
         }
-        if (answer.complete(selected.response())) {
+        if (!answer.isDone() && answer.complete(selected.passOn())) {
             cancelOther.complete(null);
         } else {
             selected.response().abort();
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Reply.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Reply.java
@@ -8,8 +8,29 @@
  *
  * @param response the response
  * @param outcome  whether the call ran, as the response states it
+ * @param attempt  attempt that the response comes from, for the log
  */
-record Reply(HttpResponse response, Outcome outcome) {
+record Reply(HttpResponse response, Outcome outcome, CallTrace.Attempt attempt) {
+
+    /**
+     * Creates a response that comes from no backend server.
+     *
+     * @param response the response
+     * @param outcome  whether the call ran, as the response states it
+     */
+    Reply(HttpResponse response, Outcome outcome) {
+        this(response, outcome, CallTrace.Off.INSTANCE);
+    }
+
+    /**
+     * Selects this reply for the caller.
+     *
+     * @return the response
+     */
+    HttpResponse passOn() {
+        attempt.passOn();
+        return response;
+    }
 
     /**
      * Returns whether the response is the answer of a backend server.
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -22,6 +22,7 @@
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.Fingerprint;
 import io.mustardusher.call.Problem;
+import io.mustardusher.call.RunReport;
 import io.mustardusher.call.Timeout;
 import io.mustardusher.health.ServiceShedding;
 import io.mustardusher.instance.InstanceConditions;
@@ -79,6 +80,8 @@
     /** Hash of service, method, path and body. */
     private final long fingerprint;
 
+    private final CallTrace trace;
+
     private final ServerSelection servers;
 
     private final CompletableFuture<Reply> answer = new CompletableFuture<>();
@@ -96,6 +99,9 @@
     /** Estimated time to an answer of the current attempt, in nanoseconds. */
     private volatile long expectedNanos;
 
+    /** The current attempt, for the log. */
+    private CallTrace.Attempt attempt = CallTrace.Off.INSTANCE;
+
     /** Attempts that may have reached a backend server. */
     private int reachedAttempts;
 
@@ -117,6 +123,7 @@
      * @param idempotent  whether the call may run more than once
      * @param retryPolicy decides on retries
      * @param cancelled   completes when the caller has cancelled the call
+     * @param trace       records what happens to the call
      */
     RoutedCall(
             Router router,
@@ -124,13 +131,15 @@
             CallBody body,
             boolean idempotent,
             RetryPolicy retryPolicy,
-            CompletionStage<?> cancelled) {
+            CompletionStage<?> cancelled,
+            CallTrace trace) {
         this.router = router;
         this.call = call;
         this.body = body;
         this.idempotent = idempotent;
         this.retryPolicy = retryPolicy;
         this.cancelled = cancelled;
+        this.trace = trace;
         this.startNanos = router.clock().nanoTime();
         this.transferCost = router.transferCost(call.owner());
         this.shedding = router.shedding(call.service());
@@ -146,7 +155,7 @@
      * @return response for the caller
      */
     HttpResponse start() {
-        return HttpResponse.of(startForReply().thenApply(Reply::response));
+        return HttpResponse.of(startForReply().thenApply(Reply::passOn));
     }
 
     @Override
@@ -217,6 +226,7 @@
         server.transferRate().recordCallStart(largeBytes);
         Optional<InstanceConditions> conditions = router.statedConditions().of(server.node());
         RequestHeaders headersForNode = requestHeaders(remainingNanos, now, mobility, conditions);
+        attempt = trace.send(server.node().value());
         Exchange exchange = link.send(body.toRequest(headersForNode), remainingNanos, cancelled);
         exchange.headers().whenComplete((headers, failure) -> {
             if (failure != null) {
@@ -269,6 +279,7 @@
             return;
         }
         ResultCode code = codeOf(headers);
+        attempt.failed(code.number());
         recordRetryDelay(headers.getLong(CallHeaders.RETRY_DELAY, -1));
         boolean healthy = code.outcome() == Outcome.NOT_RUN && code != ResultCode.SERVER_UNREACHABLE;
         if (code == ResultCode.SERVER_UNREACHABLE) {
@@ -333,10 +344,13 @@
      */
     private void onServerAnswer(ServerLoad server, Exchange exchange, ResponseHeaders headers, long now) {
         boolean serverError = headers.status().isServerError();
+        attempt.answered(headers.status().code(), RunReport.parse(headers.get(CallHeaders.RUN)));
         server.ejection().recordCall(!serverError, now);
         shedding.recordAccepted(server.node());
         if (headers.getLong(HttpHeaderNames.CONTENT_LENGTH, Long.MAX_VALUE) > MAX_BUFFERED_ANSWER_BYTES) {
-            complete(new Reply(exchange.stream(callerHeaders(headers)), Outcome.RAN), resultOf(headers.status()));
+            complete(
+                    new Reply(exchange.stream(callerHeaders(headers)), Outcome.RAN, attempt),
+                    resultOf(headers.status()));
             return;
         }
         DecisionLog.INSTANCE.answered(
@@ -351,7 +365,7 @@
                 return;
             }
             transferCost.recordCall(body.bufferedData().length() + headers.getLong(HttpHeaderNames.CONTENT_LENGTH, 0));
-            Reply reply = new Reply(response, Outcome.RAN);
+            Reply reply = new Reply(response, Outcome.RAN, attempt);
             reachedAttempts++;
             if (serverError
                     && idempotent
@@ -391,6 +405,7 @@
     private void onFailure(ServerLoad server, Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         MustardusherException coded = (MustardusherException) cause;
+        attempt.failed(coded.code().number());
         long now = router.clock().nanoTime();
         if (coded.code() == ResultCode.SERVER_UNREACHABLE) {
             server.ejection().recordUnreachable(now);
@@ -479,7 +494,7 @@
     private static ResponseHeaders callerHeaders(ResponseHeaders headers) {
         ResponseHeadersBuilder builder = headers.toBuilder();
         builder.remove(CallHeaders.LOAD);
-        builder.remove(CallHeaders.CRASH);
+        builder.remove(CallHeaders.RUN);
         builder.remove(CallHeaders.CONDITIONS);
         builder.set(CallHeaders.CODE, Integer.toString(ResultCode.OK.number()));
         return builder.build();
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Router.java
@@ -116,7 +116,7 @@
     }
 
     /**
-     * Routes a call to a gate.
+     * Routes a call to a gate, without a line that tells how it ended.
      *
      * @param call       the call
      * @param body       body of the call
@@ -125,17 +125,32 @@
      * @return response for the caller
      */
     HttpResponse route(Call call, CallBody body, boolean idempotent, CompletionStage<?> cancelled) {
+        return route(call, body, idempotent, cancelled, CallTrace.Off.INSTANCE);
+    }
+
+    /**
+     * Routes a call to a gate.
+     *
+     * @param call       the call
+     * @param body       body of the call
+     * @param idempotent whether the call may run more than once
+     * @param cancelled  completes when the caller has cancelled the call
+     * @param trace      records what happens to the call
+     * @return response for the caller
+     */
+    HttpResponse route(Call call, CallBody body, boolean idempotent, CompletionStage<?> cancelled, CallTrace trace) {
         calls.mark();
+        trace.routed(call, idempotent);
         RetryPolicy policy = retryPolicies.computeIfAbsent(call.service(), policyFactory::create);
         policy.budget().earn(call.entry().retryPercent(), call.serviceClass());
         int hedgePercent = call.entry().hedgePercent();
         if (hedgePercent == 0 || !idempotent || !body.isReplayable() || call.retry()) {
-            return new RoutedCall(this, call, body, idempotent, policy, cancelled).start();
+            return new RoutedCall(this, call, body, idempotent, policy, cancelled, trace).start();
         }
         RatioBudget budget = hedgeBudgets.computeIfAbsent(call.service(), name -> new RatioBudget());
         budget.earn(hedgePercent);
         Function<CompletionStage<?>, HedgedCall.Attempt> attempts =
-                cancelStage -> new RoutedCall(this, call, body, true, policy, cancelStage);
+                cancelStage -> new RoutedCall(this, call, body, true, policy, cancelStage, trace);
         return new HedgedCall(attempts, budget, timers, cancelled).start();
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
@@ -147,9 +147,13 @@
             exchange.discard();
             return ended(CallEnd.OVERLOADED, ResultCode.SERVER_REFUSED);
         }
+        String run = link.reportsRuns() ? headers.get(CallHeaders.RUN) : null;
         ResponseHeadersBuilder forwarded = headers.toBuilder();
         CallHeaders.stripAnswer(forwarded);
         forwarded.set(CallHeaders.OUTCOME, Outcome.RAN.token());
+        if (run != null) {
+            forwarded.set(CallHeaders.RUN, run);
+        }
         forwarded.set(CallHeaders.LOAD, gate.load().toHeader());
         gate.statedConditions().ifPresent(stated -> forwarded.set(CallHeaders.CONDITIONS, stated.toHeader()));
         CallEnd onSuccess = headers.status().isServerError() ? CallEnd.ABANDONED : CallEnd.ANSWERED;
--- a/mustardusher-node/src/main/java/io/mustardusher/log/DecisionLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/DecisionLog.java
@@ -22,6 +22,15 @@
         this.logger = logger;
     }
 
+    /**
+     * Returns whether decisions are logged.
+     *
+     * @return {@code true} if they are
+     */
+    public boolean isEnabled() {
+        return logger.isInfoEnabled();
+    }
+
     /**
      * A call was routed to a backend server.
      *
@@ -57,6 +66,25 @@
         }
     }
 
+    /**
+     * A call has ended at its entry.
+     *
+     * @param call     identifier of the call
+     * @param kind     whether the call may run more than once
+     * @param service  called service
+     * @param attempts nodes to which the call was sent, with result and duration
+     * @param given    status of the response for the caller
+     * @param micros   time since the call arrived, in microseconds
+     * @param source   where the response comes from
+     */
+    public void callEnded(
+            String call, String kind, String service, String attempts, String given, long micros, String source) {
+        if (logger.isInfoEnabled()) {
+            logger.info("MUSH2008: call " + LoggedName.of(call) + ": " + kind + " to " + service + "; sent to "
+                    + attempts + "; caller got " + given + " after " + micros + " us, from " + source);
+        }
+    }
+
     /**
      * The gate refused a call.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -368,6 +368,21 @@
     @Message(id = 2007, value = "call %s: rejected with code %d, %s %s%s: %s")
     void callRejected(String call, int code, String method, String host, String path, String detail);
 
+    /**
+     * A call has ended at its entry.
+     *
+     * @param call     identifier of the call
+     * @param kind     whether the call may run more than once
+     * @param service  called service
+     * @param attempts nodes to which the call was sent, with result and duration
+     * @param given    status of the response for the caller
+     * @param micros   time since the call arrived, in microseconds
+     * @param source   where the response comes from
+     */
+    @LogMessage(level = Logger.Level.INFO)
+    @Message(id = 2008, value = "call %s: %s to %s; sent to %s; caller got %s after %d us, from %s")
+    void callEnded(String call, String kind, String service, String attempts, String given, long micros, String source);
+
     /**
      * The gate refused a call.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -219,6 +219,11 @@
         return permitted;
     }
 
+    @Override
+    public boolean reportsRuns() {
+        return true;
+    }
+
     @Override
     public void close() {
         loop.execute(() -> {
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -1,6 +1,7 @@
 package io.mustardusher.server;
 
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -10,6 +11,7 @@
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.RunReport;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.server.ServerDialect.ResponseKind;
 import io.mustardusher.time.Clock;
@@ -44,10 +46,16 @@
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
     private static final int MILLIS_PER_SECOND = 1_000;
 
+    private static final AtomicInteger NUMBERS = new AtomicInteger();
+
     private final BufferedServerLink link;
     private final Channel channel;
     private final Clock clock;
     private final CarriedRequests carried = new CarriedRequests();
+
+    /** Number of this connection, for the log. */
+    private final int number = NUMBERS.incrementAndGet();
+
     private ServerExchange exchange;
     private ResponseHeaders headers;
     private ResponseKind kind;
@@ -60,6 +68,9 @@
 
     private int discardedBytes;
 
+    /** Whether a response was discarded since the request was sent. */
+    private boolean discarded;
+
     /** Why the response was given up; {@code null} if it was not. */
     private ResponseFault fault;
 
@@ -96,6 +107,16 @@
         return exchange == other;
     }
 
+    /**
+     * Reports the run of the request that was answered last.
+     *
+     * @param digest digest of the signature of the response
+     * @return the report
+     */
+    RunReport reportRun(String digest) {
+        return new RunReport(number, exchanges, discarded, digest);
+    }
+
     void close() {
         end(ConnectionEnd.CLOSED_HERE);
     }
@@ -108,6 +129,7 @@
         closeDelimited = false;
         interimResponses = 0;
         discardedBytes = 0;
+        discarded = false;
         RequestHeaders requestHeaders = next.assign(this, request.headers(), instance, remainingNanos);
         next.requestId().ifPresent(carried::add);
         ByteBuf content = request.content().isEmpty()
@@ -213,6 +235,7 @@
         if (receivedKind == ResponseKind.MISMATCHED) {
             link.reportDiscarded(received, exchange.requestId());
             discarding = true;
+            discarded = true;
             reusable = false;
             return;
         }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerDialect.java
@@ -39,6 +39,16 @@
      */
     ResponseKind classify(ResponseHeaders response);
 
+    /**
+     * Reads the signature of the server over a response.
+     *
+     * @param response headers of a response
+     * @return the signature, or empty if there is none
+     */
+    default Optional<String> signature(ResponseHeaders response) {
+        return Optional.empty();
+    }
+
     /**
      * Reads the load of the server.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -9,8 +9,11 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Problem;
+import io.mustardusher.call.RunReport;
+import io.mustardusher.log.DecisionLog;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.result.ResultCode;
@@ -139,8 +142,13 @@
         }
     }
 
-    private static ResponseHeaders withRanOutcome(ResponseHeaders headers) {
-        return headers.toBuilder().set(CallHeaders.OUTCOME, Outcome.RAN.token()).build();
+    private ResponseHeaders withRanOutcome(ResponseHeaders headers) {
+        ResponseHeadersBuilder ran = headers.toBuilder().set(CallHeaders.OUTCOME, Outcome.RAN.token());
+        if (DecisionLog.INSTANCE.isEnabled()) {
+            String digest = RunReport.digest(dialect.signature(headers));
+            ran.set(CallHeaders.RUN, connection.reportRun(digest).toHeader());
+        }
+        return ran.build();
     }
 
     void fail(ResultCode code, String detail) {
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerLink.java
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.SessionProtocol;
+import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
 import io.mustardusher.call.ServerRequest;
 import io.mustardusher.generated.Announcement;
@@ -50,6 +51,16 @@
      */
     default void stop(long endNanos) {}
 
+    /**
+     * Returns whether the headers of answers hold a report of their run, see {@link CallHeaders#RUN}, that this link
+     * has set. Other links pass on what the server sends under that name.
+     *
+     * @return {@code true} if they do
+     */
+    default boolean reportsRuns() {
+        return false;
+    }
+
     /** Closes this link. Exchanges in flight continue, and their connections are not reused. */
     void close();
 
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/CallerFixture.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/CallerFixture.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 
 import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.admission.EventLoopDelay;
 import io.mustardusher.call.CallHeaders;
@@ -53,6 +54,7 @@
     /** A call at the gate. */
     final class HeldCall {
 
+        final RequestHeaders headers;
         final String path;
         final byte[] body;
         private final long number;
@@ -60,7 +62,8 @@
 
         private HeldCall(CallMessage message) {
             number = message.call();
-            path = packing.unpackRequest(message.head()).path();
+            headers = packing.unpackRequest(message.head());
+            path = headers.path();
             body = message.body();
         }
 
@@ -70,11 +73,12 @@
 
         void answer() {
             byte[] content = expectedAnswer(path, body).getBytes(StandardCharsets.US_ASCII);
-            ResponseHeaders headers = ResponseHeaders.builder(200)
+            ResponseHeaders answered = ResponseHeaders.builder(200)
                     .set(CallHeaders.OUTCOME, Outcome.RAN.token())
+                    .set(CallHeaders.RUN, "7.3.0.cbf43926")
                     .contentLength(content.length)
                     .build();
-            answer.complete(new CallMessage(number, packing.pack(headers), content));
+            answer.complete(new CallMessage(number, packing.pack(answered), content));
         }
     }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/PlainProtocol.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/PlainProtocol.java
@@ -4,6 +4,7 @@
 
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallOptions;
 import io.mustardusher.call.CallerProtocol;
@@ -55,6 +56,11 @@
         return CallOptions.NONE.id();
     }
 
+    @Override
+    public Optional<String> signature(ResponseHeaders answer) {
+        return Optional.ofNullable(answer.get("signature"));
+    }
+
     @Override
     public HttpResponse write(RequestHeaders request, HttpResponse answer) {
         return answer;
--- a/mustardusher-node/src/test/java/io/mustardusher/log/DecisionLogTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/log/DecisionLogTest.java
@@ -44,8 +44,10 @@
         formatted.answered("c-1", "node-2", 200, 3, 45_000);
         decisions.gateRefused("c-1", "clips", 2_002, 7, 8, 9);
         formatted.gateRefused("c-1", "clips", 2_002, 7, 8, 9);
-        assertThat(events.list).hasSize(6);
-        for (int i = 0; i < 6; i += 2) {
+        decisions.callEnded("c-1", "repeatable", "clips", "node-2 200 45000 us", "200", 45_000, "node-2");
+        formatted.callEnded("c-1", "repeatable", "clips", "node-2 200 45000 us", "200", 45_000, "node-2");
+        assertThat(events.list).hasSize(8);
+        for (int i = 0; i < 8; i += 2) {
             assertThat(events.list.get(i).getFormattedMessage())
                     .isEqualTo(events.list.get(i + 1).getFormattedMessage());
         }
@@ -68,6 +70,8 @@
     void writesNothingWhileDecisionsAreOff() {
         output.setLevel(Level.OFF);
         decisions.answered("c-1", "node-2", 200, 3, 45_000);
+        decisions.callEnded("c-1", "repeatable", "clips", "node-2 200 45000 us", "200", 45_000, "node-2");
+        assertThat(decisions.isEnabled()).isFalse();
         assertThat(events.list).isEmpty();
     }
 }
--- a/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/EchoDialect.java
@@ -11,7 +11,7 @@
 
 /**
  * Dialect of servers that echo the header {@code id} of the request, and set the header {@code not-run} in the response
- * to a request that they did not run, and {@code spoiled} in a response that proves nothing.
+ * to a request that they did not run, {@code signature}, and {@code spoiled} in a response that proves nothing.
  */
 public enum EchoDialect implements ServerDialect {
     /** The only instance. */
@@ -27,6 +27,11 @@
         return Optional.ofNullable(headers.get("id"));
     }
 
+    @Override
+    public Optional<String> signature(ResponseHeaders response) {
+        return Optional.ofNullable(response.get("signature"));
+    }
+
     @Override
     public ResponseKind classify(ResponseHeaders response) {
         if (response.contains("not-run")) {
