Name the exception of an event in its log line

The layout wrote the text of an event only, so that lines about failed tasks ("gossip failed") told nothing of the failure. Class and message follow the text now; the stack doesn't, since an event is one line.

Before: LineLayoutTest.namesExceptionOfEvent found a line that ended with "task failed".

--- a/mustardusher-node/src/main/java/io/mustardusher/log/LineLayout.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/LineLayout.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.spi.IThrowableProxy;
 import ch.qos.logback.core.Layout;
 import ch.qos.logback.core.LayoutBase;
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
@@ -42,7 +43,7 @@
         String message = event.getFormattedMessage();
         boolean numbered = isNumbered(message);
         String number = numbered ? message.substring(NUMBER_START, NUMBER_END) : "0000";
-        String text = escape(numbered ? message.substring(TEXT_START) : message);
+        String text = escape((numbered ? message.substring(TEXT_START) : message) + failureOf(event));
         String time = format(event.getTimeStamp());
         if (!json) {
             return time + " " + event.getLevel() + " MUSH" + number + " " + text + "\n";
@@ -51,6 +52,12 @@
                 + ",\"logger\":\"" + event.getLoggerName() + "\",\"text\":\"" + text + "\"}\n";
     }
 
+    // Without its stack, since an event is one line.
+    private static String failureOf(ILoggingEvent event) {
+        IThrowableProxy failure = event.getThrowableProxy();
+        return failure == null ? "" : SEPARATOR + failure.getClassName() + SEPARATOR + failure.getMessage();
+    }
+
     // The message logger puts the project code and the number of the event before the text.
     private static boolean isNumbered(String message) {
         if (!message.startsWith(PROJECT_CODE) || !message.startsWith(SEPARATOR, NUMBER_END)) {
--- a/mustardusher-node/src/test/java/io/mustardusher/log/LineLayoutTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/log/LineLayoutTest.java
@@ -20,6 +20,21 @@
         assertThat(line.path("text").asText()).isEqualTo("route \"a\"");
     }
 
+    /** Lines about failed tasks once told nothing of the failure. */
+    @Test
+    void namesExceptionOfEvent() {
+        IllegalStateException failure = new IllegalStateException("expected\nby the test");
+        LoggingEvent event = new LoggingEvent(
+                "test",
+                new LoggerContext().getLogger("io.mustardusher.test"),
+                Level.WARN,
+                "task failed",
+                failure,
+                null);
+        assertThat(LineLayout.of("text").doLayout(event))
+                .endsWith(" task failed: java.lang.IllegalStateException: expected\\nby the test\n");
+    }
+
     @Test
     void escapesControlCharacters() {
         assertThat(line("text", "MUSH2001: a\nfake line\u001b[0m").strip()).doesNotContain("\n");
