Count the messages of exceptions among the bytes of waiting log events

Before: BatchWriterTest.boundsMemoryOfExceptionsThatWait, with messages of 32,000 characters, wrote 6,095,481 bytes of 1,000 events (bound of the test: 4,194,304).

--- a/mustardusher-node/src/main/java/io/mustardusher/log/BatchWriter.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/BatchWriter.java
@@ -127,14 +127,17 @@
     }
 
     private static long bytesOf(ILoggingEvent event) {
-        long bytes = EVENT_BYTES
-                + (long) Character.BYTES * event.getFormattedMessage().length();
+        long bytes = EVENT_BYTES + charBytes(event.getFormattedMessage());
         for (IThrowableProxy cause = event.getThrowableProxy(); cause != null; cause = cause.getCause()) {
-            bytes += (long) FRAME_BYTES * cause.getStackTraceElementProxyArray().length;
+            bytes += (long) FRAME_BYTES * cause.getStackTraceElementProxyArray().length + charBytes(cause.getMessage());
         }
         return bytes;
     }
 
+    private static long charBytes(String text) {
+        return text == null ? 0 : (long) Character.BYTES * text.length();
+    }
+
     private void recordDrop(int events, String cause) {
         dropCause = cause;
         dropped.addAndGet(events);
--- a/mustardusher-node/src/test/java/io/mustardusher/log/BatchWriterTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/log/BatchWriterTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.LoggingEvent;
@@ -88,6 +89,21 @@
         assertThat(output.bytes()).isAtMost(2 * MAX_WAITING_BYTES);
     }
 
+    @Test
+    void boundsMemoryOfExceptionsThatWait() {
+        HeldOutput output = new HeldOutput();
+        BatchWriter writer = writer(8_192, output);
+        Logger logger = context.getLogger("io.mustardusher.test");
+        IllegalStateException failure = new IllegalStateException("x".repeat(32_000));
+        for (int i = 0; i < 1_000; i++) {
+            writer.doAppend(new LoggingEvent("test", logger, Level.WARN, "failed", failure, null));
+        }
+        output.release();
+        writer.stop();
+        assertThat(output.bytes()).isAtMost(2 * MAX_WAITING_BYTES);
+        assertThat(writer.dropped()).isGreaterThan(900);
+    }
+
     /** Dropped lines once left no trace, so that a log could not be told from one that is complete. */
     @Test
     void writesNumberOfDroppedEventsOnceThereIsRoom() {
