--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -16,6 +16,7 @@
 import com.linecorp.armeria.common.HttpRequestWriter;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.time.Clock;
@@ -62,6 +63,9 @@
      */
     private static final long MAX_LINGER_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
 
+    /** Memory that a byte of an incomplete header block takes, in bytes: in the read buffer and as text. */
+    private static final int MEMORY_PER_HEADER_BYTE = 2;
+
     private static final ByteBuf CONTINUE = Unpooled.unreleasableBuffer(
             Unpooled.copiedBuffer("HTTP/1.1 100 Continue\r\n\r\n", StandardCharsets.US_ASCII));
 
@@ -72,6 +76,7 @@
     private final RequestHandler handler;
     private final Supplier<RequestLimits> limits;
     private final BiConsumer<HttpResponseStatus, String> rejectionListener;
+    private final BodyMemory bodyMemory;
     private final Clock clock;
 
     /** Requests without a response, in the order of their arrival. */
@@ -92,6 +97,9 @@
     /** Whether a part of a header block has arrived, but not its end. */
     private boolean headIncomplete;
 
+    /** Memory of the part of a header block that has arrived; {@code null} if there is none. */
+    private BodyMemory.Share headMemory;
+
     /** Whether a limit was exceeded at the last check and nothing has arrived since. */
     private boolean overdue;
 
@@ -104,11 +112,13 @@
             RequestHandler handler,
             Supplier<RequestLimits> limits,
             BiConsumer<HttpResponseStatus, String> rejectionListener,
+            BodyMemory bodyMemory,
             Clock clock) {
         this.channel = channel;
         this.handler = handler;
         this.limits = limits;
         this.rejectionListener = rejectionListener;
+        this.bodyMemory = bodyMemory;
         this.clock = clock;
         this.lastActiveNanos = clock.nanoTime();
     }
@@ -125,15 +135,42 @@
             public void channelRead(ChannelHandlerContext context, Object message) {
                 lastActiveNanos = clock.nanoTime();
                 overdue = false;
+                int bytes = ((ByteBuf) message).readableBytes();
                 if (receiving == null && !headIncomplete) {
                     headIncomplete = true;
                     headStartNanos = lastActiveNanos;
                 }
                 context.fireChannelRead(message);
+                if (headIncomplete && !closing) {
+                    holdHead(bytes);
+                }
             }
         };
     }
 
+    private void holdHead(int bytes) {
+        if (headMemory == null) {
+            headMemory = bodyMemory.open(() -> runOnLoop(this::giveUpHead));
+        }
+        if (!headMemory.reserve(bytes * MEMORY_PER_HEADER_BYTE)) {
+            giveUpHead();
+        }
+    }
+
+    private void giveUpHead() {
+        if (headIncomplete && !closing) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the head");
+        }
+    }
+
+    private void endHead() {
+        headIncomplete = false;
+        if (headMemory != null) {
+            headMemory.release();
+            headMemory = null;
+        }
+    }
+
     /** Closes the connection, also while requests are in flight. */
     void close() {
         channel.close();
@@ -191,10 +228,12 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
+        endHead();
         PendingRequest incomplete = receiving;
         receiving = null;
         while (!pending.isEmpty()) {
             PendingRequest lost = pending.removeFirst();
+            lost.memory.release();
             lost.cancelled.complete(null);
             lost.ended.complete(null);
         }
@@ -215,7 +254,7 @@
     }
 
     private void receiveHead(io.netty.handler.codec.http.HttpRequest head) {
-        headIncomplete = false;
+        endHead();
         if (closing) {
             return;
         }
@@ -271,7 +310,7 @@
     // Answers what is not a request after the outstanding responses, and closes the connection.
     private void reject(HttpResponseStatus status, String cause) {
         rejectionListener.accept(status, cause);
-        headIncomplete = false;
+        endHead();
         closing = true;
         PendingRequest malformed = new PendingRequest(null, false, false);
         pending.addLast(malformed);
@@ -330,6 +369,14 @@
         }
     }
 
+    private void runOnLoop(Runnable task) {
+        if (channel.eventLoop().inEventLoop()) {
+            task.run();
+        } else {
+            channel.eventLoop().execute(task);
+        }
+    }
+
     private static boolean exceeds(long nanos, long limitMillis) {
         return limitMillis > 0 && nanos > limitMillis * Clock.NANOS_PER_MILLI;
     }
@@ -356,6 +403,11 @@
         private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
         private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
+        /** Memory of the first bytes of the body, which may be held until the response. */
+        private final BodyMemory.Share memory = bodyMemory.open(() -> runOnLoop(this::giveUpBody));
+
+        private int heldBytes;
+
         /** Body until the request is handed over; {@code null} afterwards. */
         private ByteArrayOutputStream collected;
 
@@ -408,10 +460,15 @@
         }
 
         void append(ByteBuf bytes) {
-            if (!bytes.isReadable() || response != null) {
+            boolean discarded = response != null || writer != null && !writer.isOpen();
+            if (!bytes.isReadable() || discarded) {
                 return;
             }
             expectsContinue = false;
+            if (!hold(bytes.readableBytes())) {
+                giveUpBody();
+                return;
+            }
             byte[] copy = new byte[bytes.readableBytes()];
             bytes.getBytes(bytes.readerIndex(), copy);
             if (writer != null) {
@@ -427,6 +484,23 @@
             }
         }
 
+        // What follows behind these bytes is only read once it has been consumed.
+        private boolean hold(int added) {
+            int held = Math.min(added, MAX_COLLECTED_BYTES - heldBytes);
+            if (held > 0 && !memory.reserve(held)) {
+                return false;
+            }
+            heldBytes += held;
+            return true;
+        }
+
+        private void giveUpBody() {
+            if (receiving == this && response == null) {
+                handOver();
+                writer.close(BodyMemory.exhausted());
+            }
+        }
+
         // Hands the request over while its body is still arriving.
         void handOver() {
             if (handedOver) {
@@ -442,6 +516,7 @@
         }
 
         void endBody() {
+            memory.complete();
             if (writer != null) {
                 writer.close();
                 return;
@@ -459,6 +534,7 @@
 
         void respond(AggregatedHttpResponse complete) {
             response = complete;
+            memory.release();
             if (receiving == this) {
                 // The rest of the body is discarded, and nothing is known of its length.
                 closeAfterResponse();
@@ -505,13 +581,5 @@
                 channel.close();
             }
         }
-
-        private void runOnLoop(Runnable task) {
-            if (channel.eventLoop().inEventLoop()) {
-                task.run();
-            } else {
-                channel.eventLoop().execute(task);
-            }
-        }
     }
 }
