--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
-import java.util.regex.Pattern;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
@@ -38,7 +37,6 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.EventExecutor;
 
@@ -63,15 +61,9 @@
      */
     private static final long MAX_LINGER_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
 
-    /** Memory that a byte of an incomplete header block takes, in bytes: in the read buffer and as text. */
-    private static final int MEMORY_PER_HEADER_BYTE = 2;
-
     private static final ByteBuf CONTINUE = Unpooled.unreleasableBuffer(
             Unpooled.copiedBuffer("HTTP/1.1 100 Continue\r\n\r\n", StandardCharsets.US_ASCII));
 
-    /** Part of a message from which on it quotes the request. */
-    private static final Pattern QUOTED_REQUEST = Pattern.compile("[:'\"(].*", Pattern.DOTALL);
-
     private final Channel channel;
     private final RequestHandler handler;
     private final Supplier<RequestLimits> limits;
@@ -97,8 +89,7 @@
     /** Whether a part of a header block has arrived, but not its end. */
     private boolean headIncomplete;
 
-    /** Memory of the part of a header block that has arrived; {@code null} if there is none. */
-    private BodyMemory.Share headMemory;
+    private final HeadMemory headMemory;
 
     /** Whether a limit was exceeded at the last check and nothing has arrived since. */
     private boolean overdue;
@@ -119,6 +110,7 @@
         this.limits = limits;
         this.rejectionListener = rejectionListener;
         this.bodyMemory = bodyMemory;
+        this.headMemory = new HeadMemory(bodyMemory, () -> runOnLoop(this::giveUpHead));
         this.clock = clock;
         this.lastActiveNanos = clock.nanoTime();
     }
@@ -142,21 +134,12 @@
                 }
                 context.fireChannelRead(message);
                 if (headIncomplete && !closing) {
-                    holdHead(bytes);
+                    headMemory.hold(bytes);
                 }
             }
         };
     }
 
-    private void holdHead(int bytes) {
-        if (headMemory == null) {
-            headMemory = bodyMemory.open(() -> runOnLoop(this::giveUpHead));
-        }
-        if (!headMemory.reserve(bytes * MEMORY_PER_HEADER_BYTE)) {
-            giveUpHead();
-        }
-    }
-
     private void giveUpHead() {
         if (headIncomplete && !closing) {
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the head");
@@ -165,10 +148,7 @@
 
     private void endHead() {
         headIncomplete = false;
-        if (headMemory != null) {
-            headMemory.release();
-            headMemory = null;
-        }
+        headMemory.release();
     }
 
     /** Closes the connection, also while requests are in flight. */
@@ -269,14 +249,14 @@
         }
         if (head.decoderResult().isFailure()) {
             Throwable cause = head.decoderResult().cause();
-            reject(statusOf(cause), describe(cause));
+            reject(HeadFault.status(cause), HeadFault.describe(cause));
             return;
         }
         RequestHeaders headers;
         try {
             headers = HttpMessages.toRequestHeaders(head);
         } catch (IllegalArgumentException e) {
-            reject(HttpResponseStatus.BAD_REQUEST, describe(e));
+            reject(HttpResponseStatus.BAD_REQUEST, HeadFault.describe(e));
             return;
         }
         receiving = new PendingRequest(
@@ -390,19 +370,6 @@
         return limitMillis > 0 && nanos > limitMillis * Clock.NANOS_PER_MILLI;
     }
 
-    // Without the part of the message that quotes the request, which may contain a key of a client account.
-    private static String describe(Throwable failure) {
-        String message = String.valueOf(failure.getMessage());
-        return failure.getClass().getSimpleName() + " "
-                + QUOTED_REQUEST.matcher(message).replaceFirst("");
-    }
-
-    private static HttpResponseStatus statusOf(Throwable failure) {
-        return failure instanceof TooLongHttpHeaderException
-                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                : HttpResponseStatus.BAD_REQUEST;
-    }
-
     /** A request of this connection whose response has not been sent. */
     private final class PendingRequest implements RequestExchange {
 
