--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
-import java.util.regex.Pattern;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
@@ -38,7 +37,6 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.EventExecutor;
 
@@ -63,15 +61,9 @@
      */
     private static final long MAX_LINGER_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
 
-    /** Memory that a byte of an incomplete header block takes, in bytes: in the read buffer and as text. */
-    private static final int MEMORY_PER_HEADER_BYTE = 2;
-
     private static final ByteBuf CONTINUE = Unpooled.unreleasableBuffer(
             Unpooled.copiedBuffer("HTTP/1.1 100 Continue\r\n\r\n", StandardCharsets.US_ASCII));
 
-    /** Part of a message from which on it quotes the request. */
-    private static final Pattern QUOTED_REQUEST = Pattern.compile("[:'\"(].*", Pattern.DOTALL);
-
     private final Channel channel;
     private final RequestHandler handler;
     private final Supplier<RequestLimits> limits;
@@ -97,8 +89,7 @@
     /** Whether a part of a header block has arrived, but not its end. */
     private boolean headIncomplete;
 
-    /** Memory of the part of a header block that has arrived; {@code null} if there is none. */
-    private BodyMemory.Share headMemory;
+    private final HeadMemory headMemory;
 
     /** Whether a limit was exceeded at the last check and nothing has arrived since. */
     private boolean overdue;
@@ -119,6 +110,7 @@
         this.limits = limits;
         this.rejectionListener = rejectionListener;
         this.bodyMemory = bodyMemory;
+        this.headMemory = new HeadMemory(bodyMemory, () -> runOnLoop(this::giveUpHead));
         this.clock = clock;
         this.lastActiveNanos = clock.nanoTime();
     }
@@ -142,21 +134,12 @@
                 }
                 context.fireChannelRead(message);
                 if (headIncomplete && !closing) {
-                    holdHead(bytes);
+                    headMemory.hold(bytes);
                 }
             }
         };
     }
 
-    private void holdHead(int bytes) {
-        if (headMemory == null) {
-            headMemory = bodyMemory.open(() -> runOnLoop(this::giveUpHead));
-        }
-        if (!headMemory.reserve(bytes * MEMORY_PER_HEADER_BYTE)) {
-            giveUpHead();
-        }
-    }
-
     private void giveUpHead() {
         if (headIncomplete && !closing) {
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the head");
@@ -165,10 +148,7 @@
 
     private void endHead() {
         headIncomplete = false;
-        if (headMemory != null) {
-            headMemory.release();
-            headMemory = null;
-        }
+        headMemory.release();
     }
 
     /** Closes the connection, also while requests are in flight. */
@@ -225,6 +205,14 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (receiving != null) {
+            receiving.streamCollected();
+        }
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
@@ -234,6 +222,7 @@
         while (!pending.isEmpty()) {
             PendingRequest lost = pending.removeFirst();
             lost.memory.release();
+            lost.outgoing.release();
             lost.cancelled.complete(null);
             lost.ended.complete(null);
         }
@@ -260,14 +249,14 @@
         }
         if (head.decoderResult().isFailure()) {
             Throwable cause = head.decoderResult().cause();
-            reject(statusOf(cause), describe(cause));
+            reject(HeadFault.status(cause), HeadFault.describe(cause));
             return;
         }
         RequestHeaders headers;
         try {
             headers = HttpMessages.toRequestHeaders(head);
         } catch (IllegalArgumentException e) {
-            reject(HttpResponseStatus.BAD_REQUEST, describe(e));
+            reject(HttpResponseStatus.BAD_REQUEST, HeadFault.describe(e));
             return;
         }
         receiving = new PendingRequest(
@@ -324,14 +313,14 @@
             FullHttpResponse response = HttpMessages.toFullResponse(next.response, next.toHead);
             lastActiveNanos = clock.nanoTime();
             if (!next.closeAfter) {
-                channel.write(response).addListener(sent -> next.ended.complete(null));
+                channel.write(response).addListener(sent -> next.endResponse());
                 flush = true;
                 continue;
             }
             closing = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ChannelFuture written = channel.writeAndFlush(response);
-            written.addListener(sent -> next.ended.complete(null));
+            written.addListener(sent -> next.endResponse());
             if (next.isMalformed()) {
                 written.addListener(sent -> shutDownOutput());
                 linger();
@@ -381,19 +370,6 @@
         return limitMillis > 0 && nanos > limitMillis * Clock.NANOS_PER_MILLI;
     }
 
-    // Without the part of the message that quotes the request, which may contain a key of a client account.
-    private static String describe(Throwable failure) {
-        String message = String.valueOf(failure.getMessage());
-        return failure.getClass().getSimpleName() + " "
-                + QUOTED_REQUEST.matcher(message).replaceFirst("");
-    }
-
-    private static HttpResponseStatus statusOf(Throwable failure) {
-        return failure instanceof TooLongHttpHeaderException
-                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                : HttpResponseStatus.BAD_REQUEST;
-    }
-
     /** A request of this connection whose response has not been sent. */
     private final class PendingRequest implements RequestExchange {
 
@@ -408,9 +384,15 @@
 
         private int heldBytes;
 
-        /** Body until the request is handed over; {@code null} afterwards. */
+        /** Memory of the response until it is written. */
+        private final BodyMemory.Share outgoing = bodyMemory.open(() -> runOnLoop(channel::close));
+
+        /** What has arrived of the body and was not passed on; {@code null} if there is nothing. */
         private ByteArrayOutputStream collected;
 
+        /** Number of parts that were passed on and not consumed. */
+        private int unconsumedParts;
+
         /** Rest of the body after the request was handed over before its end. */
         private HttpRequestWriter writer;
 
@@ -471,19 +453,30 @@
             }
             byte[] copy = new byte[bytes.readableBytes()];
             bytes.getBytes(bytes.readerIndex(), copy);
-            if (writer != null) {
-                stream(copy);
-                return;
-            }
             if (collected == null) {
                 collected = new ByteArrayOutputStream(copy.length);
             }
             collected.writeBytes(copy);
-            if (collected.size() > MAX_COLLECTED_BYTES) {
+            if (collected.size() <= MAX_COLLECTED_BYTES) {
+                return;
+            }
+            if (handedOver) {
+                streamCollected();
+            } else {
                 handOver();
             }
         }
 
+        // Chunks that arrive together are passed on together, since each part takes memory of its own.
+        void streamCollected() {
+            // The request may have been answered at once; nobody reads the body then.
+            if (writer != null && collected != null && response == null) {
+                byte[] part = collected.toByteArray();
+                collected = null;
+                stream(part);
+            }
+        }
+
         // What follows behind these bytes is only read once it has been consumed.
         private boolean hold(int added) {
             int held = Math.min(added, MAX_COLLECTED_BYTES - heldBytes);
@@ -494,6 +487,11 @@
             return true;
         }
 
+        private void endResponse() {
+            outgoing.release();
+            ended.complete(null);
+        }
+
         private void giveUpBody() {
             if (receiving == this && response == null) {
                 handOver();
@@ -508,16 +506,13 @@
             }
             writer = HttpRequest.streaming(headers);
             handle(writer);
-            // The request may have been answered at once; nobody reads the body then.
-            if (collected != null && response == null) {
-                stream(collected.toByteArray());
-            }
-            collected = null;
+            streamCollected();
         }
 
         void endBody() {
             memory.complete();
             if (writer != null) {
+                streamCollected();
                 writer.close();
                 return;
             }
@@ -534,7 +529,12 @@
 
         void respond(AggregatedHttpResponse complete) {
             response = complete;
+            collected = null;
             memory.release();
+            if (!outgoing.reserve(complete.content().length())) {
+                channel.close();
+                return;
+            }
             if (receiving == this) {
                 // The rest of the body is discarded, and nothing is known of its length.
                 closeAfterResponse();
@@ -552,8 +552,16 @@
             CompletableFuture<Void> consumed = writer.whenConsumed();
             if (!consumed.isDone()) {
                 blocking = this;
+                unconsumedParts++;
                 updateReading();
-                consumed.whenComplete((ignored, failure) -> runOnLoop(this::unblock));
+                consumed.whenComplete((ignored, failure) -> runOnLoop(this::endPart));
+            }
+        }
+
+        private void endPart() {
+            unconsumedParts--;
+            if (unconsumedParts == 0) {
+                unblock();
             }
         }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/log/DecisionLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/DecisionLog.java
@@ -11,6 +11,9 @@
     /** Writes to the same logger as {@link NodeLog#DECISIONS}. */
     public static final DecisionLog INSTANCE = new DecisionLog(Logger.getLogger(NodeLog.DECISION_LOGGER));
 
+    /** Initial capacity for the line about the end of a call, which suffices for most, in characters. */
+    private static final int ENDED_CHARS = 320;
+
     private final Logger logger;
 
     /**
@@ -22,6 +25,15 @@
         this.logger = logger;
     }
 
+    /**
+     * Returns whether decisions are logged.
+     *
+     * @return {@code true} if they are
+     */
+    public boolean isEnabled() {
+        return logger.isInfoEnabled();
+    }
+
     /**
      * A call was routed to a backend server.
      *
@@ -57,6 +69,40 @@
         }
     }
 
+    /**
+     * A call has ended at its entry.
+     *
+     * @param call     identifier of the call
+     * @param kind     whether the call may run more than once
+     * @param service  called service
+     * @param attempts nodes to which the call was sent, with result and duration
+     * @param given    status of the response for the caller
+     * @param micros   time since the call arrived, in microseconds
+     * @param source   where the response comes from
+     */
+    public void callEnded(
+            String call, String kind, String service, String attempts, String given, long micros, String source) {
+        if (logger.isInfoEnabled()) {
+            // With the compiler that nodes use, a builder takes less time than a concatenation of so many parts.
+            logger.info(new StringBuilder(ENDED_CHARS)
+                    .append("MUSH2008: call ")
+                    .append(LoggedName.of(call))
+                    .append(": ")
+                    .append(kind)
+                    .append(" to ")
+                    .append(service)
+                    .append("; sent to ")
+                    .append(attempts)
+                    .append("; caller got ")
+                    .append(given)
+                    .append(" after ")
+                    .append(micros)
+                    .append(" us, from ")
+                    .append(source)
+                    .toString());
+        }
+    }
+
     /**
      * The gate refused a call.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -9,8 +9,11 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Problem;
+import io.mustardusher.call.RunReport;
+import io.mustardusher.log.DecisionLog;
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.result.ResultCode;
@@ -91,6 +94,11 @@
         return dialect.requestId(headers).equals(requestId());
     }
 
+    // Returns whether a response is a late one to a request that its connection has carried.
+    boolean isLate(ResponseHeaders headers, CarriedRequests carried) {
+        return dialect.requestId(headers).filter(carried::contains).isPresent();
+    }
+
     // Returns whether a response names no other server instance than the one that the request is meant for.
     boolean isFromInstance(ResponseHeaders headers) {
         return instance == null
@@ -122,7 +130,8 @@
         if (unmodified) {
             return ServerDialect.ResponseKind.RAN;
         }
-        return named || onlyRequest ? dialect.classify(headers) : ServerDialect.ResponseKind.INVALID;
+        boolean identified = named && requestId().isPresent();
+        return identified || onlyRequest ? dialect.classify(headers) : ServerDialect.ResponseKind.INVALID;
     }
 
     // A misdirected request was answered by another instance than the one that it was meant for.
@@ -144,8 +153,13 @@
         }
     }
 
-    private static ResponseHeaders withRanOutcome(ResponseHeaders headers) {
-        return headers.toBuilder().set(CallHeaders.OUTCOME, Outcome.RAN.token()).build();
+    private ResponseHeaders withRanOutcome(ResponseHeaders headers) {
+        ResponseHeadersBuilder ran = headers.toBuilder().set(CallHeaders.OUTCOME, Outcome.RAN.token());
+        if (DecisionLog.INSTANCE.isEnabled()) {
+            String digest = RunReport.digest(dialect.signature(headers));
+            ran.set(CallHeaders.RUN, connection.reportRun(digest).toHeader());
+        }
+        return ran.build();
     }
 
     void fail(ResultCode code, String detail) {
