Keep the room of short bodies apart, and answer callers whatever memory others take

Found by the review of the bound on bodies: a response closed its connection if bodies that cannot be given up had used the memory up, and a stalled upload of known length kept short bodies out until its deadline.

Only a refusal has to be identified by a request, so that dialects without identifiers can reuse connections.

--- a/mustardusher-node/src/main/java/io/mustardusher/call/BodyBuffer.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/BodyBuffer.java
@@ -23,15 +23,6 @@
 
     private int length;
 
-    /**
-     * Allocates memory for a whole body, which has no bytes yet.
-     *
-     * @param capacity length of the body, in bytes
-     */
-    void allocate(int capacity) {
-        blocks.add(new byte[capacity]);
-    }
-
     /**
      * Returns the number of bytes.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/call/BodyCollector.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/BodyCollector.java
@@ -16,18 +16,24 @@
 
     private final HttpRequest request;
     private final BodyMemory.Share memory;
+
+    /** Whether the memory for the whole body is reserved before any of it arrives. */
+    private final boolean ahead;
+
     private final BodyBuffer body = new BodyBuffer();
     private final CompletableFuture<AggregatedHttpRequest> whole = new CompletableFuture<>();
     private HttpHeaders trailers = HttpHeaders.of();
     private Subscription subscription;
 
-    private BodyCollector(HttpRequest request, BodyMemory memory) {
+    private BodyCollector(HttpRequest request, BodyMemory memory, boolean ahead) {
         this.request = request;
+        this.ahead = ahead;
         this.memory = memory.open(() -> request.abort(BodyMemory.exhausted()));
     }
 
     /**
-     * Collects the body of a request.
+     * Collects the body of a request. One of known length has its room from the start, so that others cannot take it
+     * away before the end, or is given up at once.
      *
      * @param request  the request
      * @param memory   memory for the body
@@ -35,7 +41,25 @@
      * @return the collected request, and the memory that it takes
      */
     public static Collected collect(HttpRequest request, BodyMemory memory, EventExecutor executor) {
-        BodyCollector collector = new BodyCollector(request, memory);
+        return collect(
+                request,
+                executor,
+                new BodyCollector(request, memory, request.headers().contentLength() > 0));
+    }
+
+    /**
+     * Collects the body of a request, which takes memory only as it arrives, also if its length is known.
+     *
+     * @param request  the request
+     * @param memory   memory for the body
+     * @param executor executor that receives the body
+     * @return the collected request, and the memory that it takes
+     */
+    public static Collected collectGradually(HttpRequest request, BodyMemory memory, EventExecutor executor) {
+        return collect(request, executor, new BodyCollector(request, memory, false));
+    }
+
+    private static Collected collect(HttpRequest request, EventExecutor executor, BodyCollector collector) {
         request.subscribe(collector, executor);
         return new Collected(collector.whole, collector.memory);
     }
@@ -43,8 +67,7 @@
     @Override
     public void onSubscribe(Subscription started) {
         subscription = started;
-        long length = request.headers().contentLength();
-        if (length > 0 && !reserveWhole(length)) {
+        if (ahead && !reserveWhole(request.headers().contentLength())) {
             giveUp();
             return;
         }
@@ -54,7 +77,7 @@
     @Override
     public void onNext(HttpObject part) {
         if (part instanceof HttpData data) {
-            if (!memory.reserve(body.additionalBytes(data.length()))) {
+            if (!ahead && !memory.reserve(body.additionalBytes(data.length()))) {
                 giveUp();
                 return;
             }
@@ -80,13 +103,11 @@
         whole.complete(AggregatedHttpRequest.of(request.headers(), data, trailers));
     }
 
-    // A body of known length has its room from the start, so that others cannot take it away before the end.
     private boolean reserveWhole(long length) {
         if (length > Integer.MAX_VALUE || !memory.reserve((int) length)) {
             return false;
         }
         memory.complete();
-        body.allocate((int) length);
         return true;
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/call/BodyMemory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/BodyMemory.java
@@ -14,7 +14,7 @@
  */
 public final class BodyMemory {
 
-    /** Size of the memory of a node, in bytes: a quarter of its heap. */
+    /** Size of the memory for bodies that arrive in parts, in bytes: a quarter of a node's heap. */
     public static final int NODE_BYTES = 16 << 20;
 
     private final int size;
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -222,7 +222,6 @@
         while (!pending.isEmpty()) {
             PendingRequest lost = pending.removeFirst();
             lost.memory.release();
-            lost.outgoing.release();
             lost.cancelled.complete(null);
             lost.ended.complete(null);
         }
@@ -313,14 +312,14 @@
             FullHttpResponse response = HttpMessages.toFullResponse(next.response, next.toHead);
             lastActiveNanos = clock.nanoTime();
             if (!next.closeAfter) {
-                channel.write(response).addListener(sent -> next.endResponse());
+                channel.write(response).addListener(sent -> next.ended.complete(null));
                 flush = true;
                 continue;
             }
             closing = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ChannelFuture written = channel.writeAndFlush(response);
-            written.addListener(sent -> next.endResponse());
+            written.addListener(sent -> next.ended.complete(null));
             if (next.isMalformed()) {
                 written.addListener(sent -> shutDownOutput());
                 linger();
@@ -384,9 +383,6 @@
 
         private int heldBytes;
 
-        /** Memory of the response until it is written. */
-        private final BodyMemory.Share outgoing = bodyMemory.open(() -> runOnLoop(channel::close));
-
         /** What has arrived of the body and was not passed on; {@code null} if there is nothing. */
         private ByteArrayOutputStream collected;
 
@@ -487,11 +483,6 @@
             return true;
         }
 
-        private void endResponse() {
-            outgoing.release();
-            ended.complete(null);
-        }
-
         private void giveUpBody() {
             if (receiving == this && response == null) {
                 handOver();
@@ -531,10 +522,6 @@
             response = complete;
             collected = null;
             memory.release();
-            if (!outgoing.reserve(complete.content().length())) {
-                channel.close();
-                return;
-            }
             if (receiving == this) {
                 // The rest of the body is discarded, and nothing is known of its length.
                 closeAfterResponse();
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -100,7 +100,12 @@
      */
     private final Lazy<ClientFactory> clientFactory = new Lazy<>(() -> createClientFactory(group));
 
-    private final BodyMemory bodyMemory = BodyMemory.ofNode();
+    /** For heads and short bodies, which long ones must not displace. */
+    private final BodyMemory bodyMemory = new BodyMemory(BodyMemory.NODE_BYTES / 2);
+
+    /** For bodies that arrive in parts. */
+    private final BodyMemory streamMemory = BodyMemory.ofNode();
+
     private final EventLoopDelay eventLoopDelay = new EventLoopDelay(clock);
     private final FrameTraffic traffic = new FrameTraffic();
     private final Credential credential;
@@ -156,8 +161,8 @@
         frameServer
                 .on(FrameKind.GOSSIP, (Gossip request) -> gossiper.answer(request))
                 .on(FrameKind.SUSPECT, (SuspectRecord message) -> suspectReplicator.answer(message));
-        metrics.gauge("bodies.reservedBytes", () -> bodyMemory::reservedBytes);
-        metrics.gauge("bodies.givenUp", () -> bodyMemory::givenUp);
+        metrics.gauge("bodies.reservedBytes", () -> () -> bodyMemory.reservedBytes() + streamMemory.reservedBytes());
+        metrics.gauge("bodies.givenUp", () -> () -> bodyMemory.givenUp() + streamMemory.givenUp());
         metrics.gauge("log.dropped", () -> LogOutput::droppedEvents);
         metrics.gauge("frames.sentBytes", () -> traffic::sentBytes);
         metrics.gauge("frames.receivedBytes", () -> traffic::receivedBytes);
@@ -364,7 +369,7 @@
     }
 
     /**
-     * Returns the memory for the bodies of requests.
+     * Returns the memory for heads and short bodies of requests.
      *
      * @return the memory
      */
@@ -372,6 +377,15 @@
         return bodyMemory;
     }
 
+    /**
+     * Returns the memory for bodies of requests that arrive in parts.
+     *
+     * @return the memory
+     */
+    BodyMemory streamMemory() {
+        return streamMemory;
+    }
+
     /**
      * Returns the address at which a node accepts frames.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -124,7 +124,7 @@
                         created.group(),
                         environment.serverDialect(),
                         new GateReports(created::gate, created.metrics()),
-                        created.bodyMemory(),
+                        created.streamMemory(),
                         created.clock()),
                 time -> Admission.withLatencyTargets(time, SAFE_SLOT_FRACTION),
                 SuspectTable.Policy.REJECT_AFTER_THREE_CRASHES,
@@ -310,7 +310,7 @@
                 settings.getId(), core.members().self().getBoot(), core.random()));
         core.directory()
                 .useFrames(new ServerDirectory.FrameTransport(
-                        core.frames(), packing, callNumbers, loop, core.bodyMemory()));
+                        core.frames(), packing, callNumbers, loop, core.streamMemory()));
     }
 
     private void registerGauges() {
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -130,8 +130,10 @@
         if (unmodified) {
             return ServerDialect.ResponseKind.RAN;
         }
-        boolean identified = named && requestId().isPresent();
-        return identified || onlyRequest ? dialect.classify(headers) : ServerDialect.ResponseKind.INVALID;
+        ServerDialect.ResponseKind kind = dialect.classify(headers);
+        boolean refusal = kind == ServerDialect.ResponseKind.NOT_RUN;
+        boolean identified = named && (requestId().isPresent() || !refusal);
+        return identified || onlyRequest ? kind : ServerDialect.ResponseKind.INVALID;
     }
 
     // A misdirected request was answered by another instance than the one that it was meant for.
--- a/mustardusher-node/src/test/java/io/mustardusher/server/EndlessRequestsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/EndlessRequestsTest.java
@@ -101,6 +101,27 @@
         assertRefused(link.send(HttpRequest.streaming(tooLong), REMAINING_NANOS));
     }
 
+    /** Guards against uploads none of which ends, since the one nearest its end is given up for the others. */
+    @Test
+    void bodyOfKnownLengthIsNotGivenUpForOthers() {
+        RequestHeaders half =
+                headers().toBuilder().contentLength(PART.length() * 10L).build();
+        HttpRequestWriter upload = HttpRequest.streaming(half);
+        Exchange exchange = link.send(upload, REMAINING_NANOS);
+        writeWhileAccepted(upload, PART.length() * 9);
+        HttpRequestWriter endless = HttpRequest.streaming(headers());
+        assertRefusedWhile(endless);
+        writeWhileAccepted(upload, PART.length());
+        upload.close();
+        assertThat(body(exchange)).isEqualTo("ok");
+    }
+
+    private void assertRefusedWhile(HttpRequestWriter endless) {
+        Exchange exchange = link.send(endless, REMAINING_NANOS);
+        writeWhileAccepted(endless, 10 * MEMORY_BYTES);
+        assertRefused(exchange);
+    }
+
     @Test
     void memoryIsReleasedAfterResponse() {
         HttpRequestWriter body = HttpRequest.streaming(headers());
