Open the share of a body with its first byte

Each request, also one without a body, entered and left the set of arriving bodies under its lock. The share is now opened with the first byte of a body. Behaviour is the same.

--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -221,7 +221,7 @@
         receiving = null;
         while (!pending.isEmpty()) {
             PendingRequest lost = pending.removeFirst();
-            lost.memory.release();
+            lost.releaseMemory();
             lost.cancelled.complete(null);
             lost.ended.complete(null);
         }
@@ -378,8 +378,8 @@
         private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
         private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
-        /** Memory of the first bytes of the body, which may be held until the response. */
-        private final BodyMemory.Share memory = bodyMemory.open(() -> runOnLoop(this::giveUpBody));
+        /** Memory of the first bytes of the body, which may be held until the response; {@code null} before them. */
+        private BodyMemory.Share memory;
 
         private int heldBytes;
 
@@ -476,6 +476,9 @@
         // What follows behind these bytes is only read once it has been consumed.
         private boolean hold(int added) {
             int held = Math.min(added, MAX_COLLECTED_BYTES - heldBytes);
+            if (memory == null) {
+                memory = bodyMemory.open(() -> runOnLoop(this::giveUpBody));
+            }
             if (held > 0 && !memory.reserve(held)) {
                 return false;
             }
@@ -483,6 +486,12 @@
             return true;
         }
 
+        private void releaseMemory() {
+            if (memory != null) {
+                memory.release();
+            }
+        }
+
         private void giveUpBody() {
             if (receiving == this && response == null) {
                 handOver();
@@ -501,7 +510,9 @@
         }
 
         void endBody() {
-            memory.complete();
+            if (memory != null) {
+                memory.complete();
+            }
             if (writer != null) {
                 streamCollected();
                 writer.close();
@@ -521,7 +532,7 @@
         void respond(AggregatedHttpResponse complete) {
             response = complete;
             collected = null;
-            memory.release();
+            releaseMemory();
             if (receiving == this) {
                 // The rest of the body is discarded, and nothing is known of its length.
                 closeAfterResponse();
