Let the link to a server and the frames share how a request is aggregated

Both aggregated a complete body, or collected one that is arriving and held its memory until the exchange had ended, in code of their own. BodyCollector.aggregate does so for both. Behaviour is the same; tests of http, server, call and entry pass.

--- a/mustardusher-node/src/main/java/io/mustardusher/call/BodyCollector.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/BodyCollector.java
@@ -1,6 +1,7 @@
 package io.mustardusher.call;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpData;
@@ -31,6 +32,26 @@
         this.memory = memory.open(() -> request.abort(BodyMemory.exhausted()));
     }
 
+    /**
+     * Aggregates a request. Memory for a body that is still arriving is held until the exchange of the request has
+     * ended; a body that is complete is held by whoever made the request.
+     *
+     * @param request  the request
+     * @param memory   memory for the body
+     * @param executor executor that receives the body
+     * @param ended    completes when the exchange has ended
+     * @return completes with the whole request, or fails if the body does not arrive whole
+     */
+    public static CompletableFuture<AggregatedHttpRequest> aggregate(
+            HttpRequest request, BodyMemory memory, EventExecutor executor, CompletionStage<?> ended) {
+        if (!request.isOpen()) {
+            return request.aggregate(executor);
+        }
+        Collected collected = collect(request, memory, executor);
+        ended.whenComplete((ignored, failure) -> collected.memory().release());
+        return collected.request();
+    }
+
     /**
      * Collects the body of a request. One of known length has its room from the start, so that others cannot take it
      * away before the end, or is given up at once.
@@ -40,7 +61,7 @@
      * @param executor executor that receives the body
      * @return the collected request, and the memory that it takes
      */
-    public static Collected collect(HttpRequest request, BodyMemory memory, EventExecutor executor) {
+    private static Collected collect(HttpRequest request, BodyMemory memory, EventExecutor executor) {
         return collect(
                 request,
                 executor,
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
@@ -2,13 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import com.linecorp.armeria.client.WebClient;
-import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import io.mustardusher.call.BodyCollector;
@@ -109,7 +107,7 @@
                 return fallback.send(request, remainingNanos, cancelled);
             }
             FramedCall call = new FramedCall(this, request.headers(), remainingNanos);
-            aggregate(request, call).whenComplete((aggregated, failure) -> {
+            BodyCollector.aggregate(request, bodyMemory, loop, call.answer()).whenComplete((aggregated, failure) -> {
                 if (failure == null) {
                     call.send(aggregated.content().array());
                 } else {
@@ -120,15 +118,5 @@
             exchange.abortOn(cancelled);
             return exchange;
         }
-
-        // A body that is complete is held by the entry's connection until the response.
-        private CompletableFuture<AggregatedHttpRequest> aggregate(HttpRequest request, FramedCall call) {
-            if (!request.isOpen()) {
-                return request.aggregate(loop);
-            }
-            BodyCollector.Collected collected = BodyCollector.collect(request, bodyMemory, loop);
-            call.answer().whenComplete((ignored, failure) -> collected.memory().release());
-            return collected.request();
-        }
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -193,7 +193,10 @@
         boolean idempotent = "1".equals(call.headers().get(CallHeaders.IDEMPOTENT));
         ServerExchange exchange = new ServerExchange(dialect, reports, clock, response);
         long deadlineNanos = clock.nanoTime() + remainingNanos;
-        aggregate(call, exchange, deadlineNanos)
+        if (call.isOpen()) {
+            incompleteBodies.put(exchange, deadlineNanos);
+        }
+        BodyCollector.aggregate(call, bodyMemory, loop, response)
                 .whenComplete((request, failure) -> runOnLoop(() -> {
                     incompleteBodies.remove(exchange);
                     if (failure != null) {
@@ -206,18 +209,6 @@
         return Exchange.ofAggregated(response, () -> loop.execute(exchange::cancel));
     }
 
-    // Whoever made a call whose body is complete holds its body until the response.
-    private CompletableFuture<AggregatedHttpRequest> aggregate(
-            HttpRequest call, ServerExchange exchange, long deadlineNanos) {
-        if (!call.isOpen()) {
-            return call.aggregate(loop);
-        }
-        incompleteBodies.put(exchange, deadlineNanos);
-        BodyCollector.Collected collected = BodyCollector.collect(call, bodyMemory, loop);
-        exchange.whenEnded(collected.memory()::release);
-        return collected.request();
-    }
-
     // Exchanges and connections are confined to the event loop. A body that is complete is aggregated at once, on the
     // thread of the caller.
     private void runOnLoop(Runnable task) {
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -59,11 +59,6 @@
         return response.isDone();
     }
 
-    // Runs an action when the response is complete or has failed.
-    void whenEnded(Runnable action) {
-        response.whenComplete((ignored, failure) -> action.run());
-    }
-
     void setTimeout(ScheduledFuture<?> scheduled) {
         timeout = scheduled;
     }
