Name the status and the connection of a discarded response in its line

The line about a response that is discarded named two requests only, so that it told neither which connection carried it nor whether a success was discarded in front of a failure or behind it.

No change of behaviour. The tests of BufferedServerLinkTest and GateReportsTest hold status, request and length of the line.

--- a/mustardusher-node/src/main/java/io/mustardusher/gate/GateReports.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/GateReports.java
@@ -1,6 +1,5 @@
 package io.mustardusher.gate;
 
-import java.util.Optional;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.Counter;
@@ -10,6 +9,7 @@
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.nested.NestedCallForecast;
 import io.mustardusher.nested.RunningCalls;
+import io.mustardusher.server.DiscardedResponse;
 import io.mustardusher.server.ReportedServerLoad;
 import io.mustardusher.server.ResponseFault;
 import io.mustardusher.server.ServerReports;
@@ -64,9 +64,13 @@
     }
 
     @Override
-    public void onDiscardedResponse(Optional<String> received, Optional<String> awaited) {
+    public void onDiscardedResponse(DiscardedResponse response) {
         metrics.counter("gate.discardedResponses").inc();
-        NodeLog.DECISIONS.responseDiscarded(LoggedName.of(received.orElse(NONE)), LoggedName.of(awaited.orElse(NONE)));
+        NodeLog.DECISIONS.responseDiscarded(
+                LoggedName.of(response.request().orElse(NONE)),
+                response.status(),
+                response.connection(),
+                LoggedName.of(response.awaited().orElse(NONE)));
     }
 
     @Override
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -560,12 +560,14 @@
     /**
      * A response of the backend server was discarded, because it is not the one that is due on its connection.
      *
-     * @param received identifier of the call to which it belongs, {@code -} if it names none
-     * @param awaited  identifier of the call that awaits one on the connection, {@code -} if none or a probe does
+     * @param received   identifier of the call to which it belongs, {@code -} if it names none
+     * @param status     status of the response
+     * @param connection number of the connection, as in the line about the call's end
+     * @param awaited    identifier of the call that awaits one on the connection, {@code -} if none or a probe does
      */
     @LogMessage(level = Logger.Level.INFO)
-    @Message(id = 2025, value = "call %s: response discarded, awaiting call %s")
-    void responseDiscarded(String received, String awaited);
+    @Message(id = 2025, value = "call %s: response with status %d discarded on connection %d, awaiting call %s")
+    void responseDiscarded(String received, int status, int connection, String awaited);
 
     /**
      * A call is sent to the backend server although an earlier run of it has not ended there.
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -283,11 +283,13 @@
     /**
      * Reports a response that does not belong to the request that awaits one.
      *
-     * @param response headers of the response
-     * @param awaited  identifier of the request that awaits one; empty if there is none
+     * @param response   headers of the response
+     * @param connection number of its connection
+     * @param awaited    identifier of the request that awaits one; empty if there is none
      */
-    void reportDiscarded(ResponseHeaders response, Optional<String> awaited) {
-        reports.onDiscardedResponse(dialect.requestId(response), awaited);
+    void reportDiscarded(ResponseHeaders response, int connection, Optional<String> awaited) {
+        reports.onDiscardedResponse(new DiscardedResponse(
+                dialect.requestId(response), response.status().code(), connection, awaited));
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -225,7 +225,7 @@
             // Invalid, or without a request: further responses could not be matched to their requests.
             reusable = false;
             if (exchange == null && response.decoderResult().isSuccess()) {
-                link.reportDiscarded(convertHeaders(response), Optional.empty());
+                link.reportDiscarded(convertHeaders(response), number, Optional.empty());
             }
             giveUp(ResponseFault.MALFORMED_HEAD);
             return;
@@ -233,7 +233,7 @@
         ResponseHeaders received = convertHeaders(response);
         ResponseKind receivedKind = exchange.classify(received, exchanges == 1 && reusable);
         if (receivedKind == ResponseKind.MISMATCHED) {
-            link.reportDiscarded(received, exchange.requestId());
+            link.reportDiscarded(received, number, exchange.requestId());
             discarded = true;
             reusable = false;
             // The codec expects no content behind a response while one to HEAD is due.
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerReports.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerReports.java
@@ -1,7 +1,5 @@
 package io.mustardusher.server;
 
-import java.util.Optional;
-
 import io.mustardusher.instance.ServerConditions;
 
 /** Receives what a backend server reports about itself in its answers. */
@@ -43,10 +41,9 @@
     /**
      * Handles a response that is discarded because it does not belong to the request that awaits one.
      *
-     * @param received identifier of the request to which the response belongs; empty if it names none
-     * @param awaited  identifier of the request that awaits a response; empty if it has none or no request does
+     * @param response the response
      */
-    default void onDiscardedResponse(Optional<String> received, Optional<String> awaited) {
+    default void onDiscardedResponse(DiscardedResponse response) {
         // Receivers that keep no log have no use for it.
     }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/GateReportsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/GateReportsTest.java
@@ -9,6 +9,7 @@
 import ch.qos.logback.core.read.ListAppender;
 import com.codahale.metrics.MetricRegistry;
 import io.mustardusher.log.NodeLog;
+import io.mustardusher.server.DiscardedResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -39,7 +40,7 @@
     @Test
     void cutsIdentifiersInLines() {
         String id = "x".repeat(32_000);
-        reports.onDiscardedResponse(Optional.of(id), Optional.of(id));
+        reports.onDiscardedResponse(new DiscardedResponse(Optional.of(id), 500, 7, Optional.of(id)));
         reports.onRepeatedRequest(id);
         List<String> lines =
                 events.list.stream().map(ILoggingEvent::getFormattedMessage).toList();
--- a/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/BufferedServerLinkTest.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -80,7 +79,7 @@
         serve((number, id) -> number == 1 ? response("other", "late") + response(id, "own") : response(id, "own"));
         responseBody("other");
         responseBody("one");
-        assertThat(reportedDiscards).containsExactly("other instead of one");
+        assertThat(reportedDiscards).containsExactly("200 to other instead of one");
         responseBody("two");
         responseBody("two");
         assertThat(reportedRepetitions).containsExactly("two");
@@ -227,8 +226,9 @@
         }
 
         @Override
-        public void onDiscardedResponse(Optional<String> received, Optional<String> awaited) {
-            reportedDiscards.add(received.orElse("-") + " instead of " + awaited.orElse("-"));
+        public void onDiscardedResponse(DiscardedResponse response) {
+            reportedDiscards.add(response.status() + " to " + response.request().orElse("-") + " instead of "
+                    + response.awaited().orElse("-"));
         }
 
         @Override
