Let a node give other nodes an address other than the one on which it listens

A relay, or an address translation, between two nodes needs the address under which others reach a node to differ from the one that it binds.

advertisedHost (on the platform /advertisedIp) goes into the record that other members get; without it nothing changes.

--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -505,13 +505,13 @@
         return builder.build();
     }
 
-    private static MemberRecord selfRecord(NodeSettings settings, long boot) {
+    static MemberRecord selfRecord(NodeSettings settings, long boot) {
         return new MemberRecord()
                 .withId(settings.getId())
                 .withBoot(boot)
                 .withIncarnation(1)
                 .withState(MemberState.ALIVE.toRecordState())
-                .withHost(settings.getHost())
+                .withHost(Optional.ofNullable(settings.getAdvertisedHost()).orElse(settings.getHost()))
                 .withGatePort(settings.getPorts().getGate())
                 .withFramePort(settings.getPorts().getFrame())
                 .withRegion(settings.getRegion())
