Add failing tests of successes that contain a second response

- a success without a length is followed by the second response before the server closes the connection.

--- a/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
@@ -2,6 +2,7 @@
 
 import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -17,6 +18,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Tag;
@@ -133,6 +135,60 @@
         assertThat(isSuccess(two)).isFalse();
     }
 
+    // Guards against a success whose missing rest is the beginning of a second response to the same request.
+    @Test
+    @Tag("known-red")
+    void secondResponseDoesNotCompleteCutResponse() {
+        String whole = response("200 OK", "one", "x".repeat(400));
+        int headLength = whole.indexOf("\r\n\r\n") + 4;
+        List<Integer> deliveries = new ArrayList<>();
+        for (int cut = headLength; cut < whole.length(); cut++) {
+            connect();
+            CompletableFuture<AggregatedHttpResponse> one = send(HttpMethod.GET, "one");
+            receive(whole.substring(0, cut));
+            receive(whole);
+            if (isSuccess(one)) {
+                deliveries.add(cut);
+            }
+        }
+        assertWithMessage("cut at").that(deliveries).isEmpty();
+    }
+
+    // Guards against a success with a second response to the same request as a part of its body.
+    @Test
+    @Tag("known-red")
+    void secondResponseIsNoPartOfUnframedResponse() {
+        connect();
+        CompletableFuture<AggregatedHttpResponse> one = send(HttpMethod.GET, "one");
+        receive("HTTP/1.1 200 OK\r\nid: one\r\n\r\nown");
+        receive(response("200 OK", "one", "own"));
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+        assertThat(isSuccess(one)).isFalse();
+    }
+
+    // Guards against bodies that are taken for a second response because they quote the protocol.
+    @Test
+    void bodyMayQuoteProtocol() {
+        String head = "HTTP/1.1 404 Not Found\r\nid: other\r\n\r\n";
+        List<String> bodies =
+                List.of("see HTTP/1.1 404", "GET / HTTP/1.1\r\nid: one\r\n\r\n", head, head + "x", "HTTP");
+        for (String body : bodies) {
+            connect();
+            CompletableFuture<AggregatedHttpResponse> framed = send(HttpMethod.GET, "one");
+            receive(response("200 OK", "one", body));
+            assertWithMessage("framed: " + body)
+                    .that(framed.join().contentUtf8())
+                    .isEqualTo(body);
+            connect();
+            CompletableFuture<AggregatedHttpResponse> unframed = send(HttpMethod.GET, "one");
+            receive("HTTP/1.1 200 OK\r\nid: one\r\n\r\n" + body);
+            channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+            assertWithMessage("unframed: " + body)
+                    .that(unframed.join().contentUtf8())
+                    .isEqualTo(body);
+        }
+    }
+
     // Guards against a failure that is passed over because it names a request that the connection has not carried.
     @Test
     void failureThatNamesUnknownRequestIsNotPassedOver() {
