Give up responses whose body contains another response

What callers saw: a success that is not the server's whole body (MIXED). If a server stops within a body and keeps the connection open, its second response to the request fills the missing bytes; if a response has no length, the second response is delivered behind its body.

Cause: a body is taken for whole by the number of its bytes, or by the end of the stream, whoever wrote the bytes.

A body is searched for a status line. If the lines behind it name a request that the connection has carried, the response is given up (unknown, or retried if it may be repeated).

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseFault.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseFault.java
@@ -20,6 +20,9 @@
      */
     MISMATCHED("mismatched", "the response belongs to another request"),
 
+    /** The content contains another response, so that the server did not send all of it. */
+    MIXED_CONTENT("mixed_content", "the content contains another response"),
+
     /** The response to another request is longer than what is read to get past it. */
     ENDLESS_MISMATCH("endless_mismatch", "the response to another request has no end");
 
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -80,6 +80,9 @@
     /** Whether the response ends with the close of the connection, since it has neither a length nor chunks. */
     private boolean closeDelimited;
 
+    /** Body of a response that ends with this read, unless what follows shows that it is not whole. */
+    private HttpData undecidedBody;
+
     private boolean reusable = true;
 
     /** How the connection ended; {@code null} while it is open. */
@@ -175,6 +178,12 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        completeUndecided();
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
@@ -190,6 +199,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         link.remove(this);
+        completeUndecided();
         if (exchange == null) {
             releaseBody();
             return;
@@ -198,6 +208,7 @@
         ConnectionEnd ended = end == null ? ConnectionEnd.READ_FAILED : end;
         if (closeDelimited && headers != null && ended.completesUnframedResponse()) {
             finish();
+            completeUndecided();
         } else {
             fail(fault == null ? ended.description() : fault.description());
         }
@@ -212,6 +223,13 @@
     }
 
     private void handleResponseHead(HttpResponse response) {
+        if (undecidedBody != null) {
+            if (response.decoderResult().isFailure()) {
+                rejectMixed();
+                return;
+            }
+            completeUndecided();
+        }
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (informational && response.decoderResult().isSuccess()) {
             discarding = true;
@@ -280,7 +298,7 @@
             }
             return;
         }
-        if (exchange == null || headers == null) {
+        if (exchange == null || headers == null || undecidedBody != null) {
             return;
         }
         if (!body.add(content.content())) {
@@ -293,11 +311,38 @@
     }
 
     private void finish() {
+        HttpData completeBody = body.complete();
+        body = null;
+        switch (EmbeddedResponse.find(completeBody.array(), found -> exchange.isLate(found, carried))) {
+            case ABSENT -> complete(completeBody);
+            case PRESENT -> rejectMixed();
+            default -> undecidedBody = completeBody;
+        }
+    }
+
+    private void completeUndecided() {
+        if (undecidedBody != null) {
+            HttpData completeBody = undecidedBody;
+            undecidedBody = null;
+            complete(completeBody);
+        }
+    }
+
+    private void rejectMixed() {
+        undecidedBody = null;
+        fault = ResponseFault.MIXED_CONTENT;
+        exchange.reportFault(fault);
+        end(ConnectionEnd.GIVEN_UP);
+        // Nothing else fails the exchange if the connection had ended before.
+        if (exchange != null) {
+            fail(fault.description());
+        }
+    }
+
+    private void complete(HttpData completeBody) {
         ServerExchange ended = exchange;
         exchange = null;
         lastUsedNanos = clock.nanoTime();
-        HttpData completeBody = body.complete();
-        body = null;
         if (reusable && !carried.isFull() && channel.isActive()) {
             link.release(this);
         } else {
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -6,6 +6,7 @@
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaders;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
@@ -90,7 +91,7 @@
     }
 
     // Returns whether a response is a late one to a request that its connection has carried.
-    boolean isLate(ResponseHeaders headers, CarriedRequests carried) {
+    boolean isLate(HttpHeaders headers, CarriedRequests carried) {
         return dialect.requestId(headers).filter(carried::contains).isPresent();
     }
 
