Give up a head that is continued by the next response

What callers saw: a success with the body of a failure, a success in place of the failure that is due (MIXED), a refusal for a request that had run. The last is told to the entry as not run, so that the request could run twice.

Cause: a server stops within a line of a head and goes on with another response on the same connection. The codec then reads one head: the status of the first response, the headers of both and the body of the second. The class is that of the responses within bodies; those are searched, heads were not.

A head whose reason phrase or header contains a status line up to the status is malformed, and the connection ends.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseFault.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseFault.java
@@ -2,7 +2,7 @@
 
 /** Why a response of a backend server was given up and its connection closed. */
 public enum ResponseFault {
-    /** The bytes are no response, or a line or the header block is longer than allowed. */
+    /** The bytes are no response, another one begins within a line, or a line or the block is longer than allowed. */
     MALFORMED_HEAD("malformed_head", "the head is no response or too long"),
 
     /** More informational responses than allowed precede the response. */
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -1,5 +1,7 @@
 package io.mustardusher.server;
 
+import java.util.Iterator;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -235,8 +237,9 @@
             rejectMixed();
             return;
         }
+        boolean malformed = response.decoderResult().isFailure() || isContinuedByAnother(response);
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        if (informational && response.decoderResult().isSuccess()) {
+        if (informational && !malformed) {
             startDiscarding();
             interimResponses++;
             if (interimResponses > MAX_INTERIM_RESPONSES) {
@@ -244,10 +247,10 @@
             }
             return;
         }
-        if (exchange == null || response.decoderResult().isFailure()) {
+        if (exchange == null || malformed) {
             // Invalid, or without a request: further responses could not be matched to their requests.
             reusable = false;
-            if (exchange == null && response.decoderResult().isSuccess()) {
+            if (exchange == null && !malformed) {
                 link.reportDiscarded(convertHeaders(response), number, Optional.empty());
             }
             giveUp(ResponseFault.MALFORMED_HEAD);
@@ -289,6 +292,21 @@
         }
     }
 
+    // A head that is cut within a line goes on with the status line of the next response.
+    private static boolean isContinuedByAnother(HttpResponse response) {
+        if (StatusLineSearch.isIn(response.status().reasonPhrase())) {
+            return true;
+        }
+        Iterator<Map.Entry<CharSequence, CharSequence>> fields =
+                response.headers().iteratorCharSequence();
+        while (fields.hasNext()) {
+            if (StatusLineSearch.isIn(fields.next().getValue())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void handleContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (content.decoderResult().isFailure()) {
--- a/mustardusher-node/src/main/java/io/mustardusher/server/StatusLineSearch.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/StatusLineSearch.java
@@ -11,6 +11,25 @@
     /** Number of bytes of the pattern that the last bytes match. */
     private int matched;
 
+    /**
+     * Returns whether a text contains the beginning of a status line, up to the status.
+     *
+     * @param text the text
+     * @return {@code true} if it does
+     */
+    static boolean isIn(CharSequence text) {
+        if (text.length() < PATTERN.length) {
+            return false;
+        }
+        StatusLineSearch search = new StatusLineSearch();
+        for (int i = 0; i < text.length(); i++) {
+            if (search.next((byte) text.charAt(i))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Forgets the bytes before. */
     void reset() {
         matched = 0;
