Add second answers that complete or precede a cut one to the nested calls

The stand-in wrote second answers only behind whole first ones, and only whole. It gets eight forms, refusals by 429, a time limit and clients that leave early; the judge names successes that are made of the bytes of two answers.

--- a/review/standins/src/review/AnswerLedger.java
+++ b/review/standins/src/review/AnswerLedger.java
@@ -32,6 +32,9 @@
         /** Time of that answer, as {@link System#nanoTime()}, if the upstream states it. */
         volatile long answeredNanos;
 
+        /** Time at which the upstream ends its work on the request, as {@link System#nanoTime()}, if it has a limit. */
+        volatile long limitNanos;
+
         /** Answers that the upstream wrote to this arrival, or tried to. */
         final Queue<Written> written = new ConcurrentLinkedQueue<>();
 
--- a/review/standins/src/review/NestedCalls.java
+++ b/review/standins/src/review/NestedCalls.java
@@ -39,17 +39,19 @@
     private static final Pattern LIGHT = Pattern.compile("busy [0-2],");
     private static final Pattern RETURNED = Pattern.compile("call (\\S+): gate of \\S+ refuses with");
     private static final int CAPACITY = 13;
-    private static final int TIMEOUT_MILLIS = 8000;
 
     /** Time from the start of a burst to the start of the next. */
     private static final int BURST_INTERVAL_MILLIS = 40_000;
 
     private static final int COLD_MILLIS = 3000;
+    private static final int PATIENCE_MILLIS = 3000;
 
     private final long seed = number("SEED", 1);
     private final int seconds = number("DURATION_S", 58);
     private final int clientsPerMachine = number("CLIENTS", 2);
     private final int thinkMillis = number("THINK_MS", 250);
+    private final int timeoutMillis = number("TIMEOUT_MS", 8000);
+    private final int impatientPercent = number("IMPATIENT_PERCENT", 0);
     private final int burstSize = number("BURST", 16);
     private final boolean repeats = number("REPEATS", 0) == 1;
     private final int bodyBytes = number("BODY_BYTES", 200);
@@ -110,6 +112,7 @@
                 trouble ? number("STUTTER_FAILED_PERCENT", 50) : 0,
                 number("LONG_PERCENT", 15));
         setting.refusedPercent = trouble ? number("REFUSED_PERCENT", 0) : 0;
+        setting.refusalStatus = number("REFUSAL", 503);
         setting.sameAnswers = "SAME".equals(System.getenv("SECOND_ANSWERS"));
         String shapes = System.getenv().getOrDefault("SHAPES", "");
         if (!shapes.isEmpty()) {
@@ -172,9 +175,9 @@
         sleepUntil(start, seconds * 1000L);
         ended = true;
         for (Thread client : clients) {
-            client.join(TIMEOUT_MILLIS + 4000);
+            client.join(timeoutMillis + 4000);
         }
-        Thread.sleep(TIMEOUT_MILLIS);
+        Thread.sleep(timeoutMillis);
         ledger.judge();
         recordLogLines();
         String summary = String.format(
@@ -337,10 +340,13 @@
                 repeatedId = null;
                 continue;
             }
+            boolean leaves = impatientPercent > 0 && random.nextInt(100) < impatientPercent;
+            client.patienceMillis = leaves ? 1 + random.nextInt(400) - timeoutMillis : PATIENCE_MILLIS;
+            ledger.count(leaves, "clients that leave early");
             boolean idempotent = !prefix.equals("/file/") && !prefix.equals("/deposit/");
             Client.Answer answer = idempotent
-                    ? client.get(prefix + id, id, TIMEOUT_MILLIS)
-                    : client.send("POST", prefix + id, id, TIMEOUT_MILLIS, new byte[bodyBytes], false);
+                    ? client.get(prefix + id, id, timeoutMillis)
+                    : client.send("POST", prefix + id, id, timeoutMillis, new byte[bodyBytes], false);
             ledger.noteAnswer(machine.name, id, idempotent, answer);
             repeatedId = repeats && idempotent && repeatedId == null && answer.status() / 100 != 2 ? id : null;
             if (answer.status() <= 0 || "close".equalsIgnoreCase(answer.head().field("Connection"))) {
--- a/review/standins/src/review/RunLedger.java
+++ b/review/standins/src/review/RunLedger.java
@@ -47,6 +47,9 @@
         if (named == null) {
             return kind + (text.startsWith("run ") ? "another id" : "no run");
         }
+        if (text.contains("HTTP/1.")) {
+            return kind + "bytes of two answers";
+        }
         if (known.size() == 1) {
             return kind + "second answer of the only run";
         }
--- a/review/standins/src/review/StutteringService.java
+++ b/review/standins/src/review/StutteringService.java
@@ -42,7 +42,33 @@
         /** In one write with the head of the next answer, whose body follows 1 to 10 ms later. */
         WITH_HEAD,
         /** In front of the next answer to a health probe on the connection. */
-        PROBE
+        PROBE,
+        /** Unasked, 1 to 300 ms behind the time limit of the request. */
+        AFTER_LIMIT,
+        /** Behind a first answer without a length, before the connection ends. */
+        UNFRAMED,
+        /** 1 to 300 ms behind a success that stops within its body. */
+        CUT,
+        /** The same in two writes 2 to 20 ms apart. */
+        CUT_PIECES,
+        /** 1 to 300 ms behind a success that stops within its head. */
+        CUT_HEAD,
+        /** In front of the next answer, which takes the place of what is missing of the second one's body. */
+        CUT_LATE,
+        /** In front of the next answer; the second one stops within its head. */
+        CUT_LATE_HEAD,
+        /** When the next request is on the connection; an informational response precedes both answers. */
+        INTERIM;
+
+        /** Whether the first answer stops before its end, which only those with a body and a success do. */
+        boolean cutsFirst() {
+            return this == CUT || this == CUT_PIECES || this == CUT_HEAD;
+        }
+
+        /** Whether the second answer is written together with the next answer on the connection. */
+        boolean precedesAnswer() {
+            return this == WITH_HEAD || this == CUT_LATE || this == CUT_LATE_HEAD;
+        }
     }
 
     /** Calls that a run makes through the node on its own machine. */
@@ -68,6 +94,9 @@
         /** Share of requests that are refused although there is room, in percent. */
         int refusedPercent;
 
+        /** Status of these refusals. */
+        int refusalStatus = 503;
+
         /** Whether a second answer is the first one again; otherwise it may be another. */
         boolean sameAnswers;
 
@@ -115,6 +144,7 @@
     private static final int NESTED_TIMEOUT_MILLIS = 250;
     private static final int NESTED_TRIES = 2;
     private static final int LARGE_BODY_BYTES = 100_000;
+    private static final String HEAD_END = "\r\n\r\n";
 
     private final Setting setting;
     private final Calls calls;
@@ -142,6 +172,7 @@
         Http.readBody(exchange.in(), exchange.head());
         AnswerLedger.Arrival arrival = setting.ledger.arrive(exchange.id(), upstream.id, connection.number);
         Random random = new Random(setting.seed * 31 + exchange.id().hashCode() * 17L + arrival.number);
+        arrival.limitNanos = limit;
         setAtWork(connection, true);
         try {
             run(upstream, exchange, connection, arrival, limit, random);
@@ -158,10 +189,10 @@
             long limit,
             Random random)
             throws Exception {
-        writeDue(connection, exchange, EnumSet.of(Shape.NEXT, Shape.AGAIN, Shape.PIECES, Shape.SPLIT));
+        writeDue(connection, exchange, EnumSet.of(Shape.NEXT, Shape.AGAIN, Shape.PIECES, Shape.SPLIT, Shape.INTERIM));
         boolean refused = setting.refusedPercent > 0 && random.nextInt(100) < setting.refusedPercent;
         if (refused || !enter(limit)) {
-            answer(connection, upstream, exchange, arrival, 503, random);
+            answer(connection, upstream, exchange, arrival, refused ? setting.refusalStatus : 503, random);
             return;
         }
         int status;
@@ -277,11 +308,12 @@
             throws Exception {
         String run = RunLedger.runName(exchange.id(), arrival);
         int fill = random.nextInt(100) == 0 ? LARGE_BODY_BYTES : 300;
-        byte[] body = status == 503
+        byte[] body = isRefusal(status)
                 ? new byte[0]
                 : (run + " " + status + (status == 200 ? "x".repeat(fill) : ""))
                         .getBytes(StandardCharsets.ISO_8859_1);
-        byte[] first = status == 503 ? refusal(upstream, exchange) : whole(upstream, exchange, status, body);
+        byte[] first =
+                isRefusal(status) ? refusal(upstream, exchange, status) : whole(upstream, exchange, status, body);
         if (System.nanoTime() < losesAnswersUntil && random.nextInt(100) < 40) {
             lose(exchange, first, random);
             return;
@@ -296,9 +328,7 @@
         }
         byte[] second = setting.sameAnswers ? first : second(upstream, exchange, run, first, status, random);
         setting.ledger.count(status != 200, "second answers behind failures");
-        Shape shape = setting.shapes.isEmpty()
-                ? standingShape(random)
-                : setting.shapes.get(random.nextInt(setting.shapes.size()));
+        Shape shape = shape(status, random);
         Late late = new Late(exchange.id(), second, statusOf(second), shape, 0, arrival);
         switch (shape) {
             case AT_ONCE -> {
@@ -321,6 +351,43 @@
                     writeSecond(connection, exchange, late);
                 });
             }
+            case AFTER_LIMIT -> {
+                writeFirst(connection, exchange, first, first.length - body.length, arrival);
+                long delay = Math.max(0, arrival.limitNanos - System.nanoTime()) / 1_000_000 + 1 + random.nextInt(300);
+                Fleet.daemon(() -> {
+                    Thread.sleep(delay);
+                    writeSecond(connection, exchange, late);
+                });
+            }
+            case UNFRAMED -> {
+                byte[] unframed = new String(first, StandardCharsets.ISO_8859_1)
+                        .replace("Content-Length: " + body.length + "\r\n", "")
+                        .getBytes(StandardCharsets.ISO_8859_1);
+                writeFirst(connection, exchange, unframed, unframed.length - body.length, arrival);
+                Thread.sleep(random.nextInt(100));
+                writeSecond(connection, exchange, late);
+                Thread.sleep(random.nextInt(20));
+                exchange.socket().close();
+            }
+            case CUT, CUT_PIECES, CUT_HEAD -> {
+                int headLength = first.length - body.length;
+                int cut = shape == Shape.CUT_HEAD
+                        ? 1 + random.nextInt(headLength - 1)
+                        : headLength + random.nextInt(body.length);
+                writeFirst(connection, exchange, Arrays.copyOf(first, cut), Math.min(cut, headLength), arrival);
+                int delay = 1 + random.nextInt(300);
+                Fleet.daemon(() -> {
+                    Thread.sleep(delay);
+                    writeSecond(connection, exchange, late);
+                });
+            }
+            case INTERIM -> {
+                synchronized (connection) {
+                    connection.late.add(late);
+                    write(connection, exchange, interim(exchange));
+                    writeFirst(connection, exchange, first, first.length - body.length, arrival);
+                }
+            }
             case SPLIT -> {
                 int piece = 1 + random.nextInt(Math.min(200, second.length - 1));
                 synchronized (connection) {
@@ -338,6 +405,19 @@
         }
     }
 
+    private Shape shape(int status, Random random) {
+        Shape shape = setting.shapes.isEmpty()
+                ? standingShape(random)
+                : setting.shapes.get(random.nextInt(setting.shapes.size()));
+        boolean possible = shape == Shape.UNFRAMED ? !isRefusal(status) : status == 200 || !shape.cutsFirst();
+        setting.ledger.count(possible, "SHAPE " + shape);
+        return possible ? shape : Shape.NEXT;
+    }
+
+    private static boolean isRefusal(int status) {
+        return status == 503 || status == 429;
+    }
+
     private static Shape standingShape(Random random) {
         int drawn = random.nextInt(10);
         if (drawn < 4) {
@@ -356,12 +436,20 @@
             throws Exception {
         synchronized (connection) {
             Late late = connection.late.stream()
-                    .filter(other -> other.shape == Shape.WITH_HEAD && other.arrival != own)
+                    .filter(other -> other.shape.precedesAnswer() && other.arrival != own)
                     .findFirst()
                     .orElse(null);
             boolean open = isOpen(connection, exchange);
             if (late == null) {
                 write(connection, exchange, bytes);
+            } else if (late.shape != Shape.WITH_HEAD) {
+                connection.late.remove(late);
+                ByteArrayOutputStream both = new ByteArrayOutputStream();
+                both.write(late.bytes, 0, lengthOfCut(late, bytes.length));
+                both.writeBytes(bytes);
+                write(connection, exchange, both.toByteArray());
+                noteWritten(open, late.arrival, late.status, true);
+                setting.ledger.count(true, "second answers");
             } else {
                 connection.late.remove(late);
                 ByteArrayOutputStream both = new ByteArrayOutputStream();
@@ -377,11 +465,22 @@
         }
     }
 
+    /** Returns how much is written of a second answer that is cut before the next answer. */
+    private static int lengthOfCut(Late late, int nextLength) {
+        String text = new String(late.bytes, StandardCharsets.ISO_8859_1);
+        int headLength = text.indexOf(HEAD_END) + HEAD_END.length();
+        boolean fits = late.shape == Shape.CUT_LATE && late.bytes.length - headLength >= nextLength;
+        return fits ? late.bytes.length - nextLength : 1 + Math.floorMod(late.id.hashCode(), headLength - 1);
+    }
+
     private void writeSecond(Connection connection, Upstream.Exchange exchange, Late late) throws Exception {
         synchronized (connection) {
             boolean open = isOpen(connection, exchange);
             try {
-                if (late.shape == Shape.PIECES) {
+                if (late.shape == Shape.INTERIM) {
+                    write(connection, exchange, interim(exchange));
+                }
+                if (late.shape == Shape.PIECES || late.shape == Shape.CUT_PIECES) {
                     int piece = 1 + Math.floorMod(late.id.hashCode(), Math.min(200, late.bytes.length - 1));
                     write(connection, exchange, Arrays.copyOf(late.bytes, piece));
                     Thread.sleep(2 + piece % 19);
@@ -433,7 +532,7 @@
     /** Returns a second answer: a success behind a failure, the same or a failure behind a success, a refusal again. */
     private static byte[] second(
             Upstream upstream, Upstream.Exchange exchange, String run, byte[] first, int status, Random random) {
-        if (status / 100 == 5 && random.nextInt(status == 503 ? 3 : 1) == 0) {
+        if (status >= 400 && random.nextInt(isRefusal(status) ? 3 : 1) == 0) {
             return whole(upstream, exchange, 200, (run + " once more").getBytes(StandardCharsets.ISO_8859_1));
         }
         boolean fails = status == 200 && random.nextBoolean();
@@ -474,8 +573,12 @@
         exchange.socket().close();
     }
 
-    private static byte[] refusal(Upstream upstream, Upstream.Exchange exchange) {
-        return ("HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " + exchange.id() + "\r\nX-Server-Load: "
+    private static byte[] interim(Upstream.Exchange exchange) {
+        return ("HTTP/1.1 103 X\r\nX-Attempt-Id: " + exchange.id() + HEAD_END).getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static byte[] refusal(Upstream upstream, Upstream.Exchange exchange, int status) {
+        return ("HTTP/1.1 " + status + " X\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " + exchange.id() + "\r\nX-Server-Load: "
                         + upstream.load() + "\r\nContent-Length: 0\r\n\r\n")
                 .getBytes(StandardCharsets.ISO_8859_1);
     }
