Recognize second responses in every form that the codec reads

What callers saw: a success that is not the server's whole body (MIXED), or a response that is lost although it is sound, or none.

Cause: the search of a body parsed what follows a status line in another way than the codec. It missed heads with a lone LF, folded values, a space before the colon, and a header that the body ends behind; after one letter of a status line or behind an informational response, the rest was taken for a response of its own. A line that is no header, such as "a=b;c: 1", made it throw, so that a sound body was lost (by reading, an exchange whose body ends with the stream never ended). Each status line copied the rest of the body: 4 MB of them held the event loop for more than 30 s.

A body that may contain the beginning of a response is given up whenever anything follows it in the same read.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -227,11 +227,8 @@
 
     private void handleResponseHead(HttpResponse response) {
         if (undecidedBody != null) {
-            if (response.decoderResult().isFailure()) {
-                rejectMixed();
-                return;
-            }
-            completeUndecided();
+            rejectMixed();
+            return;
         }
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (informational && response.decoderResult().isSuccess()) {
--- a/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
@@ -2,10 +2,12 @@
 
 import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -26,6 +28,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 /** Guards against bytes of one response that are taken for those of another on the same connection. */
 class ServerConnectionTest {
@@ -144,6 +147,7 @@
             CompletableFuture<AggregatedHttpResponse> one = send(HttpMethod.GET, "one");
             receive(whole.substring(0, cut));
             receive(whole);
+            pause();
             if (isSuccess(one)) {
                 deliveries.add(cut);
             }
@@ -162,6 +166,99 @@
         assertThat(isSuccess(one)).isFalse();
     }
 
+    // Guards against a second response that is not recognized in a cut response because of the form of its head.
+    @Test
+    void secondResponseInAnyFormDoesNotCompleteCutResponse() {
+        for (String second : secondResponses()) {
+            assertSecondResponseCompletesNone(second, Integer.MAX_VALUE);
+        }
+    }
+
+    private static List<String> secondResponses() {
+        return List.of(
+                response("200 OK", "one", "again"),
+                "HTTP/1.1 200 OK\r\ncontent-length: 5\r\nid: one\r\n\r\nagain",
+                "HTTP/1.0 200 OK\r\nID:one\r\n\r\nagain",
+                "HTTP/1.1 200 OK\nid: one\ncontent-length: 5\n\nagain",
+                "HTTP/1.1 200 OK\r\nid:\r\n one\r\ncontent-length: 5\r\n\r\nagain",
+                "HTTP/1.1 200 OK\r\nid : one\r\ncontent-length: 5\r\n\r\nagain",
+                "HTTP/1.1 200 OK\r\nid: one\r\ntransfer-encoding: chunked\r\n\r\n5\r\nagain\r\n0\r\n\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\n" + response("200 OK", "one", "again"));
+    }
+
+    private void assertSecondResponseCompletesNone(String second, int partLength) {
+        String own = "x".repeat(second.length());
+        for (int missing = 1; missing <= second.length(); missing++) {
+            connect();
+            CompletableFuture<AggregatedHttpResponse> one = send(HttpMethod.GET, "one");
+            receive("HTTP/1.1 200 OK\r\nid: one\r\ncontent-length: " + own.length() + "\r\n\r\n");
+            receive(own.substring(missing));
+            if (partLength == 1) {
+                receiveBytes(second);
+            } else {
+                receive(second);
+            }
+            pause();
+            assertWithMessage(missing + " bytes missing before " + second)
+                    .that(isSuccess(one))
+                    .isFalse();
+        }
+    }
+
+    // Guards against a success in chunks that is cut at any byte and continued by a second response.
+    @Test
+    void secondResponseDoesNotCompleteChunks() {
+        String body = "x".repeat(0x40);
+        String head = "HTTP/1.1 200 OK\r\nid: one\r\ntransfer-encoding: chunked\r\n\r\n";
+        String chunks = "20;a=b\r\n" + body.substring(0x20) + "\r\n20\r\n" + body.substring(0x20) + "\r\n0\r\n\r\n";
+        List<String> seconds = List.of(head + chunks, response("200 OK", "one", body), response("200 OK", "one", ""));
+        for (String second : seconds) {
+            for (int cut = 0; cut < chunks.length(); cut++) {
+                connect();
+                CompletableFuture<AggregatedHttpResponse> one = send(HttpMethod.GET, "one");
+                receive(head + chunks.substring(0, cut));
+                receive(second);
+                pause();
+                if (isSuccess(one)) {
+                    assertWithMessage(second + " behind " + chunks.substring(0, cut))
+                            .that(one.join().contentUtf8())
+                            .isEqualTo(body);
+                }
+            }
+        }
+    }
+
+    // Guards against a response that fails, or an exchange without an end, because its body quotes odd header lines.
+    @Test
+    void bodyMayContainInvalidHeaders() {
+        List<String> lines =
+                List.of("a=b;c: 1", ": 1", "caf\u00e9: 1", "a: \u0000", "a: b\u000bc", "{\"a\": 1}", "a\tb: 1");
+        for (String line : lines) {
+            String body = "HTTP/1.1 404 Not Found\r\n" + line + "\r\n\r\n";
+            connect();
+            CompletableFuture<AggregatedHttpResponse> framed = send(HttpMethod.GET, "one");
+            receive(response("200 OK", "one", body));
+            pause();
+            assertWithMessage("framed: " + line).that(isSuccess(framed)).isTrue();
+            connect();
+            CompletableFuture<AggregatedHttpResponse> unframed = send(HttpMethod.GET, "one");
+            receive("HTTP/1.1 200 OK\r\nid: one\r\n\r\n" + body);
+            channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+            assertWithMessage("unframed: " + line).that(isSuccess(unframed)).isTrue();
+        }
+    }
+
+    // Guards against an event loop that is blocked by a body with many status lines.
+    @Test
+    void manyStatusLinesAreSearchedInLinearTime() {
+        String body = "HTTP/1.1 200\r\n".repeat(300_000);
+        connect();
+        CompletableFuture<AggregatedHttpResponse> one = send(HttpMethod.GET, "one");
+        assertTimeoutPreemptively(Duration.ofSeconds(30), () -> receive(response("200 OK", "one", body)));
+        pause();
+        assertThat(one.isDone()).isTrue();
+    }
+
     // Guards against bodies that are taken for a second response because they quote the protocol.
     @Test
     void bodyMayQuoteProtocol() {
@@ -172,6 +269,7 @@
             connect();
             CompletableFuture<AggregatedHttpResponse> framed = send(HttpMethod.GET, "one");
             receive(response("200 OK", "one", body));
+            pause();
             assertWithMessage("framed: " + body)
                     .that(framed.join().contentUtf8())
                     .isEqualTo(body);
@@ -213,6 +311,7 @@
 
     private void connect() {
         channel = new EmbeddedChannel();
+        channel.freezeTime();
         connection = new ServerConnection(link, channel, new Clock.Manual());
         channel.pipeline().addLast(BufferedServerLink.createCodec(), connection);
     }
@@ -221,13 +320,17 @@
         CompletableFuture<AggregatedHttpResponse> response = new CompletableFuture<>();
         ServerExchange exchange = new ServerExchange(
                 EchoDialect.INSTANCE, ServerReports.Discarding.INSTANCE, new Clock.Manual(), response);
+        send(method, id, exchange);
+        return response;
+    }
+
+    private void send(HttpMethod method, String id, ServerExchange exchange) {
         RequestHeadersBuilder headers = RequestHeaders.builder(method, "/").authority("h.example");
         if (!id.isEmpty()) {
             headers.set("id", id);
         }
         connection.send(exchange, AggregatedHttpRequest.of(headers.build()), null, 1);
         ReferenceCountUtil.release(channel.readOutbound());
-        return response;
     }
 
     private void receive(String bytes) {
@@ -236,6 +339,12 @@
         }
     }
 
+    // Lets the time pass for which bytes are awaited that show whether a body is whole.
+    private void pause() {
+        channel.advanceTimeBy(1, TimeUnit.SECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
     // Receives one byte at a time.
     private void receiveBytes(String bytes) {
         bytes.chars().forEach(next -> receive(Character.toString(next)));
