Wait for the bytes that show whether a body is whole

What callers saw: a success that is not the server's whole body (MIXED), if the second response of a server arrives in several reads.

Cause: a body that ends among what may be the head of another response was delivered at the end of the read, and a read may end anywhere.

Such a body waits 20 ms for the next bytes, which concerns bodies that end with the letter H or an open head. What arrives later than that still comes too late.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -1,6 +1,7 @@
 package io.mustardusher.server;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -43,6 +44,9 @@
     /** Maximum size of what is read past between two responses to own requests, in bytes. */
     private static final int MAX_DISCARDED_BYTES = 1 << 20;
 
+    /** Time for which bytes are awaited that show whether a body is whole, if it may contain another response. */
+    private static final int UNDECIDED_MILLIS = 20;
+
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
     private static final int MILLIS_PER_SECOND = 1_000;
 
@@ -80,7 +84,7 @@
     /** Whether the response ends with the close of the connection, since it has neither a length nor chunks. */
     private boolean closeDelimited;
 
-    /** Body of a response that ends with this read, unless what follows shows that it is not whole. */
+    /** Body of a response that ends shortly, unless what follows shows that it is not whole. */
     private HttpData undecidedBody;
 
     /** Finds a response in the content of another one that is discarded. */
@@ -181,12 +185,6 @@
         }
     }
 
-    @Override
-    public void channelReadComplete(ChannelHandlerContext context) {
-        completeUndecided();
-        context.fireChannelReadComplete();
-    }
-
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
@@ -324,10 +322,20 @@
         switch (EmbeddedResponse.find(completeBody.array(), found -> exchange.isLate(found, carried))) {
             case ABSENT -> complete(completeBody);
             case PRESENT -> rejectMixed();
-            default -> undecidedBody = completeBody;
+            default -> awaitNextBytes(completeBody);
         }
     }
 
+    private void awaitNextBytes(HttpData completeBody) {
+        undecidedBody = completeBody;
+        Runnable timeout = () -> {
+            if (undecidedBody == completeBody) {
+                completeUndecided();
+            }
+        };
+        channel.eventLoop().schedule(timeout, UNDECIDED_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void completeUndecided() {
         if (undecidedBody != null) {
             HttpData completeBody = undecidedBody;
--- a/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
@@ -166,6 +166,14 @@
         assertThat(isSuccess(one)).isFalse();
     }
 
+    // Guards against a success whose missing rest is the beginning of a second response that arrives in pieces.
+    @Test
+    void secondResponseInPiecesDoesNotCompleteCutResponse() {
+        for (String second : secondResponses()) {
+            assertSecondResponseCompletesNone(second, 1);
+        }
+    }
+
     // Guards against a second response that is not recognized in a cut response because of the form of its head.
     @Test
     void secondResponseInAnyFormDoesNotCompleteCutResponse() {
