Give up late responses whose trailers are the response that is due

What callers saw: a success where the server had answered with a failure (MIXED).

Cause: the codec takes what follows a late response that is cut within the line of its last chunk for its trailers. They were not looked at, so that they hid the head of a failure, and the second, successful response behind it was delivered.

Evidence: secondResponseInChunksThatIsCutHidesNoFailure failed on behind "0;".

The connection is given up if the trailers of a late response name the request that is due. Other trailers are passed over as before.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -8,6 +8,7 @@
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
@@ -293,7 +294,7 @@
             discardedBytes += content.content().readableBytes();
             if (discardedBytes > MAX_DISCARDED_BYTES) {
                 giveUp(ResponseFault.ENDLESS_MISMATCH);
-            } else if (discardedSearch.next(content.content())) {
+            } else if (discardedSearch.next(content.content()) || last && hasDueTrailers((LastHttpContent) content)) {
                 // A late response that is cut short would hide the beginning of the one that is due.
                 giveUp(ResponseFault.MIXED_CONTENT);
             }
@@ -311,6 +312,13 @@
         }
     }
 
+    // If a late response is cut in its last chunk, the codec takes the head of the response that is due for trailers.
+    private boolean hasDueTrailers(LastHttpContent content) {
+        return exchange != null
+                && exchange.requestId().isPresent()
+                && exchange.isNamedBy(convertHeaders(HttpStatus.OK.code(), content.trailingHeaders()));
+    }
+
     private void startDiscarding() {
         discarding = true;
         discardedSearch.reset();
@@ -394,9 +402,12 @@
     }
 
     private static ResponseHeaders convertHeaders(HttpResponse response) {
-        ResponseHeadersBuilder converted =
-                ResponseHeaders.builder(response.status().code());
-        response.headers().forEach(field -> {
+        return convertHeaders(response.status().code(), response.headers());
+    }
+
+    private static ResponseHeaders convertHeaders(int status, HttpHeaders received) {
+        ResponseHeadersBuilder converted = ResponseHeaders.builder(status);
+        received.forEach(field -> {
             if (!CallHeaders.isStrippedFromServerAnswer(field.getKey())) {
                 converted.add(field.getKey(), field.getValue());
             }
--- a/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
@@ -236,6 +236,26 @@
         }
     }
 
+    // Guards against a failure whose head is taken for the trailers or a chunk of a late response that is cut.
+    @Test
+    void secondResponseInChunksThatIsCutHidesNoFailure() {
+        String head = "HTTP/1.1 200 OK\r\nid: one\r\ntransfer-encoding: chunked\r\n\r\n";
+        String chunks = "3;a=b\r\nown\r\n0;c=d\r\n\r\n";
+        for (String body : List.of("", "own")) {
+            for (int cut = 0; cut < chunks.length(); cut++) {
+                connect();
+                send(HttpMethod.GET, "one");
+                receive(response("200 OK", "one", "own"));
+                CompletableFuture<AggregatedHttpResponse> two = send(HttpMethod.GET, "two");
+                receive(head + chunks.substring(0, cut));
+                receive(response("500 Failed", "two", body) + response("200 OK", "two", "late"));
+                assertWithMessage(body + " behind " + chunks.substring(0, cut))
+                        .that(isSuccess(two))
+                        .isFalse();
+            }
+        }
+    }
+
     // Guards against a response that fails, or an exchange without an end, because its body quotes odd header lines.
     @Test
     void bodyMayContainInvalidHeaders() {
