Recognize second responses to probes in the bodies of other responses

What callers saw: a success that is not the server's whole body (MIXED), on a connection that has carried a health probe before.

Cause: a second response is recognized in a body by the request that it names, and responses to probes name none.

Evidence: secondResponseToProbeDoesNotCompleteCutResponse fails without the change. Responses to probes name the server instance; on connections that have carried a probe, that shows them.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -68,6 +68,9 @@
     private int exchanges;
     private int interimResponses;
 
+    /** Whether a request without an identifier was carried, such as a health probe. */
+    private boolean carriedUnnamed;
+
     /** Whether the request has the method HEAD, so that its response ends with its headers. */
     private boolean toHead;
 
@@ -142,7 +145,7 @@
         discardedBytes = 0;
         discarded = false;
         RequestHeaders requestHeaders = next.assign(this, request.headers(), instance, remainingNanos);
-        next.requestId().ifPresent(carried::add);
+        next.requestId().ifPresentOrElse(carried::add, () -> carriedUnnamed = true);
         ByteBuf content = request.content().isEmpty()
                 ? Unpooled.EMPTY_BUFFER
                 : request.content().byteBuf();
@@ -327,7 +330,10 @@
     private void finish() {
         HttpData completeBody = body.complete();
         body = null;
-        switch (EmbeddedResponse.find(completeBody.array(), found -> exchange.isLate(found, carried))) {
+        EmbeddedResponse found = EmbeddedResponse.find(
+                completeBody.array(),
+                header -> exchange.isLate(header, carried) || carriedUnnamed && exchange.isInstanceNamed(header));
+        switch (found) {
             case ABSENT -> complete(completeBody);
             case PRESENT -> rejectMixed();
             default -> awaitNextBytes(completeBody);
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -95,6 +95,13 @@
         return dialect.requestId(headers).filter(carried::contains).isPresent();
     }
 
+    // Returns whether headers of a response name a server instance, as those of responses to health probes do.
+    boolean isInstanceNamed(HttpHeaders headers) {
+        return dialect.instance(
+                        ResponseHeaders.builder(HttpStatus.OK).add(headers).build())
+                .isPresent();
+    }
+
     // Returns whether a response names no other server instance than the one that the request is meant for.
     boolean isFromInstance(ResponseHeaders headers) {
         return instance == null
--- a/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
@@ -256,6 +256,25 @@
         }
     }
 
+    // Guards against a success that is completed by a second response to a health probe, which names no request.
+    @Test
+    void secondResponseToProbeDoesNotCompleteCutResponse() {
+        connect();
+        String second = "HTTP/1.1 200 OK\r\ninstance: i-1\r\ncontent-length: 2\r\n\r\nok";
+        CompletableFuture<AggregatedHttpResponse> probe = new CompletableFuture<>();
+        send(
+                HttpMethod.GET,
+                "",
+                ServerExchange.ofUnmodified(
+                        EchoDialect.INSTANCE, ServerReports.Discarding.INSTANCE, new Clock.Manual(), probe));
+        receive(second);
+        assertThat(probe.join().contentUtf8()).isEqualTo("ok");
+        assertThat(channel.isOpen()).isTrue();
+        CompletableFuture<AggregatedHttpResponse> one = send(HttpMethod.GET, "one");
+        receive("HTTP/1.1 200 OK\r\nid: one\r\ncontent-length: " + (second.length() + 3) + "\r\n\r\nown" + second);
+        assertThat(isSuccess(one)).isFalse();
+    }
+
     // Guards against a response that fails, or an exchange without an end, because its body quotes odd header lines.
     @Test
     void bodyMayContainInvalidHeaders() {
