--- a/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
@@ -290,6 +290,21 @@
         }
     }
 
+    // Guards against a success in chunks that is cut in the line of a chunk's size, which then hides a status line.
+    @Test
+    @Tag("known-red")
+    void secondResponseInLineOfChunkSizeDoesNotCompleteChunks() {
+        String head = "HTTP/1.1 200 OK\r\nid: one\r\ntransfer-encoding: chunked\r\n\r\n";
+        String chunks = "44;a=b\r\n" + "x".repeat(0x44) + "\r\n0\r\n\r\n";
+        for (int cut = 1; cut < chunks.indexOf('\n'); cut++) {
+            connect();
+            CompletableFuture<AggregatedHttpResponse> one = send(HttpMethod.GET, "one");
+            receive(head + chunks.substring(0, cut) + head + chunks);
+            pause();
+            assertWithMessage(chunks.substring(0, cut)).that(isSuccess(one)).isFalse();
+        }
+    }
+
     // Guards against a failure whose head is taken for the trailers or a chunk of a late response that is cut.
     @Test
     void secondResponseInChunksThatIsCutHidesNoFailure() {
