Hold that a server that refused a call does not get it again

ServerSelection gives servers back whose gates returned a call, and records of servers are replaced. 20,000 seeded selections over pools that change between attempts never chose a server again that was reached, refused or not, and an entry sends no refused call again after its node and server have restarted.

--- a/mustardusher-core/src/test/java/io/mustardusher/routing/ServerSelectionTest.java
+++ b/mustardusher-core/src/test/java/io/mustardusher/routing/ServerSelectionTest.java
@@ -1,7 +1,9 @@
 package io.mustardusher.routing;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -12,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 /**
  * Load pattern: all servers of a service are nearly full. A gate that returns a call in favour of a faster server only
@@ -105,6 +108,50 @@
         assertThat(selection.next(ServerPool.of(servers), new Random(1), 0)).isEmpty();
     }
 
+    /**
+     * Guards against a second run under the same identifier at a server that refused or failed the call itself, while
+     * gates return the call and the records of servers come, go and are replaced.
+     */
+    @Test
+    void serverThatWasReachedIsNotChosenAgain() {
+        int chosenAgainAfterReturn = 0;
+        for (int seed = 0; seed < 20_000; seed++) {
+            Random random = new Random(seed);
+            ServerSelection selection = selection();
+            Set<NodeId> reached = new HashSet<>();
+            Set<NodeId> returned = new HashSet<>();
+            for (int attempt = 0; attempt < 20; attempt++) {
+                Optional<ServerSelection.Choice> choice = selection.next(randomPool(random), random, 0);
+                if (choice.isEmpty()) {
+                    continue;
+                }
+                ServerLoad chosen = choice.get().server();
+                assertWithMessage("seed " + seed).that(reached).doesNotContain(chosen.node());
+                chosenAgainAfterReturn += returned.contains(chosen.node()) ? 1 : 0;
+                if (choice.get().mobility() != Mobility.FIXED && random.nextInt(3) > 0) {
+                    selection.recordSlow(chosen);
+                    returned.add(chosen.node());
+                } else {
+                    reached.add(chosen.node());
+                }
+            }
+        }
+        assertThat(chosenAgainAfterReturn).isAtLeast(1_000);
+    }
+
+    private static ServerPool randomPool(Random random) {
+        List<ServerLoad> servers = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            ServerLoad server = server("s" + i);
+            server.setServing(random.nextInt(4) > 0);
+            server.update(new LoadReport(random.nextInt(SLOTS + 1), 0, SLOTS, 100_000, random.nextInt(4) == 0), 0);
+            if (random.nextInt(4) > 0) {
+                servers.add(server);
+            }
+        }
+        return ServerPool.of(servers);
+    }
+
     /** Guards against a detour over the network while the server beside the node has a free slot. */
     @Test
     void prefersOwnServerWithFreeSlot() {
--- a/mustardusher-node/src/test/java/io/mustardusher/entry/ServerTriedOnceTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/entry/ServerTriedOnceTest.java
@@ -111,6 +111,24 @@
         assertThat(answer.join().status().code()).isEqualTo(500);
     }
 
+    /** Guards against a second arrival at a server that refused the call itself, after its record was replaced. */
+    @Test
+    void refusingServerIsNotTriedAgainWhenItServesAgain() {
+        join(2);
+        CompletableFuture<AggregatedHttpResponse> answer = call(0, RetryPolicy.DEFAULT_MAX_ATTEMPTS);
+        gates.answer(0, Problem.headers(ResultCode.SERVER_REFUSED).build());
+        assertThat(gates.addresses).hasSize(2);
+        for (int i = 1; i <= 2; i++) {
+            members.merge(List.of(member(i).withIncarnation(2).withServing(false)));
+            directory.refresh();
+            members.merge(List.of(member(i).withIncarnation(3).withSince(2_000).withBoot(2L)));
+            directory.refresh();
+        }
+        gates.answer(1, Problem.headers(ResultCode.SERVER_REFUSED).build());
+        assertThat(gates.addresses).containsNoDuplicates();
+        assertThat(answer.join().status().code()).isEqualTo(503);
+    }
+
     /** Guards against a retry at the server that runs a hedge of the same call. */
     @Test
     @Tag("known-red")
