Let callers over failing links repeat a request under its id

With REPEATS=1 a failed request that may be repeated comes back on its connection under the same id, as in the other case of nested calls, which brings it to the same server again.

--- a/review/standins/src/review/NestedCalls.java
+++ b/review/standins/src/review/NestedCalls.java
@@ -51,7 +51,7 @@
     final int timeoutMillis = number("TIMEOUT_MS", 8000);
     final int thinkMillis = number("THINK_MS", 250);
     private final int burstSize = number("BURST", 16);
-    private final boolean repeats = number("REPEATS", 0) == 1;
+    final boolean repeats = number("REPEATS", 0) == 1;
     final int bodyBytes = number("BODY_BYTES", 200);
     private final boolean noisy = number("NOISE", 0) == 1;
     private final boolean similarIds = "SIMILAR".equals(System.getenv("IDS"));
--- a/review/standins/src/review/RelayedLinks.java
+++ b/review/standins/src/review/RelayedLinks.java
@@ -219,6 +219,7 @@
     void call(Fleet.Machine machine, Random random) throws Exception {
         Client client = null;
         String prefix = null;
+        String id = null;
         int retries = 0;
         while (!ended) {
             prefix = retries == 0 ? prefix(random.nextInt(100)) : prefix;
@@ -228,22 +229,28 @@
                 Thread.sleep(50);
                 continue;
             }
+            if (retries > 0 && repeats && isIdempotent(prefix)) {
+                ledger.noteRepeated(id);
+            } else {
+                id = nextId();
+            }
             int drawn = random.nextInt(100);
             boolean closes = drawn < 3;
             client.extraFields = closes ? "Connection: close\r\n" : "";
             int size = random.nextInt(5) == 0 ? 60_000 + random.nextInt(200_000) : bodyBytes;
             int waitMillis = 20 + random.nextInt(500);
             if (drawn >= 95) {
-                leaveOpen(client, prefix, size);
+                leaveOpen(client, prefix, id, size);
                 client = null;
                 Thread.sleep(waitMillis);
                 continue;
             }
             client.patienceMillis = drawn >= 90 ? waitMillis - timeoutMillis : 3000;
-            Client.Answer answer = exchange(client, prefix, size);
+            Client.Answer answer = exchange(client, prefix, id, size);
             boolean failed = answer.status() < 200 || answer.status() >= 500 || answer.status() == 429;
             retries = failed && drawn < 90 && retries < MOST_RETRIES && random.nextInt(10) < 6 ? retries + 1 : 0;
-            if (retries > 0 || closes || hasEnded(answer)) {
+            boolean leaves = retries > 0 && !(repeats && isIdempotent(prefix));
+            if (leaves || closes || hasEnded(answer)) {
                 client.close();
                 client = null;
             }
@@ -262,21 +269,24 @@
     }
 
     /** Goes on without the answer, whose connection stays open and is used once more when it has come. */
-    private void leaveOpen(Client client, String prefix, int size) {
+    private void leaveOpen(Client client, String prefix, String id, int size) {
         ledger.count(true, "requests given up on open connections");
         Fleet.daemon(() -> {
             try (client) {
-                Client.Answer answer = exchange(client, prefix, size);
+                Client.Answer answer = exchange(client, prefix, id, size);
                 if (!hasEnded(answer)) {
-                    exchange(client, "/clip/", 0);
+                    exchange(client, "/clip/", nextId(), 0);
                 }
             }
         });
     }
 
-    private Client.Answer exchange(Client client, String prefix, int size) throws IOException {
-        String id = nextId();
-        boolean idempotent = !prefix.equals("/file/") && !prefix.equals("/deposit/");
+    private static boolean isIdempotent(String prefix) {
+        return !prefix.equals("/file/") && !prefix.equals("/deposit/");
+    }
+
+    private Client.Answer exchange(Client client, String prefix, String id, int size) throws IOException {
+        boolean idempotent = isIdempotent(prefix);
         if (client.hasBytes()) {
             ledger.noteUnasked(client.machine.name);
         }
