Give up responses in chunks whose end another response has taken the place of

What callers saw: a success that looks whole although the server's was cut (MIXED: an answer that ends early must not look complete). Its content was whole; its last chunk or its trailers were those of the second response.

The codec takes the head of a response behind a cut last chunk for an extension and trailers.

Trailers that contain a status line, or name a request that the connection has carried, end the connection.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -294,11 +294,11 @@
 
     // A head that is cut within a line goes on with the status line of the next response.
     private static boolean isContinuedByAnother(HttpResponse response) {
-        if (StatusLineSearch.isIn(response.status().reasonPhrase())) {
-            return true;
-        }
-        Iterator<Map.Entry<CharSequence, CharSequence>> fields =
-                response.headers().iteratorCharSequence();
+        return StatusLineSearch.isIn(response.status().reasonPhrase()) || containsStatusLine(response.headers());
+    }
+
+    private static boolean containsStatusLine(HttpHeaders headers) {
+        Iterator<Map.Entry<CharSequence, CharSequence>> fields = headers.iteratorCharSequence();
         while (fields.hasNext()) {
             if (StatusLineSearch.isIn(fields.next().getValue())) {
                 return true;
@@ -331,11 +331,22 @@
             giveUp(ResponseFault.BODY_TOO_LONG);
             return;
         }
+        if (last && isContinuedByAnother(((LastHttpContent) content).trailingHeaders())) {
+            giveUp(ResponseFault.MIXED_CONTENT);
+            return;
+        }
         if (last && !closeDelimited) {
             finish();
         }
     }
 
+    // If the last chunk or the trailers are cut, the codec takes the head of the next response for trailers.
+    private boolean isContinuedByAnother(HttpHeaders trailers) {
+        return !trailers.isEmpty()
+                && (containsStatusLine(trailers)
+                        || exchange.isLate(convertHeaders(HttpStatus.OK.code(), trailers), carried));
+    }
+
     // If a late response is cut in its last chunk, the codec takes the head of the response that is due for trailers.
     private boolean hasDueTrailers(LastHttpContent content) {
         return exchange != null
--- a/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
@@ -305,6 +305,25 @@
         }
     }
 
+    // Guards against a success in chunks that looks whole although a second response took the place of its end.
+    @Test
+    void secondResponseIsNoEndOfChunks() {
+        String whole = "HTTP/1.1 200 OK\r\nid: one\r\ntransfer-encoding: chunked\r\n\r\n"
+                + "3\r\nown\r\n0;last\r\ntrailer: 1\r\nother: 2\r\n\r\n";
+        for (String second : List.of(whole, response("200 OK", "one", "own"))) {
+            for (int cut = whole.indexOf("0;last"); cut < whole.length() - 2; cut++) {
+                connect();
+                CompletableFuture<AggregatedHttpResponse> one = send(HttpMethod.GET, "one");
+                receive(whole.substring(0, cut));
+                receive(second);
+                pause();
+                assertWithMessage(second + " behind " + whole.substring(0, cut))
+                        .that(isSuccess(one))
+                        .isFalse();
+            }
+        }
+    }
+
     // Guards against a failure whose head is taken for the trailers or a chunk of a late response that is cut.
     @Test
     void secondResponseInChunksThatIsCutHidesNoFailure() {
