--- a/review/standins/src/review/Fleet.java
+++ b/review/standins/src/review/Fleet.java
@@ -209,7 +209,7 @@
         }
     }
 
-    /** Returns an address as it stands in settings and in check-ins. */
+    /** Returns an address as it stands in settings and in announcements. */
     static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
