--- a/review/rig-2/Upstream.java
+++ b/review/rig-2/Upstream.java
@@ -33,6 +33,12 @@
     /** Body of the answer. */
     volatile Function<Http.Message, byte[]> content = request -> Http.ascii("done " + request.header("x-attempt-id"));
 
+    /** Time between two writes of a spoiled answer, in milliseconds. */
+    static final long WRITE_PAUSE_MILLIS = 15;
+
+    /** Writes of a spoiled answer, after which the upstream closes the connection; empty for a sound answer. */
+    volatile Function<Http.Message, List<byte[]>> spoiled = request -> List.of();
+
     volatile boolean leaving;
     volatile boolean gone;
 
@@ -158,6 +164,15 @@
                         rig.now()));
                 try {
                     Thread.sleep(work.apply(request));
+                    List<byte[]> writes = spoiled.apply(request);
+                    if (!writes.isEmpty()) {
+                        for (byte[] write : writes) {
+                            out.write(write);
+                            out.flush();
+                            Thread.sleep(WRITE_PAUSE_MILLIS);
+                        }
+                        return;
+                    }
                     byte[] body = content.apply(request);
                     answer(out, 200, echo + "X-Server-Signature: s-" + id + "\r\n", body);
                 } finally {
