--- a/review/rig-2/Node.java
+++ b/review/rig-2/Node.java
@@ -19,6 +19,8 @@
     private final Rig rig;
     private Process process;
     private int starts;
+    private boolean ended;
+    private long startedMillis;
 
     Node(Rig rig, String id, String ip, String zone, String service, int base) {
         this.rig = rig;
@@ -41,10 +43,14 @@
         return base + 1;
     }
 
-    void start() throws IOException {
+    synchronized void start() throws IOException {
+        if (ended) {
+            return;
+        }
         Path settings = rig.temp.resolve(id + ".json");
         Files.writeString(settings, settings());
         starts++;
+        startedMillis = rig.now();
         List<String> command = new ArrayList<>(List.of(rig.run.split(" ")));
         ProcessBuilder builder = new ProcessBuilder(command).directory(rig.root.toFile());
         for (String name : List.copyOf(builder.environment().keySet())) {
@@ -80,7 +86,14 @@
         process.waitFor(millis, TimeUnit.MILLISECONDS);
     }
 
-    void end() {
+    /** Time of the last start, in milliseconds since the start of the case. */
+    synchronized long startedMillis() {
+        return startedMillis;
+    }
+
+    /** Ends the process for good. */
+    synchronized void end() {
+        ended = true;
         if (process != null && process.isAlive()) {
             process.destroyForcibly();
         }
--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -163,6 +163,19 @@
         record("all nodes are ready");
     }
 
+    /** Writes a line for each request: when and where it was sent, how it was answered, and where it ran. */
+    void recordRequests(java.util.Map<String, String> sent, java.util.Map<String, String> answered) {
+        java.util.Map<String, String> runs = new java.util.HashMap<>();
+        for (Upstream upstream : upstreams) {
+            for (Upstream.Arrival arrival : upstream.arrivals) {
+                runs.merge(arrival.id(), arrival.upstream() + " at " + arrival.atMillis(), (a, b) -> a + " and " + b);
+            }
+        }
+        new java.util.TreeMap<>(sent).forEach((id, how) -> record.println(id + " sent " + how + ", answered "
+                + answered.getOrDefault(id, "-") + ", ran " + runs.getOrDefault(id, "-")));
+        record.flush();
+    }
+
     static Thread thread(String name, Task task) {
         Thread thread = new Thread(
                 () -> {
