Give up responses whose status line is malformed

What callers saw: an upstream in trouble answered with the status 000, and its caller got "HTTP/1.1 0 Unknown Status (0)" as an answer; 1000, 20 and +200 were passed on likewise, and 0200 as a sound 200. Cause: the codec parses the status as an int of any size, skips control characters and blanks before the line and between its parts, and leaves the reason as it is. What it hands over does not show what it forgave. Change: ResponseSyntax follows the bytes of a connection in front of the codec, by the grammar of RFC 9112. Nothing behind a fault is decoded; the connection is closed, and the request ends as unknown. The fault is logged (MUSH1133) and counted (gate.malformedResponses.*), also if no request awaits the response.

--- a/mustardusher-node/src/main/java/io/mustardusher/gate/GateReports.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/GateReports.java
@@ -13,6 +13,7 @@
 import io.mustardusher.server.ReportedServerLoad;
 import io.mustardusher.server.ResponseFault;
 import io.mustardusher.server.ServerReports;
+import io.mustardusher.server.SyntaxFault;
 import io.mustardusher.time.Clock;
 
 /**
@@ -63,6 +64,12 @@
         metrics.counter("gate.responseFaults." + fault.label()).inc();
     }
 
+    @Override
+    public void onMalformedResponse(SyntaxFault fault) {
+        metrics.counter("gate.malformedResponses." + fault.label()).inc();
+        NodeLog.LOG.responseMalformed("the backend server", fault.description());
+    }
+
     @Override
     public void onDiscardedResponse(DiscardedResponse response) {
         metrics.counter("gate.discardedResponses").inc();
--- a/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/log/NodeLog.java
@@ -104,6 +104,17 @@
     @Message(id = 1131, value = "connection to %s silent for %d ms; %d requests outstanding")
     void connectionSilent(String address, long millis, int outstanding);
 
+    /**
+     * The bytes of a response break the grammar of HTTP/1.1. Its connection is closed, and the request that awaits a
+     * response on it, if one does, ends without one.
+     *
+     * @param sender sender of the response
+     * @param fault  how they break it
+     */
+    @LogMessage(level = Logger.Level.WARN)
+    @Message(id = 1133, value = "malformed response of %s: %s")
+    void responseMalformed(String sender, String fault);
+
     /** A newer configuration came from a peer while the watch of the table service waited, so that it starts anew. */
     @LogMessage(level = Logger.Level.INFO)
     @Message(id = 1132, value = "watch of the table service renewed, since a peer had a newer version")
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -292,6 +292,24 @@
                 dialect.requestId(response), response.status().code(), connection, awaited));
     }
 
+    /**
+     * Reports why a response is given up.
+     *
+     * @param fault the fault
+     */
+    void reportFault(ResponseFault fault) {
+        reports.onResponseFault(fault);
+    }
+
+    /**
+     * Reports how a response breaks the grammar, also if no request awaits one.
+     *
+     * @param fault the fault
+     */
+    void reportMalformed(SyntaxFault fault) {
+        reports.onMalformedResponse(fault);
+    }
+
     /**
      * Returns a connection to the idle connections, or closes it if this link is closed.
      *
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntax.java
@@ -0,0 +1,496 @@
+package io.mustardusher.server;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.util.AsciiString;
+import io.netty.util.ByteProcessor;
+
+/**
+ * Checks the bytes of a connection's responses against the grammar of RFC 9112 as they arrive. Codecs forgive what the
+ * grammar does not allow, such as a blank in the name of a header, and what they hand over does not show it any more.
+ *
+ * <p>Forms that the RFC lets recipients accept are accepted: a line feed without a carriage return at the end of a
+ * status line or a field, a status line that ends with the status, and values of headers that continue on the next line, unless
+ * that line is blank or has a colon, so that it may be meant for a header.
+ */
+final class ResponseSyntax {
+
+    private static final byte[] VERSION_PREFIX = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+    private static final AsciiString CONTENT_LENGTH = AsciiString.cached("content-length");
+    private static final AsciiString TRANSFER_ENCODING = AsciiString.cached("transfer-encoding");
+    private static final AsciiString CHUNKED = AsciiString.cached("chunked");
+
+    /** Maximum length of a value that says where a response ends, in bytes. */
+    private static final int MAX_FRAMING_VALUE_BYTES = 256;
+
+    /** Maximum number of digits of a content length; all such numbers fit into a long. */
+    private static final int MAX_LENGTH_DIGITS = 18;
+
+    private static final int STATUS_DIGITS = 3;
+    private static final int DECIMAL = 10;
+    private static final int SWITCHING_PROTOCOLS = 101;
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int NO_CONTENT = 204;
+    private static final int RESET_CONTENT = 205;
+    private static final int NOT_MODIFIED = 304;
+
+    /** Whether each outstanding request has the method HEAD, in the order of the requests. */
+    private final Queue<Boolean> requests = new ArrayDeque<>();
+
+    private State state = State.START;
+    private SyntaxFault fault;
+
+    /** Number of bytes that were read of the version or of the status. */
+    private int position;
+
+    private boolean firstMinorVersion;
+    private int status;
+
+    /** First bytes of the name of the current header, as many as the longest name has that the check knows. */
+    private final byte[] name = new byte[TRANSFER_ENCODING.length()];
+
+    private int nameLength;
+
+    /** Value of a header that says where the response ends. */
+    private final StringBuilder framingValue = new StringBuilder();
+
+    /** Whether that value is one of {@link #TRANSFER_ENCODING}. */
+    private boolean ofTransferEncoding;
+
+    /** Stated length of the content, in bytes; negative if there is none. */
+    private long contentLength = -1;
+
+    private boolean chunked;
+
+    /** Whether the next line may continue the value before. */
+    private boolean foldable;
+
+    /** Bytes that are outstanding of the content or of the current chunk. */
+    private long remaining;
+
+    /**
+     * Notes that a request is sent.
+     *
+     * @param toHead whether its method is HEAD, so that its response ends with the header block
+     */
+    void onRequest(boolean toHead) {
+        requests.add(toHead);
+    }
+
+    /**
+     * Checks the next bytes of the connection.
+     *
+     * @param bytes the bytes; they are not consumed
+     * @return number of bytes that may be decoded: all of them, or those before the line with the first fault
+     */
+    int check(ByteBuf bytes) {
+        int start = bytes.readerIndex();
+        int end = bytes.writerIndex();
+        int lineStart = start;
+        int i = start;
+        while (i < end && fault == null) {
+            i = state.read(this, bytes, i, end);
+            if (state.beginsLine && fault == null) {
+                lineStart = i;
+            }
+        }
+        return (fault == null ? end : lineStart) - start;
+    }
+
+    /**
+     * Returns how the grammar was broken. What follows belongs to no response.
+     *
+     * @return the fault, or {@code null} if there is none
+     */
+    MalformedResponse fault() {
+        if (fault == null) {
+            return null;
+        }
+        return new MalformedResponse(ResponseFault.MALFORMED_HEAD, fault);
+    }
+
+    private State reject(SyntaxFault found) {
+        fault = found;
+        return state;
+    }
+
+    private State endResponse() {
+        contentLength = -1;
+        chunked = false;
+        foldable = false;
+        return State.START;
+    }
+
+    private State beginValue() {
+        ofTransferEncoding = isNamed(TRANSFER_ENCODING);
+        if (!ofTransferEncoding && !isNamed(CONTENT_LENGTH)) {
+            foldable = true;
+            return State.FIELD_VALUE;
+        }
+        foldable = false;
+        framingValue.setLength(0);
+        return State.FRAMING_VALUE;
+    }
+
+    private void addToName(ByteBuf bytes, int from, int to) {
+        int kept = Math.min(to - from, name.length - nameLength);
+        if (kept > 0) {
+            bytes.getBytes(from, name, nameLength, kept);
+        }
+        nameLength += to - from;
+    }
+
+    private boolean isNamed(AsciiString expected) {
+        return nameLength == expected.length()
+                && expected.contentEqualsIgnoreCase(new AsciiString(name, 0, nameLength, false));
+    }
+
+    private State addToFramingValue(byte read) {
+        if (framingValue.length() == MAX_FRAMING_VALUE_BYTES) {
+            return reject(framingFault());
+        }
+        framingValue.append((char) read);
+        return State.FRAMING_VALUE;
+    }
+
+    private State endFramingValue(byte read) {
+        String text = framingValue.toString().strip();
+        boolean valid = ofTransferEncoding ? setTransferEncoding(text) : setContentLength(text);
+        return valid ? endLine(read, SyntaxFault.FIELD_VALUE) : reject(framingFault());
+    }
+
+    // The framing of a chunked response of HTTP/1.0 is to be treated as faulty.
+    private boolean setTransferEncoding(String text) {
+        boolean repeated = chunked;
+        chunked = CHUNKED.contentEqualsIgnoreCase(text);
+        return chunked && !repeated && !firstMinorVersion;
+    }
+
+    private boolean setContentLength(String text) {
+        boolean number = !text.isEmpty()
+                && text.length() <= MAX_LENGTH_DIGITS
+                && text.chars().allMatch(digit -> digit >= '0' && digit <= '9');
+        if (!number || contentLength >= 0) {
+            return false;
+        }
+        contentLength = Long.parseLong(text);
+        return true;
+    }
+
+    private SyntaxFault framingFault() {
+        return ofTransferEncoding ? SyntaxFault.TRANSFER_ENCODING : SyntaxFault.CONTENT_LENGTH;
+    }
+
+    private State endLine(byte read, SyntaxFault otherwise) {
+        return switch (read) {
+            case '\r' -> State.LINE_FEED;
+            case '\n' -> State.FIELD_START;
+            default -> reject(otherwise);
+        };
+    }
+
+    private State endFields() {
+        if (status == SWITCHING_PROTOCOLS) {
+            return reject(SyntaxFault.UPGRADE);
+        }
+        if (status < FIRST_FINAL_STATUS) {
+            return endResponse();
+        }
+        boolean toHead = !requests.isEmpty() && requests.remove();
+        boolean withoutContent = status == NO_CONTENT || status == RESET_CONTENT || status == NOT_MODIFIED;
+        if (toHead || withoutContent || !chunked && contentLength == 0) {
+            return endResponse();
+        }
+        if (chunked) {
+            // Chunks, and what follows them, are left to the codec.
+            return State.CONTENT_UNTIL_CLOSE;
+        }
+        remaining = contentLength;
+        return contentLength < 0 ? State.CONTENT_UNTIL_CLOSE : State.CONTENT;
+    }
+
+    private int skipRemaining(int from, int to) {
+        int skipped = (int) Math.min(remaining, to - from);
+        remaining -= skipped;
+        return from + skipped;
+    }
+
+    private static int find(ByteBuf bytes, int from, int to, ByteProcessor continues) {
+        int end = bytes.forEachByte(from, to - from, continues);
+        return end < 0 ? to : end;
+    }
+
+    // A tab, a space, a visible character, or a byte that ASCII does not define.
+    private static boolean isText(byte read) {
+        return read >= ' ' && read != 0x7f || read == '\t' || read < 0;
+    }
+
+    private static boolean isFoldedText(byte read) {
+        return isText(read) && read != ':';
+    }
+
+    // Whether the name of a field is a token is left to the codec.
+    private static boolean isToken(byte read) {
+        return isText(read) && read != ':';
+    }
+
+    private static boolean isDigit(byte read) {
+        return read >= '0' && read <= '9';
+    }
+
+    private static boolean isBlank(byte read) {
+        return read == ' ' || read == '\t';
+    }
+
+    /** What the next byte is part of. */
+    private enum State {
+        /** The first byte of a response. */
+        START(true) {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                syntax.position = 0;
+                return VERSION.next(syntax, read);
+            }
+        },
+
+        /** The version up to its first digit. */
+        VERSION {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                if (read != VERSION_PREFIX[syntax.position]) {
+                    return syntax.reject(SyntaxFault.VERSION);
+                }
+                syntax.position++;
+                return syntax.position == VERSION_PREFIX.length ? MINOR_VERSION : VERSION;
+            }
+        },
+
+        /** The last digit of the version. */
+        MINOR_VERSION {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                syntax.firstMinorVersion = read == '0';
+                return isDigit(read) ? VERSION_END : syntax.reject(SyntaxFault.VERSION);
+            }
+        },
+
+        /** The space between version and status. */
+        VERSION_END {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                syntax.position = 0;
+                syntax.status = 0;
+                return read == ' ' ? STATUS : syntax.reject(SyntaxFault.VERSION);
+            }
+        },
+
+        /** The digits of the status. */
+        STATUS {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                boolean first = syntax.position == 0;
+                if (!isDigit(read) || first && (read < '1' || read > '5')) {
+                    return syntax.reject(SyntaxFault.STATUS);
+                }
+                syntax.status = syntax.status * DECIMAL + read - '0';
+                syntax.position++;
+                return syntax.position == STATUS_DIGITS ? STATUS_END : STATUS;
+            }
+        },
+
+        /** The byte behind the status. */
+        STATUS_END {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return read == ' ' ? REASON : syntax.endLine(read, SyntaxFault.STATUS);
+            }
+        },
+
+        /** The reason phrase. */
+        REASON {
+            @Override
+            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+                return readAt(syntax, bytes, find(bytes, from, to, ResponseSyntax::isText), to);
+            }
+
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return syntax.endLine(read, SyntaxFault.REASON);
+            }
+        },
+
+        /** The line feed behind the carriage return that ends a status line or a field. */
+        LINE_FEED {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return read == '\n' ? FIELD_START : syntax.reject(SyntaxFault.LINE_END);
+            }
+        },
+
+        /** The first byte of a field, or of the line that ends the fields. */
+        FIELD_START(true) {
+            @Override
+            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+                syntax.nameLength = 0;
+                byte first = bytes.getByte(from);
+                return isToken(first) && !isBlank(first)
+                        ? FIELD_NAME.read(syntax, bytes, from, to)
+                        : readAt(syntax, bytes, from, to);
+            }
+
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return switch (read) {
+                    case '\r' -> LAST_LINE_FEED;
+                    case '\n' -> syntax.endFields();
+                    case ' ', '\t' -> syntax.foldable ? FOLD_START : syntax.reject(SyntaxFault.FOLDED_LINE);
+                    default -> syntax.reject(SyntaxFault.FIELD_NAME);
+                };
+            }
+        },
+
+        /** The name of a field. */
+        FIELD_NAME {
+            @Override
+            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+                int end = find(bytes, from, to, ResponseSyntax::isToken);
+                syntax.addToName(bytes, from, end);
+                syntax.state = FIELD_NAME;
+                return readAt(syntax, bytes, end, to);
+            }
+
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return read == ':' ? syntax.beginValue() : syntax.reject(SyntaxFault.FIELD_NAME);
+            }
+        },
+
+        /** The value of a field. */
+        FIELD_VALUE {
+            @Override
+            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+                return readAt(syntax, bytes, find(bytes, from, to, ResponseSyntax::isText), to);
+            }
+
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return syntax.endLine(read, SyntaxFault.FIELD_VALUE);
+            }
+        },
+
+        /** The value of a field that says where the response ends. */
+        FRAMING_VALUE {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return isText(read) ? syntax.addToFramingValue(read) : syntax.endFramingValue(read);
+            }
+        },
+
+        /** Blanks at the beginning of a line that continues a value. */
+        FOLD_START {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                if (isBlank(read)) {
+                    return FOLD_START;
+                }
+                return isFoldedText(read) ? FOLD : syntax.reject(SyntaxFault.FOLDED_LINE);
+            }
+        },
+
+        /** A line that continues a value. */
+        FOLD {
+            @Override
+            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+                return readAt(syntax, bytes, find(bytes, from, to, ResponseSyntax::isFoldedText), to);
+            }
+
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return syntax.endLine(read, read == ':' ? SyntaxFault.FOLDED_LINE : SyntaxFault.FIELD_VALUE);
+            }
+        },
+
+        /** The line feed behind the carriage return that ends the fields. */
+        LAST_LINE_FEED {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return read == '\n' ? syntax.endFields() : syntax.reject(SyntaxFault.LINE_END);
+            }
+        },
+
+        /** Content of a stated length. */
+        CONTENT {
+            @Override
+            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+                int end = syntax.skipRemaining(from, to);
+                if (syntax.remaining == 0) {
+                    syntax.state = syntax.endResponse();
+                }
+                return end;
+            }
+        },
+
+        /** Content that ends with the connection. */
+        CONTENT_UNTIL_CLOSE {
+            @Override
+            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+                return to;
+            }
+        };
+
+        /** Whether what was read before ends with a line or with content. */
+        private final boolean beginsLine;
+
+        State() {
+            this(false);
+        }
+
+        State(boolean beginsLine) {
+            this.beginsLine = beginsLine;
+        }
+
+        /**
+         * Reads at least one byte.
+         *
+         * @param syntax check that is in this state
+         * @param bytes  the bytes
+         * @param from   index of the next byte
+         * @param to     index behind the last byte
+         * @return index behind the last byte that was read
+         */
+        int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+            return readAt(syntax, bytes, from, to);
+        }
+
+        /**
+         * Returns the state behind a byte.
+         *
+         * @param syntax check that is in this state
+         * @param read   the byte
+         * @return the next state; any state if the byte is a fault
+         */
+        State next(ResponseSyntax syntax, byte read) {
+            return this;
+        }
+
+        /**
+         * Reads one byte, unless there are no more.
+         *
+         * @param syntax check that is in this state
+         * @param bytes  the bytes
+         * @param from   index of the byte
+         * @param to     index behind the last byte
+         * @return index behind the last byte that was read
+         */
+        final int readAt(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+            if (from == to) {
+                return to;
+            }
+            syntax.state = next(syntax, bytes.getByte(from));
+            return from + 1;
+        }
+    }
+}
--- /dev/null
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntaxHandler.java
@@ -0,0 +1,34 @@
+package io.mustardusher.server;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/**
+ * Checks the bytes of responses in front of the codec. Fires a {@link MalformedResponse} behind what is sound, and drops
+ * the rest.
+ */
+final class ResponseSyntaxHandler extends ChannelInboundHandlerAdapter {
+
+    private final ResponseSyntax syntax = new ResponseSyntax();
+
+    /**
+     * Notes that a request is sent.
+     *
+     * @param toHead whether its method is HEAD
+     */
+    void onRequest(boolean toHead) {
+        syntax.onRequest(toHead);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        ByteBuf bytes = (ByteBuf) message;
+        boolean sound = syntax.fault() == null;
+        bytes.writerIndex(bytes.readerIndex() + syntax.check(bytes));
+        context.fireChannelRead(bytes);
+        if (sound && syntax.fault() != null) {
+            context.fireUserEventTriggered(syntax.fault());
+        }
+    }
+}
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -62,6 +62,7 @@
     private final Channel channel;
     private final Clock clock;
     private final CarriedRequests carried = new CarriedRequests();
+    private final ResponseSyntaxHandler syntax = new ResponseSyntaxHandler();
 
     /** Number of this connection, for the log. */
     private final int number = NUMBERS.incrementAndGet();
@@ -160,6 +161,7 @@
                 requestHeaders.path(),
                 content);
         toHead = message.method().equals(HttpMethod.HEAD);
+        syntax.onRequest(toHead);
         requestHeaders.forEach((name, value) -> {
             if (name.charAt(0) != ':') {
                 message.headers().add(name, value);
@@ -177,6 +179,12 @@
         });
     }
 
+    // The codec forgives what the check, which precedes it, does not.
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        context.pipeline().addFirst(syntax);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
@@ -198,6 +206,8 @@
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
             end(ConnectionEnd.END_OF_STREAM);
+        } else if (event instanceof MalformedResponse malformed && end == null) {
+            rejectMalformed(malformed);
         }
     }
 
@@ -232,6 +242,15 @@
         }
     }
 
+    private void rejectMalformed(MalformedResponse malformed) {
+        link.reportMalformed(malformed.syntax());
+        if (undecidedBody == null) {
+            giveUp(malformed.fault());
+        } else {
+            rejectMixed();
+        }
+    }
+
     private void handleResponseHead(HttpResponse response) {
         if (undecidedBody != null) {
             rejectMixed();
@@ -393,7 +412,7 @@
     private void rejectMixed() {
         undecidedBody = null;
         fault = ResponseFault.MIXED_CONTENT;
-        exchange.reportFault(fault);
+        link.reportFault(fault);
         end(ConnectionEnd.GIVEN_UP);
         // Nothing else fails the exchange if the connection had ended before.
         if (exchange != null) {
@@ -426,9 +445,7 @@
             return;
         }
         fault = found;
-        if (exchange != null) {
-            exchange.reportFault(found);
-        }
+        link.reportFault(found);
         end(ConnectionEnd.GIVEN_UP);
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -80,11 +80,6 @@
         return dialect.requestId(request);
     }
 
-    // Reports why the response is given up.
-    void reportFault(ResponseFault fault) {
-        reports.onResponseFault(fault);
-    }
-
     // Returns whether a response names the request, or the request has no identifier that it could repeat.
     boolean isNamedBy(ResponseHeaders headers) {
         return dialect.requestId(headers).equals(requestId());
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerReports.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerReports.java
@@ -38,6 +38,15 @@
      */
     void onResponseFault(ResponseFault fault);
 
+    /**
+     * Handles bytes that break the grammar of responses, in addition to the fault for which their response is given up.
+     *
+     * @param fault how they break it
+     */
+    default void onMalformedResponse(SyntaxFault fault) {
+        // Receivers that keep no log have no use for it.
+    }
+
     /**
      * Handles a response that is discarded because it does not belong to the request that awaits one.
      *
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/GateReportsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/GateReportsTest.java
@@ -10,6 +10,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.server.DiscardedResponse;
+import io.mustardusher.server.SyntaxFault;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,7 +22,8 @@
 
     private final Logger decisions = (Logger) LoggerFactory.getLogger(NodeLog.DECISION_LOGGER);
     private final ListAppender<ILoggingEvent> events = new ListAppender<>();
-    private final GateReports reports = new GateReports(() -> null, new MetricRegistry());
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final GateReports reports = new GateReports(() -> null, metrics);
 
     @BeforeEach
     void start() {
@@ -47,4 +49,18 @@
         assertThat(lines).hasSize(2);
         lines.forEach(line -> assertThat(line.length()).isLessThan(500));
     }
+
+    /** A malformed response would otherwise be found in callers' complaints only. */
+    @Test
+    void namesFaultOfMalformedResponse() {
+        Logger log = (Logger) LoggerFactory.getLogger(NodeLog.NODE_LOGGER);
+        log.addAppender(events);
+        try {
+            reports.onMalformedResponse(SyntaxFault.STATUS);
+        } finally {
+            log.detachAppender(events);
+        }
+        assertThat(events.list.get(0).getFormattedMessage()).contains(SyntaxFault.STATUS.description());
+        assertThat(metrics.counter("gate.malformedResponses.status").getCount()).isEqualTo(1);
+    }
 }
--- /dev/null
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/MalformedResponsesTest.java
@@ -0,0 +1,219 @@
+package io.mustardusher.server;
+
+import java.net.InetAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.stream.Stream;
+
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.RequestHeaders;
+import io.mustardusher.call.CallHeaders;
+import io.mustardusher.generated.Announcement;
+import io.mustardusher.instance.ServerConditions;
+import io.mustardusher.result.MustardusherException;
+import io.mustardusher.result.ResultCode;
+import io.mustardusher.time.Clock;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.ReferenceCountUtil;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/** Guards against malformed responses that are delivered as the codec has read them. */
+class MalformedResponsesTest {
+
+    private static final EventLoopGroup GROUP = new NioEventLoopGroup(1);
+
+    private final List<ResponseFault> faults = new ArrayList<>();
+    private final List<DiscardedResponse> discarded = new ArrayList<>();
+    private final BufferedServerLink link = (BufferedServerLink)
+            BufferedServerLink.factory(GROUP, EchoDialect.INSTANCE, new RecordedReports(), new Clock.Manual())
+                    .open(new Announcement()
+                            .withHost(InetAddress.getLoopbackAddress().getHostAddress())
+                            .withPort(1L));
+    private final List<EmbeddedChannel> channels = new ArrayList<>();
+    private EmbeddedChannel channel;
+    private ServerConnection connection;
+
+    @AfterEach
+    void closeChannels() {
+        channels.forEach(EmbeddedChannel::finishAndReleaseAll);
+    }
+
+    @AfterAll
+    static void closeGroup() {
+        GROUP.shutdownGracefully();
+    }
+
+    static Stream<String> malformedHeads() {
+        return ResponseForms.malformedStatusLines();
+    }
+
+    // Guards against a status, a length or an id that is believed although the head is malformed.
+    @ParameterizedTest
+    @MethodSource("malformedHeads")
+    void malformedHeadIsNoResponse(String text) {
+        assertGivenUp(text, ResponseFault.MALFORMED_HEAD);
+    }
+
+    // Guards against sound responses that are lost.
+    @ParameterizedTest
+    @MethodSource("io.mustardusher.server.ResponseForms#sound")
+    void soundResponseIsDelivered(String text) {
+        for (int pieceSize : List.of(text.length(), 1, 5)) {
+            connect();
+            CompletableFuture<AggregatedHttpResponse> response = send(HttpMethod.POST, "one");
+            receive(text, pieceSize);
+            assertThat(response.join().status().code()).isEqualTo(200);
+            assertThat(response.join().headers().get(CallHeaders.OUTCOME)).isEqualTo("ran");
+            assertThat(response.join().contentUtf8()).isEqualTo(ResponseForms.BODY);
+        }
+        assertThat(faults).isEmpty();
+    }
+
+    // Guards against an id that is believed, and reported, although the late response that names it is malformed.
+    @ParameterizedTest
+    @MethodSource("malformedHeads")
+    void malformedLateResponseNamesNothing(String text) {
+        connect();
+        send(HttpMethod.GET, "one");
+        receive("HTTP/1.1 200 OK\r\nid: one\r\ncontent-length: 0\r\n\r\n", 7);
+        CompletableFuture<AggregatedHttpResponse> two = send(HttpMethod.POST, "two");
+        receive(text + "HTTP/1.1 200 OK\r\nid: two\r\ncontent-length: 0\r\n\r\n", text.length());
+        assertLost(text, two);
+        assertThat(discarded).isEmpty();
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    // Guards against a malformed response that is not counted because no request awaits one.
+    @Test
+    void malformedResponseWithoutRequestIsReported() {
+        connect();
+        send(HttpMethod.GET, "one");
+        receive("HTTP/1.1 200 OK\r\nid: one\r\ncontent-length: 0\r\n\r\n", 7);
+        receive("HTTP/1.1 000 None\r\nid: one\r\n\r\n", 7);
+        assertThat(channel.isOpen()).isFalse();
+        assertThat(faults).isEqualTo(List.of(ResponseFault.MALFORMED_HEAD));
+        assertThat(discarded).isEmpty();
+    }
+
+    // Guards against a sound response that is lost with the malformed one behind it.
+    @Test
+    void responseBeforeMalformedOneIsDelivered() {
+        connect();
+        CompletableFuture<AggregatedHttpResponse> response = send(HttpMethod.POST, "one");
+        String sound = "HTTP/1.1 200 OK\r\nid: one\r\ncontent-length: 2\r\n\r\nok";
+        receive(sound + "HTTP/1.1 000 None\r\nid: one\r\n\r\n", 1_000);
+        assertThat(response.join().contentUtf8()).isEqualTo("ok");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    // Guards against a check that takes the content of a response for the beginning of the next one, or the reverse.
+    @Test
+    void checkFollowsResponsesWithoutContent() {
+        for (String status : List.of("204 No Content", "304 Not Modified", "200 OK")) {
+            connect();
+            for (int i = 0; i < 3; i++) {
+                HttpMethod method = status.startsWith("200") ? HttpMethod.HEAD : HttpMethod.GET;
+                CompletableFuture<AggregatedHttpResponse> response = send(method, "one");
+                receive("HTTP/1.1 " + status + "\r\nid: one\r\netag: \"1\"\r\ncontent-length: 5\r\n\r\n", 9);
+                assertThat(response.isDone()).isTrue();
+                if (!channel.isOpen()) {
+                    connect();
+                }
+            }
+        }
+        assertThat(faults).isEmpty();
+    }
+
+    private void assertGivenUp(String text, ResponseFault fault) {
+        for (HttpMethod method : List.of(HttpMethod.GET, HttpMethod.POST)) {
+            for (int pieceSize : List.of(text.length(), 1, 5)) {
+                connect();
+                faults.clear();
+                CompletableFuture<AggregatedHttpResponse> response = send(method, "one");
+                receive(text, pieceSize);
+                assertLost(text, response);
+                assertThat(faults).isEqualTo(List.of(fault));
+                assertThat(channel.isOpen()).isFalse();
+            }
+        }
+    }
+
+    private static void assertLost(String details, CompletableFuture<AggregatedHttpResponse> response) {
+        assertWithMessage(details).that(response.isDone()).isTrue();
+        CompletionException lost = assertThrows(CompletionException.class, response::join, details);
+        assertWithMessage(details)
+                .that(((MustardusherException) lost.getCause()).code())
+                .isEqualTo(ResultCode.CONNECTION_LOST);
+    }
+
+    private void connect() {
+        channel = new EmbeddedChannel();
+        channels.add(channel);
+        connection = new ServerConnection(link, channel, new Clock.Manual());
+        channel.pipeline().addLast(BufferedServerLink.createCodec(), connection);
+    }
+
+    private CompletableFuture<AggregatedHttpResponse> send(HttpMethod method, String id) {
+        CompletableFuture<AggregatedHttpResponse> response = new CompletableFuture<>();
+        ServerExchange exchange =
+                new ServerExchange(EchoDialect.INSTANCE, new RecordedReports(), new Clock.Manual(), response);
+        RequestHeaders headers = RequestHeaders.builder(method, "/")
+                .authority("server")
+                .set("id", id)
+                .build();
+        connection.send(exchange, AggregatedHttpRequest.of(headers), null, 1_000 * Clock.NANOS_PER_MILLI);
+        channel.runPendingTasks();
+        for (Object sent = channel.readOutbound(); sent != null; sent = channel.readOutbound()) {
+            ReferenceCountUtil.release(sent);
+        }
+        return response;
+    }
+
+    private void receive(String text, int pieceSize) {
+        byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+        for (int from = 0; from < bytes.length && channel.isOpen(); from += pieceSize) {
+            channel.writeInbound(Unpooled.copiedBuffer(bytes, from, Math.min(pieceSize, bytes.length - from)));
+            channel.runPendingTasks();
+        }
+    }
+
+    /** Collects what the connection reports. */
+    private final class RecordedReports implements ServerReports {
+
+        @Override
+        public void onLoad(ReportedServerLoad load) {
+            // not needed
+        }
+
+        @Override
+        public void onConditions(String instance, ServerConditions conditions, long sentNanos) {
+            // not needed
+        }
+
+        @Override
+        public void onResponseFault(ResponseFault fault) {
+            faults.add(fault);
+        }
+
+        @Override
+        public void onDiscardedResponse(DiscardedResponse response) {
+            discarded.add(response);
+        }
+    }
+}
