Give up responses in whose head the name of a header is no token

What callers saw: a line "X Odd: 1" was passed on as the header x, and "X-Odd : 1" as x-odd. Such a line was also believed: "Content-Length : 3" cut the body, a second signature was passed on, and "X-Not-Executed : 1" made a 503, the promise that nothing ran. Cause: the codec cuts a name at white space and drops blanks before the colon, so that behind it the name is sound. Change: the check in front of the codec takes token characters alone for a name, followed by the colon at once, also in trailers that the codec is given and in informational heads. A line that begins with a blank continues the value before only if it has no colon and isn't blank; RFC 9112 lets gateways refuse all such lines.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntax.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntax.java
@@ -232,9 +232,12 @@
         return isText(read) && read != ':';
     }
 
-    // Whether the name of a field is a token is left to the codec.
     private static boolean isToken(byte read) {
-        return isText(read) && read != ':';
+        return read >= 'a' && read <= 'z'
+                || read >= 'A' && read <= 'Z'
+                || read == '-'
+                || isDigit(read)
+                || "!#$%&'*+.^_`|~".indexOf(read) >= 0;
     }
 
     private static boolean isDigit(byte read) {
@@ -335,8 +338,7 @@
             @Override
             int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
                 syntax.nameLength = 0;
-                byte first = bytes.getByte(from);
-                return isToken(first) && !isBlank(first)
+                return isToken(bytes.getByte(from))
                         ? FIELD_NAME.read(syntax, bytes, from, to)
                         : readAt(syntax, bytes, from, to);
             }
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/GateReportsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/GateReportsTest.java
@@ -56,11 +56,12 @@
         Logger log = (Logger) LoggerFactory.getLogger(NodeLog.NODE_LOGGER);
         log.addAppender(events);
         try {
-            reports.onMalformedResponse(SyntaxFault.STATUS);
+            reports.onMalformedResponse(SyntaxFault.FIELD_NAME);
         } finally {
             log.detachAppender(events);
         }
-        assertThat(events.list.get(0).getFormattedMessage()).contains(SyntaxFault.STATUS.description());
-        assertThat(metrics.counter("gate.malformedResponses.status").getCount()).isEqualTo(1);
+        assertThat(events.list.get(0).getFormattedMessage()).contains(SyntaxFault.FIELD_NAME.description());
+        assertThat(metrics.counter("gate.malformedResponses.field_name").getCount())
+                .isEqualTo(1);
     }
 }
--- a/mustardusher-node/src/test/java/io/mustardusher/server/MalformedResponsesTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/MalformedResponsesTest.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.stream.Stream;
@@ -38,6 +39,9 @@
 
     private static final EventLoopGroup GROUP = new NioEventLoopGroup(1);
 
+    /** Bytes that some part of a head cannot contain, and digits and letters that change its meaning. */
+    private static final String MUTATIONS = "\u0000\u0001\t\n\u000b\u000c\r\u001b \"/:;,09Ax\u007f\u0080\u00a0";
+
     private final List<ResponseFault> faults = new ArrayList<>();
     private final List<DiscardedResponse> discarded = new ArrayList<>();
     private final BufferedServerLink link = (BufferedServerLink)
@@ -60,7 +64,11 @@
     }
 
     static Stream<String> malformedHeads() {
-        return ResponseForms.malformedStatusLines();
+        return Stream.of(
+                        ResponseForms.malformedStatusLines(),
+                        ResponseForms.malformedFields(),
+                        ResponseForms.malformedInformational())
+                .flatMap(forms -> forms);
     }
 
     // Guards against a status, a length or an id that is believed although the head is malformed.
@@ -70,6 +78,13 @@
         assertGivenUp(text, ResponseFault.MALFORMED_HEAD);
     }
 
+    // Guards against a request that is sent again because a line that is no header promises that nothing ran.
+    @ParameterizedTest
+    @MethodSource("io.mustardusher.server.ResponseForms#malformedRefusals")
+    void malformedRefusalIsNoPromise(String text) {
+        assertGivenUp(text, ResponseFault.MALFORMED_HEAD);
+    }
+
     // Guards against sound responses that are lost.
     @ParameterizedTest
     @MethodSource("io.mustardusher.server.ResponseForms#sound")
@@ -85,6 +100,37 @@
         assertThat(faults).isEmpty();
     }
 
+    // Guards against forms that the lists above lack: whether a changed head is one is decided by the grammar alone.
+    @Test
+    void grammarDecidesOnChangedHeads() {
+        Random random = new Random(63);
+        int rejected = 0;
+        for (int round = 0; round < 20_000; round++) {
+            StringBuilder head = new StringBuilder("HTTP/1.1 203 Changed\r\nid: one\r\nx-note: a b\r\n\r\n");
+            for (int changes = 1 + random.nextInt(2); changes > 0; changes--) {
+                char mutation = MUTATIONS.charAt(random.nextInt(MUTATIONS.length()));
+                int at = random.nextInt(head.indexOf("\r\n\r\n"));
+                if (random.nextBoolean()) {
+                    head.setCharAt(at, mutation);
+                } else {
+                    head.insert(at, mutation);
+                }
+            }
+            String text = head.toString();
+            connect();
+            faults.clear();
+            send(HttpMethod.GET, "one");
+            receive(text, random.nextBoolean() ? text.length() : 1 + random.nextInt(text.length()));
+            if (headIn(text).isEmpty()) {
+                rejected++;
+                assertWithMessage(text).that(faults).isEqualTo(List.of(ResponseFault.MALFORMED_HEAD));
+            } else {
+                assertWithMessage(text).that(faults).doesNotContain(ResponseFault.MALFORMED_HEAD);
+            }
+        }
+        assertThat(rejected).isGreaterThan(5_000);
+    }
+
     // Guards against an id that is believed, and reported, although the late response that names it is malformed.
     @ParameterizedTest
     @MethodSource("malformedHeads")
@@ -140,6 +186,17 @@
         assertThat(faults).isEmpty();
     }
 
+    // Returns the first header block if it keeps to the grammar, or its beginning could still become one that does.
+    private static String headIn(String text) {
+        for (int end = 1; end <= text.length(); end++) {
+            String head = text.substring(0, end);
+            if (ResponseForms.isHead(head)) {
+                return head;
+            }
+        }
+        return "";
+    }
+
     private void assertGivenUp(String text, ResponseFault fault) {
         for (HttpMethod method : List.of(HttpMethod.GET, HttpMethod.POST)) {
             for (int pieceSize : List.of(text.length(), 1, 5)) {
--- a/mustardusher-node/src/test/java/io/mustardusher/server/ResponseForms.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/ResponseForms.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 /** Forms of responses that keep to the grammar of HTTP/1.1 or break it, each to a request with the id {@code one}. */
@@ -17,8 +18,27 @@
     private static final String CHUNK = "7\r\n" + BODY + "\r\n";
     private static final String LAST_CHUNK = "0\r\n\r\n";
 
+    private static final String TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+";
+    private static final String TEXT = "[\\t\\x20-\\x7e\\x80-\\xff]*";
+    private static final String VISIBLE = "[\\x21-\\x7e\\x80-\\xff]";
+    private static final String FOLD = "\\r?\\n[ \\t]+(?![ \\t:])[\\t\\x20-\\x39\\x3b-\\x7e\\x80-\\xff]+";
+
+    /** A head by the grammar alone, written apart from the product; folded lines follow a value and have no colon. */
+    private static final Pattern HEAD = Pattern.compile("HTTP/1\\.[0-9] [1-5][0-9][0-9](?: " + TEXT + ")?\\r?\\n(?:"
+            + TOKEN + ":[ \\t]*(?:" + VISIBLE + TEXT + "(?:" + FOLD + ")*)?\\r?\\n)*\\r?\\n");
+
     private ResponseForms() {}
 
+    /**
+     * Returns whether a text is a head.
+     *
+     * @param text the text, one character for each byte
+     * @return {@code true} if it keeps to the grammar
+     */
+    static boolean isHead(String text) {
+        return HEAD.matcher(text).matches();
+    }
+
     /** Returns responses with a malformed status line. */
     static Stream<String> malformedStatusLines() {
         List<String> lines = new ArrayList<>(List.of(
@@ -73,6 +93,117 @@
         return lines.stream().map(line -> line + "\r\n" + ID + LENGTH + "\r\n" + BODY);
     }
 
+    /** Returns responses with a malformed header block. */
+    static Stream<String> malformedFields() {
+        List<String> lines = new ArrayList<>(List.of(
+                "X Odd: 1",
+                "X\tOdd: 1",
+                "X-Odd : 1",
+                "X-Odd\t: 1",
+                " X-Odd: 1",
+                "\tX-Odd: 1",
+                " ",
+                "X-Odd",
+                "X-Odd 1",
+                ": 1",
+                " : 1",
+                "X\u0000Odd: 1",
+                "X\u0001Odd: 1",
+                "X\u000bOdd: 1",
+                "X\u000cOdd: 1",
+                "X\u001fOdd: 1",
+                "X\u007fOdd: 1",
+                "X\u0085Odd: 1",
+                "X\u00a0Odd: 1",
+                "X\u00e9Odd: 1",
+                "X\rOdd: 1",
+                "X-Odd: 1\u0000",
+                "X-Odd: \u00011",
+                "X-Odd: 1\u000b",
+                "X-Odd: 1\u001f",
+                "X-Odd: 1\u007f",
+                "X-Odd: 1\r2",
+                "X-Odd: 1\r",
+                "X-Note: a\r\n X-Odd: 1",
+                "X-Note: a\r\n X Odd: 1",
+                "X-Note: a\r\n\tX-Odd : 1",
+                "X-Note: a\r\n : 1",
+                "X-Note: a\r\n ",
+                "X-Note: a\r\n b\u0001",
+                "X-Note: a\r\n b\r\n c: d",
+                "X-Note: a\r\n b\r",
+                "not-run : 1",
+                "not run: 1",
+                "not-run\t: 1",
+                "signature : s",
+                "id : one",
+                "connection : close",
+                "keep-alive : timeout=1",
+                "content-length : 3",
+                "content-length\t: 3",
+                "transfer-encoding : chunked",
+                "content-length: 3",
+                "content-length: " + BODY.length(),
+                "transfer-encoding: gzip",
+                "transfer-encoding: gzip, chunked",
+                "transfer-encoding: chunked, gzip",
+                "transfer-encoding: xchunked",
+                "transfer-encoding: chunked\r\ntransfer-encoding: chunked",
+                "transfer-encoding:",
+                "transfer-encoding:\r\n chunked"));
+        for (char separator : "\"(),/;<=>?@[\\]{}".toCharArray()) {
+            lines.add("X" + separator + "Odd: 1");
+            lines.add("X-Odd" + separator + ": 1");
+        }
+        Stream<String> withLength = lines.stream()
+                .flatMap(line -> Stream.of(
+                        OK + ID + LENGTH + line + "\r\n\r\n" + BODY, OK + line + "\r\n" + ID + LENGTH + "\r\n" + BODY));
+        Stream<String> ofLengths = Stream.of(
+                        "",
+                        " ",
+                        "+7",
+                        "-7",
+                        "7.0",
+                        "0x7",
+                        "7 7",
+                        "7,7",
+                        "7, 8",
+                        "7a",
+                        "\u0667",
+                        "7\u0000",
+                        "9".repeat(30),
+                        "\r\n 7",
+                        "7\r\n 7")
+                .map(length -> OK + ID + "content-length: " + length + "\r\n\r\n" + BODY);
+        Stream<String> ofHttp10 = Stream.of(
+                "HTTP/1.0 200 OK\r\n" + ID + "transfer-encoding: chunked\r\n\r\n" + CHUNK + LAST_CHUNK,
+                "HTTP/1.0 200 OK\r\n" + ID + "content-length: 3\r\n" + LENGTH + "\r\n" + BODY);
+        return Stream.of(withLength, ofLengths, ofHttp10).flatMap(forms -> forms);
+    }
+
+    /** Returns refusals whose promise, that nothing ran, is not stated by a header. */
+    static Stream<String> malformedRefusals() {
+        return Stream.of("not-run : 1", "not-run\t: 1", "not-run x: 1", "X-Odd: 1\r\n not-run: 1", " not-run: 1")
+                .map(line -> "HTTP/1.1 503 Busy\r\n" + ID + line + "\r\ncontent-length: 0\r\n\r\n");
+    }
+
+    /** Returns informational responses that are malformed, each before a sound response. */
+    static Stream<String> malformedInformational() {
+        String sound = OK + ID + LENGTH + "\r\n" + BODY;
+        return Stream.of(
+                        "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n",
+                        "HTTP/1.1 103 Early Hints\r\nX-Odd : 1\r\n\r\n",
+                        "HTTP/1.1 103 Early\u0001Hints\r\n\r\n",
+                        "HTTP/1.1 103 Early Hints\r\nX-Odd: \u0001\r\n\r\n",
+                        "HTTP/1.1 103 Early Hints\r\n X-Odd: 1\r\n\r\n",
+                        "HTTP/1.1 1000 Long\r\n\r\n",
+                        "HTTP/1.1 100\tContinue\r\n\r\n",
+                        "HTTP/1.1 099 Low\r\n\r\n",
+                        "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: h2c\r\n\r\n",
+                        "HTTP/1.1 101 Switching Protocols\r\n\r\n")
+                .map(head -> head + sound);
+    }
+
     /** Returns sound responses with the status 200 and the content {@link #BODY}. */
     static Stream<String> sound() {
         Stream<String> heads = Stream.of(
