Give up responses whose chunk lines or trailers are malformed

What callers saw: a chunk that was longer than its size, or a size with a second figure behind a blank, was delivered as a sound 200 with other bytes than the upstream's. Cause: the codec reads a size up to the first blank, skips what follows up to the line feed, and skips what follows the content of a chunk likewise. Change: the check in front of the codec reads the lines of chunks by the grammar, with their extensions, and trailers like headers.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntax.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntax.java
@@ -31,6 +31,7 @@
 
     private static final int STATUS_DIGITS = 3;
     private static final int DECIMAL = 10;
+    private static final int HEXADECIMAL = 16;
     private static final int SWITCHING_PROTOCOLS = 101;
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int NO_CONTENT = 204;
@@ -64,6 +65,7 @@
     private long contentLength = -1;
 
     private boolean chunked;
+    private boolean inTrailers;
 
     /** Whether the next line may continue the value before. */
     private boolean foldable;
@@ -109,7 +111,8 @@
         if (fault == null) {
             return null;
         }
-        return new MalformedResponse(ResponseFault.MALFORMED_HEAD, fault);
+        boolean inBody = inTrailers || fault == SyntaxFault.CHUNK_SIZE || fault == SyntaxFault.CHUNK_END;
+        return new MalformedResponse(inBody ? ResponseFault.MALFORMED_BODY : ResponseFault.MALFORMED_HEAD, fault);
     }
 
     private State reject(SyntaxFault found) {
@@ -120,14 +123,15 @@
     private State endResponse() {
         contentLength = -1;
         chunked = false;
+        inTrailers = false;
         foldable = false;
         return State.START;
     }
 
     private State beginValue() {
         ofTransferEncoding = isNamed(TRANSFER_ENCODING);
-        if (!ofTransferEncoding && !isNamed(CONTENT_LENGTH)) {
-            foldable = true;
+        if (inTrailers || !ofTransferEncoding && !isNamed(CONTENT_LENGTH)) {
+            foldable = !inTrailers;
             return State.FIELD_VALUE;
         }
         foldable = false;
@@ -193,6 +197,9 @@
     }
 
     private State endFields() {
+        if (inTrailers) {
+            return endResponse();
+        }
         if (status == SWITCHING_PROTOCOLS) {
             return reject(SyntaxFault.UPGRADE);
         }
@@ -205,13 +212,35 @@
             return endResponse();
         }
         if (chunked) {
-            // Chunks, and what follows them, are left to the codec.
-            return State.CONTENT_UNTIL_CLOSE;
+            return State.CHUNK_START;
         }
         remaining = contentLength;
         return contentLength < 0 ? State.CONTENT_UNTIL_CLOSE : State.CONTENT;
     }
 
+    private State addSizeDigit(byte digit) {
+        remaining = remaining * HEXADECIMAL + Character.digit(digit, HEXADECIMAL);
+        return remaining > Integer.MAX_VALUE ? reject(SyntaxFault.CHUNK_SIZE) : State.CHUNK_SIZE;
+    }
+
+    private State endChunkSize(byte read) {
+        return switch (read) {
+            case ';' -> State.EXTENSION_START;
+            case ' ', '\t' -> State.BEFORE_EXTENSION;
+            case '\r' -> State.CHUNK_LINE_FEED;
+            default -> reject(SyntaxFault.CHUNK_SIZE);
+        };
+    }
+
+    private State endChunkLine() {
+        if (remaining > 0) {
+            return State.CHUNK;
+        }
+        inTrailers = true;
+        foldable = false;
+        return State.FIELD_START;
+    }
+
     private int skipRemaining(int from, int to) {
         int skipped = (int) Math.min(remaining, to - from);
         remaining -= skipped;
@@ -441,6 +470,147 @@
             int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
                 return to;
             }
+        },
+
+        /** The first digit of a chunk size. */
+        CHUNK_START(true) {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                syntax.remaining = 0;
+                return isHexadecimal(read) ? syntax.addSizeDigit(read) : syntax.reject(SyntaxFault.CHUNK_SIZE);
+            }
+        },
+
+        /** The digits of a chunk size. */
+        CHUNK_SIZE {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return isHexadecimal(read) ? syntax.addSizeDigit(read) : syntax.endChunkSize(read);
+            }
+        },
+
+        /** Blanks before the semicolon of a chunk extension. */
+        BEFORE_EXTENSION {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return read == ';' || isBlank(read) ? syntax.endChunkSize(read) : syntax.reject(SyntaxFault.CHUNK_SIZE);
+            }
+        },
+
+        /** Blanks before the name of a chunk extension, or its first character. */
+        EXTENSION_START {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return isBlank(read) ? EXTENSION_START : EXTENSION_NAME.require(syntax, isToken(read));
+            }
+        },
+
+        /** The name of a chunk extension. */
+        EXTENSION_NAME {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                if (isToken(read)) {
+                    return EXTENSION_NAME;
+                }
+                if (isBlank(read)) {
+                    return EXTENSION_NAME_END;
+                }
+                return read == '=' ? EXTENSION_VALUE_START : syntax.endChunkSize(read);
+            }
+        },
+
+        /** Blanks behind the name of a chunk extension. */
+        EXTENSION_NAME_END {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return switch (read) {
+                    case ' ', '\t' -> EXTENSION_NAME_END;
+                    case '=' -> EXTENSION_VALUE_START;
+                    default -> EXTENSION_START.require(syntax, read == ';');
+                };
+            }
+        },
+
+        /** Blanks before the value of a chunk extension, or its first character. */
+        EXTENSION_VALUE_START {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return switch (read) {
+                    case ' ', '\t' -> EXTENSION_VALUE_START;
+                    case '"' -> QUOTED;
+                    default -> EXTENSION_VALUE.require(syntax, isToken(read));
+                };
+            }
+        },
+
+        /** The value of a chunk extension. */
+        EXTENSION_VALUE {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return isToken(read) ? EXTENSION_VALUE : syntax.endChunkSize(read);
+            }
+        },
+
+        /** The value of a chunk extension in quotes. */
+        QUOTED {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return switch (read) {
+                    case '"' -> QUOTED_END;
+                    case '\\' -> QUOTED_PAIR;
+                    default -> QUOTED.require(syntax, isText(read));
+                };
+            }
+        },
+
+        /** The character behind a backslash. */
+        QUOTED_PAIR {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return QUOTED.require(syntax, isText(read));
+            }
+        },
+
+        /** The byte behind a value in quotes. */
+        QUOTED_END {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return syntax.endChunkSize(read);
+            }
+        },
+
+        /** The line feed that ends the line of a chunk size. */
+        CHUNK_LINE_FEED {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return read == '\n' ? syntax.endChunkLine() : syntax.reject(SyntaxFault.CHUNK_SIZE);
+            }
+        },
+
+        /** The content of a chunk. */
+        CHUNK {
+            @Override
+            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+                int end = syntax.skipRemaining(from, to);
+                syntax.state = syntax.remaining == 0 ? CHUNK_END : CHUNK;
+                return end;
+            }
+        },
+
+        /** The carriage return behind the content of a chunk. */
+        CHUNK_END {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return read == '\r' ? CHUNK_END_LINE_FEED : syntax.reject(SyntaxFault.CHUNK_END);
+            }
+        },
+
+        /** The line feed behind the content of a chunk. */
+        CHUNK_END_LINE_FEED {
+            @Override
+            State next(ResponseSyntax syntax, byte read) {
+                return read == '\n' ? CHUNK_START : syntax.reject(SyntaxFault.CHUNK_END);
+            }
         };
 
         /** Whether what was read before ends with a line or with content. */
@@ -494,5 +664,20 @@
             syntax.state = next(syntax, bytes.getByte(from));
             return from + 1;
         }
+
+        /**
+         * Returns this state if a byte of a chunk's line may lead to it.
+         *
+         * @param syntax check that has read the byte
+         * @param valid  whether the byte is valid
+         * @return this state
+         */
+        final State require(ResponseSyntax syntax, boolean valid) {
+            return valid ? this : syntax.reject(SyntaxFault.CHUNK_SIZE);
+        }
+
+        private static boolean isHexadecimal(byte read) {
+            return isDigit(read) || read >= 'a' && read <= 'f' || read >= 'A' && read <= 'F';
+        }
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/SyntaxFault.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/SyntaxFault.java
@@ -31,6 +31,12 @@
     /** The content is transferred in another way than in chunks alone. */
     TRANSFER_ENCODING("the transfer encoding is not chunked alone"),
 
+    /** A chunk size is not a hexadecimal number, or something else than extensions follows it. */
+    CHUNK_SIZE("the line of a chunk size is malformed"),
+
+    /** A chunk is longer than its size. */
+    CHUNK_END("a chunk is longer than its size"),
+
     /** A carriage return is not followed by a line feed. */
     LINE_END("a carriage return does not end a line");
 
--- a/mustardusher-node/src/test/java/io/mustardusher/server/MalformedResponsesTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/MalformedResponsesTest.java
@@ -85,6 +85,13 @@
         assertGivenUp(text, ResponseFault.MALFORMED_HEAD);
     }
 
+    // Guards against content that is not the server's because the line of a chunk or a trailer is malformed.
+    @ParameterizedTest
+    @MethodSource("io.mustardusher.server.ResponseForms#malformedChunks")
+    void malformedChunksAreNoContent(String text) {
+        assertGivenUp(text, ResponseFault.MALFORMED_BODY);
+    }
+
     // Guards against sound responses that are lost.
     @ParameterizedTest
     @MethodSource("io.mustardusher.server.ResponseForms#sound")
--- a/mustardusher-node/src/test/java/io/mustardusher/server/ResponseForms.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/ResponseForms.java
@@ -204,6 +204,70 @@
                 .map(head -> head + sound);
     }
 
+    /** Returns responses in chunks that are malformed behind the header block. */
+    static Stream<String> malformedChunks() {
+        Stream<String> sizes = Stream.of(
+                        "7 7",
+                        "7 x",
+                        "7 ",
+                        "7\t",
+                        " 7",
+                        "+7",
+                        "-7",
+                        "0x7",
+                        "7x",
+                        "7h",
+                        "",
+                        "7,",
+                        "7;",
+                        "7; ",
+                        "7;=1",
+                        "7;a b",
+                        "7;a=",
+                        "7;a=\"",
+                        "7;a=\"b\"c",
+                        "7;a=\"b",
+                        "7;a/b",
+                        "7;a=b ",
+                        "7 a=b",
+                        "7;\u0001",
+                        "7;a=\u0001",
+                        "7;a=\"\u0001\"",
+                        "7\u0000",
+                        "7\u000b",
+                        "7\r",
+                        "80000007",
+                        "100000007",
+                        "7;HTTP/1.1 200 OK")
+                .map(size -> CHUNKED + size + "\r\n" + BODY + "\r\n" + LAST_CHUNK);
+        Stream<String> ends = Stream.of(
+                "7\r\n" + BODY + "x\r\n" + LAST_CHUNK,
+                "7\r\n" + BODY + " \r\n" + LAST_CHUNK,
+                "7\r\n" + BODY + "\rx\n" + LAST_CHUNK,
+                "7\r\n" + BODY + LAST_CHUNK,
+                "7\r\n" + BODY + "\n" + LAST_CHUNK,
+                "7\n" + BODY + "\r\n" + LAST_CHUNK,
+                "6\r\n" + BODY + "\r\n" + LAST_CHUNK,
+                CHUNK + "0 0\r\n\r\n",
+                CHUNK + "0 \r\n\r\n",
+                CHUNK + "00x\r\n\r\n",
+                CHUNK + "\r\n" + LAST_CHUNK);
+        Stream<String> trailers = Stream.of(
+                        "X Odd: 1",
+                        "X-Odd : 1",
+                        " X-Odd: 1",
+                        "X-Odd: 1\r\n 2",
+                        "X-Odd",
+                        ": 1",
+                        "X\u0001Odd: 1",
+                        "X-Odd: \u0001",
+                        "X-Odd: 1\r2",
+                        "X/Odd: 1",
+                        "content-length : 1")
+                .map(trailer -> CHUNK + "0\r\n" + trailer + "\r\n\r\n");
+        return Stream.concat(sizes, Stream.concat(ends, trailers).map(rest -> CHUNKED + rest));
+    }
+
     /** Returns sound responses with the status 200 and the content {@link #BODY}. */
     static Stream<String> sound() {
         Stream<String> heads = Stream.of(
--- a/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/ServerConnectionTest.java
@@ -292,7 +292,6 @@
 
     // Guards against a success in chunks that is cut in the line of a chunk's size, which then hides a status line.
     @Test
-    @Tag("known-red")
     void secondResponseInLineOfChunkSizeDoesNotCompleteChunks() {
         String head = "HTTP/1.1 200 OK\r\nid: one\r\ntransfer-encoding: chunked\r\n\r\n";
         String chunks = "44;a=b\r\n" + "x".repeat(0x44) + "\r\n0\r\n\r\n";
