Count and log malformed responses of the table service and of first probes

Cause: connections to the table service and those of the probe at the start of a node had no receiver for faults. The check in front of the codec holds there too, since they are connections of the same kind, but its faults were not counted. Change: IrregularResponses records the faults of one sender (store.malformedResponses.*, store.responseFaults.*, MUSH1133); the environment is given the registry of metrics.

--- a/mustardusher-lab/src/main/java/io/mustardusher/lab/profile/LoopbackEnvironment.java
+++ b/mustardusher-lab/src/main/java/io/mustardusher/lab/profile/LoopbackEnvironment.java
@@ -9,6 +9,7 @@
 import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 
+import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
 import io.mustardusher.call.Call;
@@ -50,7 +51,7 @@
     private static final int MAX_ATTEMPTS = 2;
 
     @Override
-    public TableService openTable(EventLoopGroup group) {
+    public TableService openTable(EventLoopGroup group, MetricRegistry metrics) {
         return new FixedTable(framePorts);
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/GateReports.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/GateReports.java
@@ -10,6 +10,7 @@
 import io.mustardusher.nested.NestedCallForecast;
 import io.mustardusher.nested.RunningCalls;
 import io.mustardusher.server.DiscardedResponse;
+import io.mustardusher.server.IrregularResponses;
 import io.mustardusher.server.ReportedServerLoad;
 import io.mustardusher.server.ResponseFault;
 import io.mustardusher.server.ServerReports;
@@ -61,13 +62,12 @@
     // The log line of the call names the reason.
     @Override
     public void onResponseFault(ResponseFault fault) {
-        metrics.counter("gate.responseFaults." + fault.label()).inc();
+        IrregularResponses.ofBackendServer(metrics).onResponseFault(fault);
     }
 
     @Override
     public void onMalformedResponse(SyntaxFault fault) {
-        metrics.counter("gate.malformedResponses." + fault.label()).inc();
-        NodeLog.LOG.responseMalformed("the backend server", fault.description());
+        IrregularResponses.ofBackendServer(metrics).onMalformedResponse(fault);
     }
 
     @Override
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
@@ -8,6 +8,7 @@
 import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 
+import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.RequestHeaders;
 import io.mustardusher.admission.ColdPolicy;
 import io.mustardusher.call.CallerProtocol;
@@ -33,10 +34,11 @@
     /**
      * Opens the platform's table service.
      *
-     * @param group event loops to use
+     * @param group   event loops to use
+     * @param metrics registry of metrics
      * @return the table service
      */
-    TableService openTable(EventLoopGroup group);
+    TableService openTable(EventLoopGroup group, MetricRegistry metrics);
 
     /**
      * Returns a time after which no earlier process of this node has run. By default that is now; an earlier time lets
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -48,6 +48,7 @@
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.route.RouteTable;
 import io.mustardusher.server.BufferedServerLink;
+import io.mustardusher.server.IrregularResponses;
 import io.mustardusher.store.TableService;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.EventExecutor;
@@ -139,7 +140,7 @@
                 .record(instance, startMillis));
         core.gate().onServerLeaving(serverTracker::recordLeaving);
         routes = new RouteReplica(environment::decodeRoutes, core.frames(), core.timers(), this::routesChanged);
-        TableService table = environment.openTable(core.group());
+        TableService table = environment.openTable(core.group(), core.metrics());
         core.configureGossip(routes, table);
         serveCalls();
         Router router = new Router(
@@ -197,7 +198,8 @@
                 localServer,
                 environment.serverDialect(),
                 service -> routes.current().healthPath(service),
-                BufferedServerLink.toService(core.group(), localServer.address(), clock),
+                BufferedServerLink.toService(
+                        core.group(), localServer.address(), IrregularResponses.ofBackendServer(core.metrics()), clock),
                 serverTracker);
         core.repeatWhile(probe::tick, InitialServerProbe.INTERVAL_MILLIS);
         core.gate()
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -152,18 +152,14 @@
      *
      * @param group   event loops of the connections
      * @param address address of the service
+     * @param reports receives what is irregular in a response
      * @param clock   source of time
      * @return link to the service, to be used through {@link #exchange} only
      */
-    public static BufferedServerLink toService(EventLoopGroup group, InetSocketAddress address, Clock clock) {
+    public static BufferedServerLink toService(
+            EventLoopGroup group, InetSocketAddress address, ServerReports reports, Clock clock) {
         BufferedServerLink link = new BufferedServerLink(
-                group,
-                address,
-                null,
-                ServerDialect.Plain.INSTANCE,
-                ServerReports.Discarding.INSTANCE,
-                BodyMemory.ofNode(),
-                clock);
+                group, address, null, ServerDialect.Plain.INSTANCE, reports, BodyMemory.ofNode(), clock);
         DeadPeerDetection.configureForService(
                 link.bootstrap, Transport.of(group).socketChannelType());
         return link;
--- a/mustardusher-node/src/test/java/io/mustardusher/node/RoutedNodeTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/node/RoutedNodeTest.java
@@ -13,6 +13,7 @@
 import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 
+import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.client.BlockingWebClient;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpResponse;
@@ -118,7 +119,7 @@
     private static final class SilentEnvironment implements NodeEnvironment {
 
         @Override
-        public TableService openTable(EventLoopGroup group) {
+        public TableService openTable(EventLoopGroup group, MetricRegistry metrics) {
             return new SilentTable();
         }
 
--- a/mustardusher-node/src/test/java/io/mustardusher/server/MalformedResponsesTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/MalformedResponsesTest.java
@@ -44,6 +44,7 @@
 
     private final List<ResponseFault> faults = new ArrayList<>();
     private final List<DiscardedResponse> discarded = new ArrayList<>();
+    private final List<Long> coldMillis = new ArrayList<>();
     private final BufferedServerLink link = (BufferedServerLink)
             BufferedServerLink.factory(GROUP, EchoDialect.INSTANCE, new RecordedReports(), new Clock.Manual())
                     .open(new Announcement()
@@ -164,6 +165,28 @@
         assertThat(discarded).isEmpty();
     }
 
+    // Guards against a state of the server that is believed although the response to the probe is malformed.
+    @Test
+    void malformedResponseToProbeReportsNothing() {
+        for (String head : List.of(
+                "HTTP/1.1 200 OK\r\ncold : 9\r\n",
+                "HTTP/1.1 200 OK\r\ncold: 9\r\nX Odd: 1\r\n",
+                "HTTP/1.1 0200 OK\r\ncold: 9\r\n",
+                "HTTP/1.1 200 \u0001\r\ncold: 9\r\n")) {
+            connect();
+            faults.clear();
+            CompletableFuture<AggregatedHttpResponse> response = new CompletableFuture<>();
+            send(
+                    ServerExchange.ofUnmodified(
+                            EchoDialect.INSTANCE, new RecordedReports(), new Clock.Manual(), response),
+                    RequestHeaders.of(HttpMethod.GET, "/health"));
+            receive(head + "content-length: 0\r\n\r\n", 1_000);
+            assertLost(head, response);
+            assertThat(coldMillis).isEmpty();
+            assertThat(faults).isEqualTo(List.of(ResponseFault.MALFORMED_HEAD));
+        }
+    }
+
     // Guards against a sound response that is lost with the malformed one behind it.
     @Test
     void responseBeforeMalformedOneIsDelivered() {
@@ -237,16 +260,17 @@
         CompletableFuture<AggregatedHttpResponse> response = new CompletableFuture<>();
         ServerExchange exchange =
                 new ServerExchange(EchoDialect.INSTANCE, new RecordedReports(), new Clock.Manual(), response);
-        RequestHeaders headers = RequestHeaders.builder(method, "/")
-                .authority("server")
-                .set("id", id)
-                .build();
+        send(exchange, RequestHeaders.builder(method, "/").set("id", id).build());
+        return response;
+    }
+
+    private void send(ServerExchange exchange, RequestHeaders request) {
+        RequestHeaders headers = request.toBuilder().authority("server").build();
         connection.send(exchange, AggregatedHttpRequest.of(headers), null, 1_000 * Clock.NANOS_PER_MILLI);
         channel.runPendingTasks();
         for (Object sent = channel.readOutbound(); sent != null; sent = channel.readOutbound()) {
             ReferenceCountUtil.release(sent);
         }
-        return response;
     }
 
     private void receive(String text, int pieceSize) {
@@ -270,6 +294,11 @@
             // not needed
         }
 
+        @Override
+        public void onHealth(long millis, long sentNanos) {
+            coldMillis.add(millis);
+        }
+
         @Override
         public void onResponseFault(ResponseFault fault) {
             faults.add(fault);
