Check the responses that are read by the HTTP client of streams

Cause: the client has a codec of its own, the same one, whose connections were not checked. Change: StreamedResponses puts the check in front of the codec of each HTTP/1.1 connection of the client factory, with the first request, since the codec is added after the handlers of the factory. A fault closes the connection, which loses the response, and is counted (streams.malformedResponses.*, streams.responseFaults.*) and logged.

--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -49,8 +49,9 @@
 import io.mustardusher.log.NodeLog;
 import io.mustardusher.membership.MemberState;
 import io.mustardusher.membership.MemberTable;
-import io.mustardusher.server.EndOfStreamHandler;
+import io.mustardusher.server.IrregularResponses;
 import io.mustardusher.server.ServerLink;
+import io.mustardusher.server.StreamedResponses;
 import io.mustardusher.store.TableService;
 import io.mustardusher.time.Clock;
 import io.netty.channel.EventLoopGroup;
@@ -98,7 +99,7 @@
      * Created on first use: the factory takes longer to create than the rest of a node because of encryption and name
      * resolution, which many nodes never use.
      */
-    private final Lazy<ClientFactory> clientFactory = new Lazy<>(() -> createClientFactory(group));
+    private final Lazy<ClientFactory> clientFactory = new Lazy<>(() -> createClientFactory(group, metrics));
 
     /** For heads and short bodies, which long ones must not displace. */
     private final BodyMemory bodyMemory = new BodyMemory(BodyMemory.NODE_BYTES / 2);
@@ -493,8 +494,9 @@
         return new InetSocketAddress(announcement.getHost(), (int) announcement.getPort());
     }
 
-    private static ClientFactory createClientFactory(EventLoopGroup group) {
-        ClientFactoryBuilder builder = EndOfStreamHandler.addTo(ClientFactory.builder())
+    private static ClientFactory createClientFactory(EventLoopGroup group, MetricRegistry metrics) {
+        ClientFactoryBuilder builder = StreamedResponses.checkIn(
+                        ClientFactory.builder(), IrregularResponses.ofStreams(metrics))
                 .workerGroup(group, false)
                 .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
                 .idleTimeoutMillis(IDLE_TIMEOUT_MILLIS)
--- a/mustardusher-node/src/main/java/io/mustardusher/server/EndOfStreamHandler.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/EndOfStreamHandler.java
@@ -1,7 +1,5 @@
 package io.mustardusher.server;
 
-import com.linecorp.armeria.client.ClientFactoryBuilder;
-import com.linecorp.armeria.client.ClientFactoryOptions;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -13,7 +11,7 @@
  * Distinguishes the end of a stream from a broken connection. A response that has neither a length nor chunks is
  * complete only after the former, but the codec of HTTP/1.1 takes any close of the channel for its end.
  */
-public final class EndOfStreamHandler extends ChannelInboundHandlerAdapter {
+final class EndOfStreamHandler extends ChannelInboundHandlerAdapter {
 
     /** How the connection ended; {@code null} while it is open. */
     private ConnectionEnd end;
@@ -21,16 +19,11 @@
     private EndOfStreamHandler() {}
 
     /**
-     * Adds the handler to the connections of a client factory.
+     * Adds the handler in front of a connection's other handlers.
      *
-     * @param builder builder of the client factory
-     * @return the builder
+     * @param pipeline handlers of the connection
      */
-    public static ClientFactoryBuilder addTo(ClientFactoryBuilder builder) {
-        return builder.option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, EndOfStreamHandler::addTo);
-    }
-
-    private static void addTo(ChannelPipeline pipeline) {
+    static void addTo(ChannelPipeline pipeline) {
         pipeline.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         pipeline.addFirst(new EndOfStreamHandler());
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/IrregularResponses.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/IrregularResponses.java
@@ -33,6 +33,16 @@
         return new IrregularResponses("the table service", "store", metrics);
     }
 
+    /**
+     * Records irregular responses of nodes and servers to which requests are streamed.
+     *
+     * @param metrics registry of metrics
+     * @return receiver of reports
+     */
+    public static IrregularResponses ofStreams(MetricRegistry metrics) {
+        return new IrregularResponses("the receiver of a stream", "streams", metrics);
+    }
+
     @Override
     public void onResponseFault(ResponseFault fault) {
         metrics.counter(prefix + ".responseFaults." + fault.label()).inc();
--- a/mustardusher-node/src/test/java/io/mustardusher/server/CutStreamsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/CutStreamsTest.java
@@ -58,7 +58,7 @@
     @BeforeEach
     void listen() throws IOException {
         socket = new ServerSocket(0, 1_024, InetAddress.getLoopbackAddress());
-        clientFactory = EndOfStreamHandler.addTo(ClientFactory.builder())
+        clientFactory = StreamedResponses.checkIn(ClientFactory.builder(), ServerReports.Discarding.INSTANCE)
                 .workerGroup(group, false)
                 .build();
         link = ServerLink.ForStreams.factory(clientFactory)
