Check the answers that one node passes to another

What callers saw: while nodes are replaced one after another, a node of an earlier version passes on what it has read from a malformed response, and the node that took the call delivers it. Cause: the headers of an answer in a frame were taken as they are, with any status and with names that are no token; of a streamed answer, any status but 0. Change: HeaderPacking decodes only headers of a final response; names, values and status are checked before anything is made of them (HttpGrammar). A malformed answer ends as unknown, as before one that could not be decoded; it is logged (MUSH1133) and counted (frames.malformedAnswers). A streamed answer needs a status from 200 to 599.

--- a/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
@@ -15,7 +15,6 @@
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.SplitHttpResponse;
 import io.mustardusher.result.MustardusherException;
@@ -144,8 +143,8 @@
                 if (failure != null) {
                     throw new MustardusherException(codeOf(failure), describe(failure));
                 }
-                if (headers.status().equals(HttpStatus.UNKNOWN)) {
-                    throw new MustardusherException(ResultCode.CONNECTION_LOST, "no headers");
+                if (!HttpGrammar.isFinalStatus(headers.status().code())) {
+                    throw new MustardusherException(ResultCode.CONNECTION_LOST, "no headers, or no status in them");
                 }
                 if (context != null) {
                     context.clearResponseTimeout();
--- a/mustardusher-node/src/main/java/io/mustardusher/call/HeaderPacking.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/HeaderPacking.java
@@ -7,9 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 
 import com.linecorp.armeria.common.HttpHeaderNames;
-import com.linecorp.armeria.common.HttpHeadersBuilder;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
@@ -106,29 +106,38 @@
      */
     public RequestHeaders unpackRequest(byte[] packed) {
         RequestHeadersBuilder headers = RequestHeaders.builder();
-        unpack(packed, headers);
+        unpack(packed, headers::add);
         return headers.build();
     }
 
     /**
-     * Decodes the headers of an answer.
+     * Decodes the headers of an answer. Nodes of earlier versions may send what they have read from a malformed
+     * response.
      *
      * @param packed the encoded headers
      * @return the headers
+     * @throws IllegalArgumentException if they are not those of a final response
      */
     public ResponseHeaders unpackResponse(byte[] packed) {
         ResponseHeadersBuilder headers = ResponseHeaders.builder();
-        unpack(packed, headers);
+        unpack(packed, (name, value) -> {
+            if (!name.equals(HttpHeaderNames.STATUS)) {
+                HttpGrammar.requireName(name);
+            }
+            HttpGrammar.requireValue(value);
+            headers.add(name, value);
+        });
+        HttpGrammar.requireFinalStatus(headers.get(HttpHeaderNames.STATUS));
         return headers.build();
     }
 
-    private void unpack(byte[] packed, HttpHeadersBuilder headers) {
+    private void unpack(byte[] packed, BiConsumer<AsciiString, String> headers) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(packed)) {
             while (unpacker.hasNext()) {
                 AsciiString name = unpacker.getNextFormat().getValueType().isIntegerType()
                         ? names.get(unpacker.unpackInt())
                         : AsciiString.of(unpacker.unpackString());
-                headers.add(name, unpacker.unpackString());
+                headers.accept(name, unpacker.unpackString());
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/FramedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/FramedCall.java
@@ -141,6 +141,8 @@
         try {
             received = link.packing().unpackResponse(response.head());
         } catch (RuntimeException e) {
+            link.peers().onMalformedAnswer();
+            NodeLog.LOG.responseMalformed("the node at " + link.address(), String.valueOf(e.getMessage()));
             fail(ResultCode.CONNECTION_LOST, "the answer is malformed");
             return;
         }
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameClient.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameClient.java
@@ -116,6 +116,11 @@
         return (CompletableFuture<A>) reply;
     }
 
+    @Override
+    public void onMalformedAnswer() {
+        traffic.recordMalformedAnswer();
+    }
+
     @Override
     public void close() {
         peers.values().stream()
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/FrameTraffic.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/FrameTraffic.java
@@ -20,6 +20,8 @@
 
     private final LongAdder resumedCalls = new LongAdder();
 
+    private final LongAdder malformedAnswers = new LongAdder();
+
     /**
      * Returns the number of bytes sent since the start of the process.
      *
@@ -56,6 +58,20 @@
         return resumedCalls.sum();
     }
 
+    /**
+     * Returns the number of answers that were given up because their headers are malformed.
+     *
+     * @return number of answers since the start of the process
+     */
+    public long malformedAnswers() {
+        return malformedAnswers.sum();
+    }
+
+    /** Counts an answer that is given up because its headers are malformed. */
+    void recordMalformedAnswer() {
+        malformedAnswers.increment();
+    }
+
     /** Counts a connection that was given up because it was silent. */
     void recordSilentConnection() {
         silentConnections.increment();
--- a/mustardusher-node/src/main/java/io/mustardusher/frame/Peers.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/frame/Peers.java
@@ -18,4 +18,9 @@
      * @return completes with the reply, or fails if none arrives within the time limit
      */
     <A> CompletableFuture<A> request(InetSocketAddress address, FrameKind kind, Object message, long timeoutMillis);
+
+    /** Counts a reply with an answer whose headers are malformed. */
+    default void onMalformedAnswer() {
+        // Senders without metrics have no use for it.
+    }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -169,6 +169,7 @@
         metrics.gauge("frames.receivedBytes", () -> traffic::receivedBytes);
         metrics.gauge("frames.silentConnections", () -> traffic::silentConnections);
         metrics.gauge("frames.resumedCalls", () -> traffic::resumedCalls);
+        metrics.gauge("frames.malformedAnswers", () -> traffic::malformedAnswers);
         metrics.gauge("entry.streamedResponses", () -> directory::streamedResponses);
         metrics.gauge("members.known", () -> () -> members.members().size());
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntax.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntax.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Queue;
 
+import io.mustardusher.call.HttpGrammar;
 import io.netty.buffer.ByteBuf;
 import io.netty.util.AsciiString;
 import io.netty.util.ByteProcessor;
@@ -176,7 +177,7 @@
     private boolean setContentLength(String text) {
         boolean number = !text.isEmpty()
                 && text.length() <= MAX_LENGTH_DIGITS
-                && text.chars().allMatch(digit -> digit >= '0' && digit <= '9');
+                && text.chars().allMatch(HttpGrammar::isDigit);
         if (!number || contentLength >= 0) {
             return false;
         }
@@ -252,25 +253,8 @@
         return end < 0 ? to : end;
     }
 
-    // A tab, a space, a visible character, or a byte that ASCII does not define.
-    private static boolean isText(byte read) {
-        return read >= ' ' && read != 0x7f || read == '\t' || read < 0;
-    }
-
     private static boolean isFoldedText(byte read) {
-        return isText(read) && read != ':';
-    }
-
-    private static boolean isToken(byte read) {
-        return read >= 'a' && read <= 'z'
-                || read >= 'A' && read <= 'Z'
-                || read == '-'
-                || isDigit(read)
-                || "!#$%&'*+.^_`|~".indexOf(read) >= 0;
-    }
-
-    private static boolean isDigit(byte read) {
-        return read >= '0' && read <= '9';
+        return HttpGrammar.isText(read) && read != ':';
     }
 
     private static boolean isBlank(byte read) {
@@ -305,7 +289,7 @@
             @Override
             State next(ResponseSyntax syntax, byte read) {
                 syntax.firstMinorVersion = read == '0';
-                return isDigit(read) ? VERSION_END : syntax.reject(SyntaxFault.VERSION);
+                return HttpGrammar.isDigit(read) ? VERSION_END : syntax.reject(SyntaxFault.VERSION);
             }
         },
 
@@ -324,7 +308,7 @@
             @Override
             State next(ResponseSyntax syntax, byte read) {
                 boolean first = syntax.position == 0;
-                if (!isDigit(read) || first && (read < '1' || read > '5')) {
+                if (!HttpGrammar.isDigit(read) || first && (read < '1' || read > '5')) {
                     return syntax.reject(SyntaxFault.STATUS);
                 }
                 syntax.status = syntax.status * DECIMAL + read - '0';
@@ -345,7 +329,7 @@
         REASON {
             @Override
             int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
-                return readAt(syntax, bytes, find(bytes, from, to, ResponseSyntax::isText), to);
+                return readAt(syntax, bytes, find(bytes, from, to, HttpGrammar::isText), to);
             }
 
             @Override
@@ -367,7 +351,7 @@
             @Override
             int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
                 syntax.nameLength = 0;
-                return isToken(bytes.getByte(from))
+                return HttpGrammar.isToken(bytes.getByte(from))
                         ? FIELD_NAME.read(syntax, bytes, from, to)
                         : readAt(syntax, bytes, from, to);
             }
@@ -387,7 +371,7 @@
         FIELD_NAME {
             @Override
             int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
-                int end = find(bytes, from, to, ResponseSyntax::isToken);
+                int end = find(bytes, from, to, HttpGrammar::isToken);
                 syntax.addToName(bytes, from, end);
                 syntax.state = FIELD_NAME;
                 return readAt(syntax, bytes, end, to);
@@ -403,7 +387,7 @@
         FIELD_VALUE {
             @Override
             int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
-                return readAt(syntax, bytes, find(bytes, from, to, ResponseSyntax::isText), to);
+                return readAt(syntax, bytes, find(bytes, from, to, HttpGrammar::isText), to);
             }
 
             @Override
@@ -416,7 +400,7 @@
         FRAMING_VALUE {
             @Override
             State next(ResponseSyntax syntax, byte read) {
-                return isText(read) ? syntax.addToFramingValue(read) : syntax.endFramingValue(read);
+                return HttpGrammar.isText(read) ? syntax.addToFramingValue(read) : syntax.endFramingValue(read);
             }
         },
 
@@ -501,7 +485,7 @@
         EXTENSION_START {
             @Override
             State next(ResponseSyntax syntax, byte read) {
-                return isBlank(read) ? EXTENSION_START : EXTENSION_NAME.require(syntax, isToken(read));
+                return isBlank(read) ? EXTENSION_START : EXTENSION_NAME.require(syntax, HttpGrammar.isToken(read));
             }
         },
 
@@ -509,7 +493,7 @@
         EXTENSION_NAME {
             @Override
             State next(ResponseSyntax syntax, byte read) {
-                if (isToken(read)) {
+                if (HttpGrammar.isToken(read)) {
                     return EXTENSION_NAME;
                 }
                 if (isBlank(read)) {
@@ -538,7 +522,7 @@
                 return switch (read) {
                     case ' ', '\t' -> EXTENSION_VALUE_START;
                     case '"' -> QUOTED;
-                    default -> EXTENSION_VALUE.require(syntax, isToken(read));
+                    default -> EXTENSION_VALUE.require(syntax, HttpGrammar.isToken(read));
                 };
             }
         },
@@ -547,7 +531,7 @@
         EXTENSION_VALUE {
             @Override
             State next(ResponseSyntax syntax, byte read) {
-                return isToken(read) ? EXTENSION_VALUE : syntax.endChunkSize(read);
+                return HttpGrammar.isToken(read) ? EXTENSION_VALUE : syntax.endChunkSize(read);
             }
         },
 
@@ -558,7 +542,7 @@
                 return switch (read) {
                     case '"' -> QUOTED_END;
                     case '\\' -> QUOTED_PAIR;
-                    default -> QUOTED.require(syntax, isText(read));
+                    default -> QUOTED.require(syntax, HttpGrammar.isText(read));
                 };
             }
         },
@@ -567,7 +551,7 @@
         QUOTED_PAIR {
             @Override
             State next(ResponseSyntax syntax, byte read) {
-                return QUOTED.require(syntax, isText(read));
+                return QUOTED.require(syntax, HttpGrammar.isText(read));
             }
         },
 
@@ -677,7 +661,7 @@
         }
 
         private static boolean isHexadecimal(byte read) {
-            return isDigit(read) || read >= 'a' && read <= 'f' || read >= 'A' && read <= 'F';
+            return HttpGrammar.isDigit(read) || read >= 'a' && read <= 'f' || read >= 'A' && read <= 'F';
         }
     }
 }
