--- a/mustardusher-node/src/main/java/io/mustardusher/call/HttpGrammar.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/HttpGrammar.java
@@ -3,12 +3,25 @@
 /** Parts of the grammar of HTTP, RFC 9110, section 5, that answers are checked by before anything in them is used. */
 public final class HttpGrammar {
 
-    private static final String TOKEN_SIGNS = "!#$%&'*+-.^_`|~";
     private static final int DELETE = 0x7f;
+    private static final boolean[] TOKEN = new boolean[DELETE];
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int LAST_STATUS = 599;
     private static final int STATUS_DIGITS = 3;
 
+    static {
+        for (int sign : "!#$%&'*+-.^_`|~".toCharArray()) {
+            TOKEN[sign] = true;
+        }
+        for (int digit = '0'; digit <= '9'; digit++) {
+            TOKEN[digit] = true;
+        }
+        for (int letter = 'a'; letter <= 'z'; letter++) {
+            TOKEN[letter] = true;
+            TOKEN[letter - 'a' + 'A'] = true;
+        }
+    }
+
     private HttpGrammar() {}
 
     /**
@@ -18,10 +31,7 @@
      * @return {@code true} if it may be
      */
     public static boolean isToken(int read) {
-        return read >= 'a' && read <= 'z'
-                || read >= 'A' && read <= 'Z'
-                || isDigit(read)
-                || TOKEN_SIGNS.indexOf(read) >= 0;
+        return read >= 0 && read < TOKEN.length && TOKEN[read];
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntax.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntax.java
@@ -7,7 +7,6 @@
 import io.mustardusher.call.HttpGrammar;
 import io.netty.buffer.ByteBuf;
 import io.netty.util.AsciiString;
-import io.netty.util.ByteProcessor;
 
 /**
  * Checks the bytes of a connection's responses against the grammar of RFC 9112 as they arrive. Codecs forgive what the
@@ -24,6 +23,9 @@
     private static final AsciiString TRANSFER_ENCODING = AsciiString.cached("transfer-encoding");
     private static final AsciiString CHUNKED = AsciiString.cached("chunked");
 
+    /** Number of bytes that are read at a time; few heads are longer than two of them. */
+    private static final int BLOCK_BYTES = 256;
+
     /** Maximum length of a value that says where a response ends, in bytes. */
     private static final int MAX_FRAMING_VALUE_BYTES = 256;
 
@@ -42,6 +44,9 @@
     /** Whether each outstanding request has the method HEAD, in the order of the requests. */
     private final Queue<Boolean> requests = new ArrayDeque<>();
 
+    /** Bytes that are being read. Copying them from a buffer takes less time than reading them one by one there. */
+    private final byte[] block = new byte[BLOCK_BYTES];
+
     private State state = State.START;
     private SyntaxFault fault;
 
@@ -93,12 +98,23 @@
         int start = bytes.readerIndex();
         int end = bytes.writerIndex();
         int lineStart = start;
-        int i = start;
-        while (i < end && fault == null) {
-            i = state.read(this, bytes, i, end);
-            if (state.beginsLine && fault == null) {
-                lineStart = i;
+        int next = start;
+        while (next < end && fault == null) {
+            if (state.isOfContent) {
+                next = state.skip(this, next, end);
+                lineStart = next;
+                continue;
+            }
+            int read = 0;
+            int length = Math.min(block.length, end - next);
+            bytes.getBytes(next, block, 0, length);
+            while (read < length && fault == null && !state.isOfContent) {
+                read = state.read(this, block, read, length);
+                if (state.beginsLine && fault == null) {
+                    lineStart = next + read;
+                }
             }
+            next += read;
         }
         return (fault == null ? end : lineStart) - start;
     }
@@ -140,10 +156,10 @@
         return State.FRAMING_VALUE;
     }
 
-    private void addToName(ByteBuf bytes, int from, int to) {
+    private void addToName(byte[] bytes, int from, int to) {
         int kept = Math.min(to - from, name.length - nameLength);
         if (kept > 0) {
-            bytes.getBytes(from, name, nameLength, kept);
+            System.arraycopy(bytes, from, name, nameLength, kept);
         }
         nameLength += to - from;
     }
@@ -175,13 +191,16 @@
     }
 
     private boolean setContentLength(String text) {
-        boolean number = !text.isEmpty()
-                && text.length() <= MAX_LENGTH_DIGITS
-                && text.chars().allMatch(HttpGrammar::isDigit);
-        if (!number || contentLength >= 0) {
+        if (contentLength >= 0 || text.isEmpty() || text.length() > MAX_LENGTH_DIGITS) {
             return false;
         }
-        contentLength = Long.parseLong(text);
+        contentLength = 0;
+        for (int i = 0; i < text.length(); i++) {
+            if (!HttpGrammar.isDigit(text.charAt(i))) {
+                return false;
+            }
+            contentLength = contentLength * DECIMAL + text.charAt(i) - '0';
+        }
         return true;
     }
 
@@ -248,13 +267,20 @@
         return from + skipped;
     }
 
-    private static int find(ByteBuf bytes, int from, int to, ByteProcessor continues) {
-        int end = bytes.forEachByte(from, to - from, continues);
-        return end < 0 ? to : end;
+    private static int skipText(byte[] bytes, int from, int to) {
+        int end = from;
+        while (end < to && HttpGrammar.isText(bytes[end])) {
+            end++;
+        }
+        return end;
     }
 
-    private static boolean isFoldedText(byte read) {
-        return HttpGrammar.isText(read) && read != ':';
+    private static int skipToken(byte[] bytes, int from, int to) {
+        int end = from;
+        while (end < to && HttpGrammar.isToken(bytes[end])) {
+            end++;
+        }
+        return end;
     }
 
     private static boolean isBlank(byte read) {
@@ -264,7 +290,7 @@
     /** What the next byte is part of. */
     private enum State {
         /** The first byte of a response. */
-        START(true) {
+        START(true, false) {
             @Override
             State next(ResponseSyntax syntax, byte read) {
                 syntax.position = 0;
@@ -328,8 +354,8 @@
         /** The reason phrase. */
         REASON {
             @Override
-            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
-                return readAt(syntax, bytes, find(bytes, from, to, HttpGrammar::isText), to);
+            int read(ResponseSyntax syntax, byte[] bytes, int from, int to) {
+                return readAt(syntax, bytes, skipText(bytes, from, to), to);
             }
 
             @Override
@@ -347,11 +373,11 @@
         },
 
         /** The first byte of a field, or of the line that ends the fields. */
-        FIELD_START(true) {
+        FIELD_START(true, false) {
             @Override
-            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+            int read(ResponseSyntax syntax, byte[] bytes, int from, int to) {
                 syntax.nameLength = 0;
-                return HttpGrammar.isToken(bytes.getByte(from))
+                return HttpGrammar.isToken(bytes[from])
                         ? FIELD_NAME.read(syntax, bytes, from, to)
                         : readAt(syntax, bytes, from, to);
             }
@@ -370,8 +396,8 @@
         /** The name of a field. */
         FIELD_NAME {
             @Override
-            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
-                int end = find(bytes, from, to, HttpGrammar::isToken);
+            int read(ResponseSyntax syntax, byte[] bytes, int from, int to) {
+                int end = skipToken(bytes, from, to);
                 syntax.addToName(bytes, from, end);
                 syntax.state = FIELD_NAME;
                 return readAt(syntax, bytes, end, to);
@@ -386,8 +412,8 @@
         /** The value of a field. */
         FIELD_VALUE {
             @Override
-            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
-                return readAt(syntax, bytes, find(bytes, from, to, HttpGrammar::isText), to);
+            int read(ResponseSyntax syntax, byte[] bytes, int from, int to) {
+                return readAt(syntax, bytes, skipText(bytes, from, to), to);
             }
 
             @Override
@@ -411,20 +437,18 @@
                 if (isBlank(read)) {
                     return FOLD_START;
                 }
-                return isFoldedText(read) ? FOLD : syntax.reject(SyntaxFault.FOLDED_LINE);
+                return read != ':' && HttpGrammar.isText(read) ? FOLD : syntax.reject(SyntaxFault.FOLDED_LINE);
             }
         },
 
         /** A line that continues a value. */
         FOLD {
-            @Override
-            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
-                return readAt(syntax, bytes, find(bytes, from, to, ResponseSyntax::isFoldedText), to);
-            }
-
             @Override
             State next(ResponseSyntax syntax, byte read) {
-                return syntax.endLine(read, read == ':' ? SyntaxFault.FOLDED_LINE : SyntaxFault.FIELD_VALUE);
+                if (read == ':') {
+                    return syntax.reject(SyntaxFault.FOLDED_LINE);
+                }
+                return HttpGrammar.isText(read) ? FOLD : FIELD_VALUE.next(syntax, read);
             }
         },
 
@@ -437,27 +461,25 @@
         },
 
         /** Content of a stated length. */
-        CONTENT {
+        CONTENT(false, true) {
             @Override
-            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+            int skip(ResponseSyntax syntax, int from, int to) {
                 int end = syntax.skipRemaining(from, to);
-                if (syntax.remaining == 0) {
-                    syntax.state = syntax.endResponse();
-                }
+                syntax.state = syntax.remaining == 0 ? syntax.endResponse() : CONTENT;
                 return end;
             }
         },
 
         /** Content that ends with the connection. */
-        CONTENT_UNTIL_CLOSE {
+        CONTENT_UNTIL_CLOSE(false, true) {
             @Override
-            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+            int skip(ResponseSyntax syntax, int from, int to) {
                 return to;
             }
         },
 
         /** The first digit of a chunk size. */
-        CHUNK_START(true) {
+        CHUNK_START(true, false) {
             @Override
             State next(ResponseSyntax syntax, byte read) {
                 syntax.remaining = 0;
@@ -572,9 +594,9 @@
         },
 
         /** The content of a chunk. */
-        CHUNK {
+        CHUNK(false, true) {
             @Override
-            int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+            int skip(ResponseSyntax syntax, int from, int to) {
                 int end = syntax.skipRemaining(from, to);
                 syntax.state = syntax.remaining == 0 ? CHUNK_END : CHUNK;
                 return end;
@@ -597,15 +619,31 @@
             }
         };
 
-        /** Whether what was read before ends with a line or with content. */
+        /** Whether the byte is the first one of a line. */
         private final boolean beginsLine;
 
+        /** Whether bytes are skipped, because content may consist of any. */
+        private final boolean isOfContent;
+
         State() {
-            this(false);
+            this(false, false);
         }
 
-        State(boolean beginsLine) {
+        State(boolean beginsLine, boolean isOfContent) {
             this.beginsLine = beginsLine;
+            this.isOfContent = isOfContent;
+        }
+
+        /**
+         * Skips bytes, of which there is at least one.
+         *
+         * @param syntax check that is in this state
+         * @param from   index of the next byte
+         * @param to     index behind the last byte
+         * @return index of the byte that is next then
+         */
+        int skip(ResponseSyntax syntax, int from, int to) {
+            return from;
         }
 
         /**
@@ -617,7 +655,7 @@
          * @param to     index behind the last byte
          * @return index behind the last byte that was read
          */
-        int read(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+        int read(ResponseSyntax syntax, byte[] bytes, int from, int to) {
             return readAt(syntax, bytes, from, to);
         }
 
@@ -641,11 +679,11 @@
          * @param to     index behind the last byte
          * @return index behind the last byte that was read
          */
-        final int readAt(ResponseSyntax syntax, ByteBuf bytes, int from, int to) {
+        final int readAt(ResponseSyntax syntax, byte[] bytes, int from, int to) {
             if (from == to) {
                 return to;
             }
-            syntax.state = next(syntax, bytes.getByte(from));
+            syntax.state = next(syntax, bytes[from]);
             return from + 1;
         }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntaxHandler.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntaxHandler.java
@@ -8,7 +8,7 @@
  * Checks the bytes of responses in front of the codec. Fires a {@link MalformedResponse} behind what is sound, and drops
  * the rest.
  */
-final class ResponseSyntaxHandler extends ChannelInboundHandlerAdapter {
+public final class ResponseSyntaxHandler extends ChannelInboundHandlerAdapter {
 
     private final ResponseSyntax syntax = new ResponseSyntax();
 
@@ -17,7 +17,7 @@
      *
      * @param toHead whether its method is HEAD
      */
-    void onRequest(boolean toHead) {
+    public void onRequest(boolean toHead) {
         syntax.onRequest(toHead);
     }
 
