--- a/mustardusher-node/src/main/java/io/mustardusher/server/IrregularResponses.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/IrregularResponses.java
@@ -7,8 +7,8 @@
 /**
  * Records irregular responses of one sender in log and metrics.
  *
- * @param sender name of the sender in the log
- * @param prefix prefix of the metrics
+ * @param sender  name of the sender in the log
+ * @param prefix  first part of the names of the metrics
  * @param metrics registry of metrics
  */
 public record IrregularResponses(String sender, String prefix, MetricRegistry metrics) implements ServerReports {
@@ -56,11 +56,11 @@
 
     @Override
     public void onLoad(ReportedServerLoad load) {
-        // Not an irregularity.
+        // not an irregularity
     }
 
     @Override
     public void onConditions(String instance, ServerConditions conditions, long sentNanos) {
-        // Not an irregularity.
+        // not an irregularity
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntax.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntax.java
@@ -12,9 +12,9 @@
  * Checks the bytes of a connection's responses against the grammar of RFC 9112 as they arrive. Codecs forgive what the
  * grammar does not allow, such as a blank in the name of a header, and what they hand over does not show it any more.
  *
- * <p>Forms that the RFC lets recipients accept are accepted: a line feed without a carriage return at the end of a
- * status line or a field, a status line that ends with the status, and values of headers that continue on the next line, unless
- * that line is blank or has a colon, so that it may be meant for a header.
+ * <p>Of the forms that the RFC lets recipients accept, these are accepted: a line feed without a carriage return at the
+ * end of a status line or a field, a status line that ends with the status, and a value of a header that continues on
+ * the next line, unless that line is blank or has a colon, so that it may be meant for a header.
  */
 final class ResponseSyntax {
 
@@ -43,7 +43,7 @@
     /** Whether each outstanding request has the method HEAD, in the order of the requests. */
     private final Queue<Boolean> requests = new ArrayDeque<>();
 
-    /** Bytes that are being read. Copying them from a buffer takes less time than reading them one by one there. */
+    /** Bytes that are being read: copying them takes less time than reading them one by one from their buffer. */
     private final byte[] block = new byte[BLOCK_BYTES];
 
     private State state = State.START;
@@ -52,7 +52,7 @@
     /** Number of bytes that were read of the version or of the status. */
     private int position;
 
-    private boolean firstMinorVersion;
+    private boolean ofHttp10;
     private int status;
 
     /** First bytes of the name of the current header, as many as the longest name has that the check knows. */
@@ -182,11 +182,11 @@
         return valid ? endLine(read, SyntaxFault.FIELD_VALUE) : reject(framingFault());
     }
 
-    // The framing of a chunked response of HTTP/1.0 is to be treated as faulty.
+    // RFC 9112, section 6.1: the framing of a chunked response of HTTP/1.0 is to be treated as faulty.
     private boolean setTransferEncoding(String text) {
         boolean repeated = chunked;
         chunked = CHUNKED.contentEqualsIgnoreCase(text);
-        return chunked && !repeated && !firstMinorVersion;
+        return chunked && !repeated && !ofHttp10;
     }
 
     private boolean setContentLength(String text) {
@@ -313,7 +313,7 @@
         MINOR_VERSION {
             @Override
             State next(ResponseSyntax syntax, byte read) {
-                syntax.firstMinorVersion = read == '0';
+                syntax.ofHttp10 = read == '0';
                 return HttpGrammar.isDigit(read) ? VERSION_END : syntax.reject(SyntaxFault.VERSION);
             }
         },
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntaxHandler.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntaxHandler.java
@@ -5,8 +5,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 
 /**
- * Checks the bytes of responses in front of the codec. Fires a {@link MalformedResponse} behind what is sound, and drops
- * the rest.
+ * Checks the bytes of responses in front of the codec. Passes on what is sound, fires a {@link MalformedResponse}, and
+ * drops the rest.
  */
 public final class ResponseSyntaxHandler extends ChannelInboundHandlerAdapter {
 
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -179,7 +179,7 @@
         });
     }
 
-    // The codec forgives what the check, which precedes it, does not.
+    // In front of the codec, because the codec hands over as sound what it has forgiven.
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         context.pipeline().addFirst(syntax);
--- a/mustardusher-node/src/main/java/io/mustardusher/server/StreamedResponses.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/StreamedResponses.java
@@ -36,8 +36,8 @@
     }
 
     /**
-     * Checks responses from the first request on, because the codec is added to the connection after the handlers of
-     * the factory. Connections of HTTP/2 never have it.
+     * Adds the check when the first request is sent, because the codec is added to the connection after the handlers of
+     * the factory. Connections of HTTP/2 never have that codec.
      */
     private static final class Installer extends ChannelDuplexHandler {
 
