Do not reuse a connection on which malformed bytes follow a response

What callers saw: nothing yet; found in review of the check. An upstream that writes an empty line behind each answer was served before, since the codec skips it. The check gives such bytes up, but the end of a call may send the next one of the queue on the same connection before that, and that call would end as unknown. Cause: the connection was released before the bytes behind the response were looked at. Change: the check has seen the whole of what arrived when the response ends; a connection with a fault is closed then and the fault is reported. Names of headers in frames are checked by a loop. Evidence: connectionIsNotReusedIfMalformedBytesFollowResponse fails without it.

--- a/mustardusher-node/src/main/java/io/mustardusher/call/HttpGrammar.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/HttpGrammar.java
@@ -87,7 +87,11 @@
      * @throws IllegalArgumentException if it is not one
      */
     static void requireName(CharSequence name) {
-        if (name.length() == 0 || !name.chars().allMatch(HttpGrammar::isToken)) {
+        boolean token = name.length() > 0;
+        for (int i = 0; i < name.length() && token; i++) {
+            token = isToken(name.charAt(i));
+        }
+        if (!token) {
             throw new IllegalArgumentException("the name of a header is not a token");
         }
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntaxHandler.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseSyntaxHandler.java
@@ -21,6 +21,15 @@
         syntax.onRequest(toHead);
     }
 
+    /**
+     * Returns whether malformed bytes have arrived, also if sound ones before them are still being decoded.
+     *
+     * @return {@code true} if no further response can be read from the connection
+     */
+    boolean hasFault() {
+        return syntax.fault() != null;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         ByteBuf bytes = (ByteBuf) message;
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -206,7 +206,7 @@
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
             end(ConnectionEnd.END_OF_STREAM);
-        } else if (event instanceof MalformedResponse malformed && end == null) {
+        } else if (event instanceof MalformedResponse malformed) {
             rejectMalformed(malformed);
         }
     }
@@ -244,10 +244,12 @@
 
     private void rejectMalformed(MalformedResponse malformed) {
         link.reportMalformed(malformed.syntax());
-        if (undecidedBody == null) {
+        if (undecidedBody != null) {
+            rejectMixed();
+        } else if (end == null) {
             giveUp(malformed.fault());
         } else {
-            rejectMixed();
+            link.reportFault(malformed.fault());
         }
     }
 
@@ -424,7 +426,8 @@
         ServerExchange ended = exchange;
         exchange = null;
         lastUsedNanos = clock.nanoTime();
-        if (reusable && !carried.isFull() && channel.isActive()) {
+        // What is malformed behind the response would be taken for the answer to the next request.
+        if (reusable && !syntax.hasFault() && !carried.isFull() && channel.isActive()) {
             link.release(this);
         } else {
             close();
--- a/mustardusher-node/src/test/java/io/mustardusher/server/MalformedResponsesTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/server/MalformedResponsesTest.java
@@ -192,6 +192,22 @@
         }
     }
 
+    // Guards against a request that is lost because it is sent on a connection on which malformed bytes have arrived
+    // behind the response before, such as an empty line, which the codec skips.
+    @Test
+    void connectionIsNotReusedIfMalformedBytesFollowResponse() {
+        for (String behind : List.of("\r\n", "x", "HTTP/1.1 000 None\r\n", "\u0000")) {
+            connect();
+            faults.clear();
+            EmbeddedChannel used = channel;
+            List<Boolean> openAtEnd = new ArrayList<>();
+            send(HttpMethod.POST, "one").thenRun(() -> openAtEnd.add(used.isOpen()));
+            receive("HTTP/1.1 200 OK\r\nid: one\r\ncontent-length: 2\r\n\r\nok" + behind, 1_000);
+            assertThat(openAtEnd).containsExactly(false);
+            assertThat(faults).containsExactly(ResponseFault.MALFORMED_HEAD);
+        }
+    }
+
     // Guards against a sound response that is lost with the malformed one behind it.
     @Test
     void responseBeforeMalformedOneIsDelivered() {
