Count a malformed response once

Cause: where the codec refuses a head itself, and the check finds a fault in a later line that arrived with it, the response was counted by both. Change: a fault behind the end of a connection is counted only if none was.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -248,7 +248,7 @@
             rejectMixed();
         } else if (end == null) {
             giveUp(malformed.fault());
-        } else {
+        } else if (fault == null) {
             link.reportFault(malformed.fault());
         }
     }
