Release the response of a call at its end

What callers saw: nodes beside servers whose answers are long ran out of memory and ended, and what their callers had on the way got no answer. Cause: a framed gate retains calls for 5 s. The stages of RetainedCall.cancelled lead to the exchange with the server, and so to the whole response, also where the gate had evicted it. The task that removes a queued call at its deadline held the response until then as well. Change: the future is dropped when the call ends; the task is cancelled when the response is there, and cancelled tasks leave the queue of the timers. Evidence: endedCallHoldsNothingThatItsCancellationWouldAbort failed before ("expected: 0", got an abort).

--- a/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
@@ -166,7 +166,7 @@
             retained = calls.get(message.call());
         }
         if (retained != null) {
-            retained.cancelled.complete(null);
+            retained.cancel();
         }
         largeResponses.remove(message.call());
         return CompletableFuture.completedFuture(message);
@@ -182,6 +182,7 @@
     private void end(RetainedCall call, CallMessage response) {
         synchronized (this) {
             call.endedNanos = clock.nanoTime();
+            call.cancelled = null;
             withResponse.addLast(call);
             call.retainedBytes = response.body().length;
             retainedBytes += call.retainedBytes;
@@ -216,7 +217,10 @@
     private static final class RetainedCall {
 
         private final long number;
-        private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
+
+        /** Completes if the call is cancelled; {@code null} after its end, because the stages hold the response. */
+        private volatile CompletableFuture<Void> cancelled = new CompletableFuture<>();
+
         private volatile CompletableFuture<CallMessage> response = new CompletableFuture<>();
         private long endedNanos;
         private long retainedBytes;
@@ -224,5 +228,12 @@
         RetainedCall(long number) {
             this.number = number;
         }
+
+        void cancel() {
+            CompletableFuture<Void> open = cancelled;
+            if (open != null) {
+                open.complete(null);
+            }
+        }
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -448,10 +449,12 @@
             long remainingNanos,
             CompletionStage<?> cancelled) {
         cancelled.thenRun(() -> removeFromQueue(ticket, response, headers, ResultCode.CANCELLED));
-        timers.schedule(
+        ScheduledFuture<?> expiry = timers.schedule(
                 () -> removeFromQueue(ticket, response, headers, ResultCode.DEADLINE_UNREACHABLE),
                 remainingNanos,
                 TimeUnit.NANOSECONDS);
+        // The task holds the response.
+        response.whenComplete((answered, failure) -> expiry.cancel(false));
     }
 
     // Has no effect on a call that is no longer queued.
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -93,8 +93,8 @@
     private final Random random = new Random();
     private final MetricRegistry metrics = new MetricRegistry();
     private final EventLoopGroup group = Transport.newEventLoops(EVENT_LOOPS, "mushd");
-    private final ScheduledExecutorService timers =
-            Executors.newScheduledThreadPool(1, task -> daemonThread(task, "mushd-timers"));
+    private final ScheduledExecutorService timers = createTimers();
+
     /**
      * Created on first use: the factory takes longer to create than the rest of a node because of encryption and name
      * resolution, which many nodes never use.
@@ -534,6 +534,14 @@
                 .toList();
     }
 
+    private static ScheduledExecutorService createTimers() {
+        ScheduledThreadPoolExecutor timers =
+                new ScheduledThreadPoolExecutor(1, task -> daemonThread(task, "mushd-timers"));
+        // A cancelled task would hold its call until the call's deadline.
+        timers.setRemoveOnCancelPolicy(true);
+        return timers;
+    }
+
     private static Thread daemonThread(Runnable task, String name) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
--- a/mustardusher-node/src/test/java/io/mustardusher/gate/FramedGateTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/gate/FramedGateTest.java
@@ -9,16 +9,19 @@
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.Exchange;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.call.Timeout;
 import io.mustardusher.frame.CallMessage;
 import io.mustardusher.result.Outcome;
 import io.mustardusher.result.ResultCode;
+import io.mustardusher.server.ServerLink;
 import io.mustardusher.time.Clock;
 import io.netty.util.concurrent.ImmediateEventExecutor;
 import org.junit.jupiter.api.AfterEach;
@@ -94,6 +97,24 @@
         assertThat(runs.get()).isEqualTo(1);
     }
 
+    /** Guards against a gate that holds the responses of all calls that it retains, through what would abort them. */
+    @Test
+    void endedCallHoldsNothingThatItsCancellationWouldAbort() {
+        AtomicInteger aborts = new AtomicInteger();
+        ServerLink link = new AbortedLink(serverResponse, aborts);
+        FramedGate aborting = new FramedGate(
+                GateFixture.of(clock, timers, 1, link),
+                packing,
+                1,
+                ImmediateEventExecutor.INSTANCE,
+                new BodyMemory(MEMORY_BYTES),
+                clock);
+        aborting.call(call(1));
+        completeServerResponse();
+        aborting.cancel(CallMessage.referringTo(1));
+        assertThat(aborts.get()).isEqualTo(0);
+    }
+
     /** Guards against a gate that runs out of memory because many nodes send it large bodies at once. */
     @Test
     void callsWhoseBodiesExceedMemoryAreRefusedAsNotRun() {
@@ -122,4 +143,23 @@
                 .build();
         return new CallMessage(number, packing.pack(headers), new byte[bodyBytes]);
     }
+
+    private record AbortedLink(CompletableFuture<AggregatedHttpResponse> response, AtomicInteger aborts)
+            implements ServerLink {
+
+        @Override
+        public Exchange send(HttpRequest call, long remainingNanos) {
+            return Exchange.ofAggregated(response, aborts::incrementAndGet);
+        }
+
+        @Override
+        public CompletableFuture<Void> probe(String path) {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public void close() {
+            // There are no connections.
+        }
+    }
 }
