Bound the work that long bodies and small pieces cause

What callers saw: beside callers who send much more than the limit, or chunks of one byte, others wait for the event loop or are refused. Cause: a body was judged after 64 kB or one second of it, and read at full speed for another second after its refusal. Chunks beyond the limit were not noticed while a body was streamed. One connection was read up to sixteen times in a row, 64 kB each, which is over 10,000 chunks a read. Requests that arrived in one read were all handled, however many are in flight. Change: a request with a long body is handed over at its head; a streamed body fails beyond the limit; at most 1 MiB is read after the last response. A connection is read once a turn, 16 kB at most. Bodies beyond 64 kB or 256 pieces, and what is discarded, are read in turns that leave half of the loop's time to others (ReadTurns). Requests beyond sixteen wait, as if they had not been read. PendingRequest has a file of its own.

--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -1,22 +1,16 @@
 package io.mustardusher.http;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.CompletableFuture;
+import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
-import com.linecorp.armeria.common.HttpData;
-import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.HttpRequestWriter;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import io.mustardusher.call.BodyMemory;
-import io.mustardusher.log.NodeLog;
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.time.Clock;
 import io.netty.buffer.ByteBuf;
@@ -38,7 +32,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.EventExecutor;
 
 /**
  * A connection of a listener. Senders may pipeline requests: they are handled as they arrive, and their responses are
@@ -49,9 +42,6 @@
     /** Number of requests in flight from which no further one is read. */
     static final int MAX_REQUESTS_IN_FLIGHT = 16;
 
-    /** Largest body that is collected before its request is handled, in bytes; a longer one is streamed. */
-    private static final int MAX_COLLECTED_BYTES = 64 << 10;
-
     /** Time for which an incomplete body is collected; after it, the request is handled while the rest arrives. */
     private static final long MAX_COLLECTION_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
 
@@ -61,6 +51,9 @@
      */
     private static final long MAX_LINGER_NANOS = 1_000 * Clock.NANOS_PER_MILLI;
 
+    /** Bytes that are read after the last response, at most; whoever sends more is not waiting for it. */
+    private static final int MAX_LINGER_BYTES = 1 << 20;
+
     private static final ByteBuf CONTINUE = Unpooled.unreleasableBuffer(
             Unpooled.copiedBuffer("HTTP/1.1 100 Continue\r\n\r\n", StandardCharsets.US_ASCII));
 
@@ -69,6 +62,7 @@
     private final Supplier<RequestLimits> limits;
     private final BiConsumer<HttpResponseStatus, String> rejectionListener;
     private final BodyMemory bodyMemory;
+    private final ReadTurns turns;
     private final Clock clock;
 
     /** Requests without a response, in the order of their arrival. */
@@ -86,6 +80,14 @@
     /** Whether the last response was written and the rest of what arrives is discarded. */
     private boolean lingering;
 
+    private int lingerBytes;
+
+    /** Whether this connection waits for its turn to read. */
+    private boolean awaitsTurn;
+
+    /** Time at which the bytes arrived that are being handled, in nanoseconds. */
+    private long readStartNanos;
+
     /** Whether a part of a header block has arrived, but not its end. */
     private boolean headIncomplete;
 
@@ -104,12 +106,14 @@
             Supplier<RequestLimits> limits,
             BiConsumer<HttpResponseStatus, String> rejectionListener,
             BodyMemory bodyMemory,
+            ReadTurns turns,
             Clock clock) {
         this.channel = channel;
         this.handler = handler;
         this.limits = limits;
         this.rejectionListener = rejectionListener;
         this.bodyMemory = bodyMemory;
+        this.turns = turns;
         this.headMemory = new HeadMemory(bodyMemory, () -> runOnLoop(this::giveUpHead));
         this.clock = clock;
         this.lastActiveNanos = clock.nanoTime();
@@ -125,7 +129,8 @@
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) {
-                lastActiveNanos = clock.nanoTime();
+                readStartNanos = clock.nanoTime();
+                lastActiveNanos = readStartNanos;
                 overdue = false;
                 int bytes = ((ByteBuf) message).readableBytes();
                 if (receiving == null && !headIncomplete) {
@@ -136,10 +141,20 @@
                 if (headIncomplete && !closing) {
                     headMemory.hold(bytes);
                 }
+                if (lingering) {
+                    countDiscarded(bytes);
+                }
             }
         };
     }
 
+    private void countDiscarded(int bytes) {
+        lingerBytes += bytes;
+        if (lingerBytes > MAX_LINGER_BYTES) {
+            channel.close();
+        }
+    }
+
     private void giveUpHead() {
         if (headIncomplete && !closing) {
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the head");
@@ -169,7 +184,7 @@
             return;
         }
         if (receiving != null) {
-            if (now - receiving.arrivalNanos > MAX_COLLECTION_NANOS) {
+            if (now - receiving.arrivalNanos() > MAX_COLLECTION_NANOS) {
                 receiving.handOver();
             }
             return;
@@ -210,6 +225,10 @@
         if (receiving != null) {
             receiving.streamCollected();
         }
+        if (readsInTurns()) {
+            turns.charge(clock.nanoTime() - readStartNanos);
+        }
+        updateReading();
         context.fireChannelReadComplete();
     }
 
@@ -220,10 +239,7 @@
         PendingRequest incomplete = receiving;
         receiving = null;
         while (!pending.isEmpty()) {
-            PendingRequest lost = pending.removeFirst();
-            lost.releaseMemory();
-            lost.cancelled.complete(null);
-            lost.ended.complete(null);
+            pending.removeFirst().endUnanswered();
         }
         // Afterwards, so that the missing rest is not taken for a fault of the server.
         if (incomplete != null) {
@@ -259,20 +275,21 @@
             return;
         }
         receiving = new PendingRequest(
-                headers, HttpUtil.isKeepAlive(head), head.method().equals(HttpMethod.HEAD));
+                this, headers, HttpUtil.isKeepAlive(head), head.method().equals(HttpMethod.HEAD));
         pending.addLast(receiving);
-        closing = receiving.closeAfter;
-        receiving.expectsContinue = HttpUtil.is100ContinueExpected(head);
+        closing = receiving.closesAfterResponse();
+        receiving.setExpectsContinue(HttpUtil.is100ContinueExpected(head));
+        receiving.beginBody();
         askForExpectedBody();
         updateReading();
     }
 
     // The sender takes an interim response for one to its first request without a response.
     private void askForExpectedBody() {
-        if (receiving == null || !receiving.expectsContinue || pending.peekFirst() != receiving) {
+        if (receiving == null || !receiving.expectsContinue() || pending.peekFirst() != receiving) {
             return;
         }
-        receiving.expectsContinue = false;
+        receiving.setExpectsContinue(false);
         // The codec would take it for the response to the request, and the next response for that to a later HEAD.
         channel.pipeline().context(HttpServerCodec.class).writeAndFlush(CONTINUE.duplicate());
     }
@@ -300,26 +317,27 @@
         rejectionListener.accept(status, cause);
         endHead();
         closing = true;
-        PendingRequest malformed = new PendingRequest(null, false, false);
+        PendingRequest malformed = new PendingRequest(this, null, false, false);
         pending.addLast(malformed);
         malformed.respond(AggregatedHttpResponse.of(HttpStatus.valueOf(status.code())));
     }
 
-    private void sendCompleteResponses() {
+    /** Sends the responses that are complete and not preceded by one that is not. */
+    void sendCompleteResponses() {
         boolean flush = false;
-        while (!pending.isEmpty() && pending.peekFirst().response != null) {
+        while (!pending.isEmpty() && pending.peekFirst().isAnswered()) {
             PendingRequest next = pending.removeFirst();
-            FullHttpResponse response = HttpMessages.toFullResponse(next.response, next.toHead);
+            FullHttpResponse response = next.toFullResponse();
             lastActiveNanos = clock.nanoTime();
-            if (!next.closeAfter) {
-                channel.write(response).addListener(sent -> next.ended.complete(null));
+            if (!next.closesAfterResponse()) {
+                channel.write(response).addListener(sent -> next.end());
                 flush = true;
                 continue;
             }
             closing = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ChannelFuture written = channel.writeAndFlush(response);
-            written.addListener(sent -> next.ended.complete(null));
+            written.addListener(sent -> next.end());
             if (next.isMalformed()) {
                 written.addListener(sent -> shutDownOutput());
                 linger();
@@ -333,6 +351,7 @@
         if (flush) {
             channel.flush();
             askForExpectedBody();
+            handleWaiting();
             updateReading();
         }
     }
@@ -350,242 +369,142 @@
         }
     }
 
-    private void updateReading() {
-        boolean read = channel.isWritable() && blocking == null && pending.size() < MAX_REQUESTS_IN_FLIGHT;
-        if (channel.config().isAutoRead() != read) {
-            channel.config().setAutoRead(read);
+    /** Reads on, or stops, as the state of this connection demands. */
+    void updateReading() {
+        boolean read = isReading();
+        boolean inTurns = read && readsInTurns();
+        if (channel.config().isAutoRead() != (read && !inTurns)) {
+            channel.config().setAutoRead(read && !inTurns);
         }
-    }
-
-    private void runOnLoop(Runnable task) {
-        if (channel.eventLoop().inEventLoop()) {
-            task.run();
-        } else {
-            channel.eventLoop().execute(task);
+        if (inTurns && !awaitsTurn) {
+            awaitsTurn = true;
+            turns.await(this::readInTurn);
         }
     }
 
-    private static boolean exceeds(long nanos, long limitMillis) {
-        return limitMillis > 0 && nanos > limitMillis * Clock.NANOS_PER_MILLI;
+    /**
+     * Returns whether this connection reads, at once or in its turn.
+     *
+     * @return {@code true} unless something has to be answered, sent or consumed before
+     */
+    boolean isReading() {
+        return channel.isOpen() && channel.isWritable() && blocking == null && pending.size() < MAX_REQUESTS_IN_FLIGHT;
     }
 
-    /** A request of this connection whose response has not been sent. */
-    private final class PendingRequest implements RequestExchange {
-
-        private final RequestHeaders headers;
-        private final boolean toHead;
-        private final long arrivalNanos = clock.nanoTime();
-        private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
-        private final CompletableFuture<Void> ended = new CompletableFuture<>();
-
-        /** Memory of the first bytes of the body, which may be held until the response; {@code null} before them. */
-        private BodyMemory.Share memory;
-
-        private int heldBytes;
-
-        /** What has arrived of the body and was not passed on; {@code null} if there is nothing. */
-        private ByteArrayOutputStream collected;
-
-        /** Number of parts that were passed on and not consumed. */
-        private int unconsumedParts;
-
-        /** Rest of the body after the request was handed over before its end. */
-        private HttpRequestWriter writer;
-
-        private boolean handedOver;
-        private boolean closeAfter;
-
-        /** Whether the sender waits for an interim response before it sends the body. */
-        private boolean expectsContinue;
-
-        private AggregatedHttpResponse response;
-
-        PendingRequest(RequestHeaders headers, boolean keepAlive, boolean toHead) {
-            this.headers = headers;
-            this.toHead = toHead;
-            this.closeAfter = !keepAlive;
-        }
-
-        @Override
-        public CompletableFuture<Void> cancelled() {
-            return cancelled;
-        }
-
-        @Override
-        public CompletableFuture<Void> ended() {
-            return ended;
-        }
-
-        @Override
-        public boolean isUnanswerable() {
-            return closing && !closeAfter;
-        }
-
-        @Override
-        public void closeAfterResponse() {
-            // Responses to earlier requests are sent before, and later requests are not handled.
-            closeAfter = true;
-            closing = true;
-        }
-
-        @Override
-        public EventExecutor executor() {
-            return channel.eventLoop();
-        }
+    private boolean readsInTurns() {
+        return lingering || receiving != null && receiving.isLaborious();
+    }
 
-        boolean isMalformed() {
-            return headers == null;
+    private void readInTurn() {
+        awaitsTurn = false;
+        if (isReading() && readsInTurns()) {
+            channel.read();
+        } else if (channel.isOpen()) {
+            updateReading();
         }
+    }
 
-        void append(ByteBuf bytes) {
-            boolean discarded = response != null || writer != null && !writer.isOpen();
-            if (!bytes.isReadable() || discarded) {
-                return;
-            }
-            expectsContinue = false;
-            if (!hold(bytes.readableBytes())) {
-                giveUpBody();
-                return;
-            }
-            byte[] copy = new byte[bytes.readableBytes()];
-            bytes.getBytes(bytes.readerIndex(), copy);
-            if (collected == null) {
-                collected = new ByteArrayOutputStream(copy.length);
-            }
-            collected.writeBytes(copy);
-            if (collected.size() <= MAX_COLLECTED_BYTES) {
+    // Requests beyond those that may be in flight arrive if they were read together with others.
+    private void handleWaiting() {
+        int position = 0;
+        for (PendingRequest request : List.copyOf(pending)) {
+            if (position == MAX_REQUESTS_IN_FLIGHT || closing && !request.closesAfterResponse()) {
                 return;
             }
-            if (handedOver) {
-                streamCollected();
-            } else {
-                handOver();
-            }
-        }
-
-        // Chunks that arrive together are passed on together, since each part takes memory of its own.
-        void streamCollected() {
-            // The request may have been answered at once; nobody reads the body then.
-            if (writer != null && collected != null && response == null) {
-                byte[] part = collected.toByteArray();
-                collected = null;
-                stream(part);
-            }
+            request.handleIfWaiting();
+            position++;
         }
+    }
 
-        // What follows behind these bytes is only read once it has been consumed.
-        private boolean hold(int added) {
-            int held = Math.min(added, MAX_COLLECTED_BYTES - heldBytes);
-            if (memory == null) {
-                memory = bodyMemory.open(() -> runOnLoop(this::giveUpBody));
-            }
-            if (held > 0 && !memory.reserve(held)) {
-                return false;
-            }
-            heldBytes += held;
+    /**
+     * Returns whether a request may be handled now, as one of those in flight.
+     *
+     * @param request the request
+     * @return {@code false} if responses to others have to be sent before
+     */
+    boolean mayHandle(PendingRequest request) {
+        if (pending.size() <= MAX_REQUESTS_IN_FLIGHT) {
             return true;
         }
-
-        private void releaseMemory() {
-            if (memory != null) {
-                memory.release();
+        int position = 0;
+        for (PendingRequest before : pending) {
+            if (before == request || position == MAX_REQUESTS_IN_FLIGHT) {
+                break;
             }
+            position++;
         }
+        return position < MAX_REQUESTS_IN_FLIGHT;
+    }
 
-        private void giveUpBody() {
-            if (receiving == this && response == null) {
-                handOver();
-                writer.close(BodyMemory.exhausted());
-            }
+    /**
+     * Runs a task on the event loop of this connection, at once if that is the current thread.
+     *
+     * @param task the task
+     */
+    void runOnLoop(Runnable task) {
+        if (channel.eventLoop().inEventLoop()) {
+            task.run();
+        } else {
+            channel.eventLoop().execute(task);
         }
+    }
 
-        // Hands the request over while its body is still arriving.
-        void handOver() {
-            if (handedOver) {
-                return;
-            }
-            writer = HttpRequest.streaming(headers);
-            handle(writer);
-            streamCollected();
-        }
+    private static boolean exceeds(long nanos, long limitMillis) {
+        return limitMillis > 0 && nanos > limitMillis * Clock.NANOS_PER_MILLI;
+    }
 
-        void endBody() {
-            if (memory != null) {
-                memory.complete();
-            }
-            if (writer != null) {
-                streamCollected();
-                writer.close();
-                return;
-            }
-            HttpData body = collected == null ? HttpData.empty() : HttpData.wrap(collected.toByteArray());
-            collected = null;
-            handle(HttpRequest.of(headers, body));
-        }
+    Channel channel() {
+        return channel;
+    }
 
-        void abortBody() {
-            if (writer != null) {
-                writer.close(new ClosedChannelException());
-            }
-        }
+    Clock clock() {
+        return clock;
+    }
 
-        void respond(AggregatedHttpResponse complete) {
-            response = complete;
-            collected = null;
-            releaseMemory();
-            if (receiving == this) {
-                // The rest of the body is discarded, and nothing is known of its length.
-                closeAfterResponse();
-                abortBody();
-            }
-            // A body that has not been read by now may never be.
-            unblock();
-            sendCompleteResponses();
-        }
+    BodyMemory bodyMemory() {
+        return bodyMemory;
+    }
 
-        private void stream(byte[] bytes) {
-            if (!writer.tryWrite(HttpData.wrap(bytes))) {
-                return;
-            }
-            CompletableFuture<Void> consumed = writer.whenConsumed();
-            if (!consumed.isDone()) {
-                blocking = this;
-                unconsumedParts++;
-                updateReading();
-                consumed.whenComplete((ignored, failure) -> runOnLoop(this::endPart));
-            }
-        }
+    RequestLimits limits() {
+        return limits.get();
+    }
 
-        private void endPart() {
-            unconsumedParts--;
-            if (unconsumedParts == 0) {
-                unblock();
-            }
-        }
+    RequestHandler handler() {
+        return handler;
+    }
 
-        private void unblock() {
-            if (blocking == this) {
-                blocking = null;
-                updateReading();
-            }
-        }
+    boolean isClosing() {
+        return closing;
+    }
 
-        private void handle(HttpRequest request) {
-            handedOver = true;
-            try {
-                handler.handle(request, this)
-                        .aggregate(channel.eventLoop())
-                        .whenComplete((complete, failure) -> runOnLoop(() -> {
-                            if (failure == null) {
-                                respond(complete);
-                            } else {
-                                channel.close();
-                            }
-                        }));
-            } catch (RuntimeException e) {
-                NodeLog.LOG.warn("request failed", e);
-                channel.close();
-            }
+    /** Ignores what follows behind the requests that have arrived. */
+    void setClosing() {
+        closing = true;
+    }
+
+    boolean isReceiving(PendingRequest request) {
+        return receiving == request;
+    }
+
+    /**
+     * Reads nothing more until a request has consumed what has arrived of its body.
+     *
+     * @param request the request
+     */
+    void block(PendingRequest request) {
+        blocking = request;
+        updateReading();
+    }
+
+    /**
+     * Ends a block by a request, if there is one.
+     *
+     * @param request the request
+     */
+    void unblock(PendingRequest request) {
+        if (blocking == request) {
+            blocking = null;
+            updateReading();
         }
     }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
@@ -16,11 +16,13 @@
 import io.mustardusher.route.RequestLimits;
 import io.mustardusher.time.Clock;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -41,6 +43,12 @@
      */
     private static final int MAX_HEADER_BYTES = 64 << 10;
 
+    /** Sizes of the buffer for one read, in bytes. The largest holds some thousand chunks of one byte. */
+    private static final int MIN_READ_BYTES = 64;
+
+    private static final int INITIAL_READ_BYTES = 2 << 10;
+    private static final int MAX_READ_BYTES = 16 << 10;
+
     /** Maximum number of connections that wait to be accepted. */
     private static final int BACKLOG = 1_024;
 
@@ -52,6 +60,7 @@
     private final Clock clock;
     private final MetricRegistry metrics;
     private final BodyMemory bodyMemory;
+    private final ReadTurns turns;
     private final List<Channel> listeningChannels = new ArrayList<>();
 
     /** Open connections. Confined to the event loop. */
@@ -83,6 +92,7 @@
         this.metrics = metrics;
         this.bodyMemory = bodyMemory;
         this.loop = group.next();
+        this.turns = new ReadTurns(loop, clock);
         this.clock = clock;
     }
 
@@ -109,6 +119,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, createReadBuffers())
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel accepted) {
@@ -136,7 +147,7 @@
 
     private void initialize(Channel accepted, RequestHandler handler, Supplier<RequestLimits> limits) {
         HttpConnection connection =
-                new HttpConnection(accepted, handler, limits, this::recordRejection, bodyMemory, clock);
+                new HttpConnection(accepted, handler, limits, this::recordRejection, bodyMemory, turns, clock);
         connections.add(connection);
         accepted.closeFuture().addListener(closed -> connections.remove(connection));
         connection.addHandlers();
@@ -153,6 +164,12 @@
                 .setMaxHeaderSize(MAX_HEADER_BYTES)));
     }
 
+    // Reads once a turn, so that no connection keeps the event loop from all others.
+    private static RecvByteBufAllocator createReadBuffers() {
+        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                .maxMessagesPerRead(1);
+    }
+
     private void recordRejection(HttpResponseStatus status, String cause) {
         metrics.counter("listener.rejected." + status.code()).inc();
         NodeLog.LOG.requestRejected(status.code(), cause);
--- a/mustardusher-node/src/test/java/io/mustardusher/http/CallerChannel.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/CallerChannel.java
@@ -51,13 +51,19 @@
         this.bodyMemory = bodyMemory;
         channel.freezeTime();
         connection = new HttpConnection(
-                channel, handler, limits, (status, cause) -> rejections.add(cause), bodyMemory, clock);
+                channel,
+                handler,
+                limits,
+                (status, cause) -> rejections.add(cause),
+                bodyMemory,
+                new ReadTurns(channel.eventLoop(), clock),
+                clock);
         connection.addHandlers();
     }
 
-    /** Returns whether the listener reads what is sent; it must not be sent otherwise. */
+    /** Returns whether the listener reads what is sent, at once or in its turn; it must not be sent otherwise. */
     public boolean isReading() {
-        return channel.isOpen() && channel.config().isAutoRead();
+        return connection.isReading();
     }
 
     /** Returns the causes of the rejections that the listener reported. */
