--- a/mustardusher-node/src/main/java/io/mustardusher/call/PrecedenceHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/PrecedenceHeaders.java
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import io.mustardusher.admission.Ticket;
 import io.mustardusher.nested.RunningCall;
+import io.mustardusher.routing.Mobility;
 
 /** The headers that state to a gate the order of a call among those of its class. */
 public final class PrecedenceHeaders {
@@ -56,4 +57,20 @@
     private static String encode(String account) {
         return URLEncoder.encode(account, StandardCharsets.UTF_8);
     }
+
+    /**
+     * Reads by when the answer to a call is desired.
+     *
+     * @param headers headers of the call
+     * @param now     current time, in nanoseconds
+     * @return the target
+     */
+    public static Ticket.LatencyTarget readTarget(RequestHeaders headers, long now) {
+        String target = headers.get(CallHeaders.TARGET);
+        if (target == null) {
+            return Ticket.LatencyTarget.NONE;
+        }
+        long targetNanos = Timeout.parse(target).orElse(0);
+        return new Ticket.LatencyTarget(now + targetNanos, Mobility.of(headers.get(CallHeaders.MOVABLE)));
+    }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Gate.java
@@ -43,7 +43,6 @@
 import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.routing.LoadReport;
-import io.mustardusher.routing.Mobility;
 import io.mustardusher.server.ReportedServerLoad;
 import io.mustardusher.server.ServerLink;
 import io.mustardusher.time.Clock;
@@ -366,7 +365,7 @@
                 now + remainingNanos,
                 exclusive,
                 dispatch,
-                latencyTarget(request.headers(), now),
+                PrecedenceHeaders.readTarget(request.headers(), now),
                 running.precedence());
         dispatch.bind(ticket);
         Runnable offer = () -> {
@@ -433,15 +432,6 @@
         return current.isLimited() ? current.maxCallsPerSecond() : 0;
     }
 
-    private static Ticket.LatencyTarget latencyTarget(RequestHeaders headers, long now) {
-        String target = headers.get(CallHeaders.TARGET);
-        if (target == null) {
-            return Ticket.LatencyTarget.NONE;
-        }
-        long targetNanos = Timeout.parse(target).orElse(0);
-        return new Ticket.LatencyTarget(now + targetNanos, Mobility.of(headers.get(CallHeaders.MOVABLE)));
-    }
-
     private void removeWhenCancelledOrExpired(
             Ticket ticket,
             CompletableFuture<HttpResponse> response,
