Pass long bodies of requests on as they arrive

What callers saw: a single upload of 17 MB or more got 503 in calm, where the limit is 64 MiB; and callers that stop within a long body held slots of a server. Cause: the gate held each body whole before it sent it, in a memory of 16 MiB, and the entry routed a long body at its first bytes. Change: a body is held up to 1 MiB, at the entry before its call is routed, and at the gate before it is sent; the rest is passed on as the server takes it (BodyCollector.begin, RequestUpload). A request that ends early behind that is unknown, and its connection is closed; so is one whose response precedes the end of the body. The HTTP client for long bodies between nodes is created off the event loop (GateLink.ForOpening): it held the loop for a second, after which calls were refused as overloaded.

--- a/mustardusher-node/src/main/java/io/mustardusher/call/BodyCollector.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/BodyCollector.java
@@ -8,27 +8,43 @@
 import com.linecorp.armeria.common.HttpHeaders;
 import com.linecorp.armeria.common.HttpObject;
 import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpRequestWriter;
 import io.netty.util.concurrent.EventExecutor;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
 
-/** Collects the body of a request within the memory that bodies share, and gives it up beyond. */
+/**
+ * Collects the body of a request within the memory that bodies share, and gives up what exceeds that memory. The rest of
+ * a long body is passed on as it arrives, if that was asked for.
+ */
 public final class BodyCollector implements Subscriber<HttpObject> {
 
+    /** Largest body that is held whole, in bytes. A call with a longer body is sent only once. */
+    public static final int MAX_HELD_BYTES = 1 << 20;
+
     private final HttpRequest request;
     private final BodyMemory.Share memory;
 
     /** Whether the memory for the whole body is reserved before any of it arrives. */
     private final boolean ahead;
 
+    /** Length from which the body is passed on as it arrives, in bytes. */
+    private final long maxHeld;
+
     private final BodyBuffer body = new BodyBuffer();
     private final CompletableFuture<AggregatedHttpRequest> whole = new CompletableFuture<>();
+
+    /** The request with a body that goes on arriving; {@code null} while the body is collected. */
+    private HttpRequestWriter writer;
+
+    private CompletableFuture<HttpRequest> begun;
     private HttpHeaders trailers = HttpHeaders.of();
     private Subscription subscription;
 
-    private BodyCollector(HttpRequest request, BodyMemory memory, boolean ahead) {
+    private BodyCollector(HttpRequest request, BodyMemory memory, boolean ahead, long maxHeld) {
         this.request = request;
         this.ahead = ahead;
+        this.maxHeld = maxHeld;
         this.memory = memory.open(() -> request.abort(BodyMemory.exhausted()));
     }
 
@@ -52,6 +68,34 @@
         return collected.request();
     }
 
+    /**
+     * Collects the body of a request up to {@link #MAX_HELD_BYTES}. Memory is held until the exchange has ended, that
+     * for the beginning of a longer body until the beginning has been consumed.
+     *
+     * @param request  the request
+     * @param memory   memory for the body
+     * @param executor executor that receives the body
+     * @param ended    completes when the exchange of the request has ended
+     * @return completes with the whole request, or with one whose body goes on arriving as it is consumed; fails if the
+     *     body does not arrive so far
+     */
+    public static CompletableFuture<HttpRequest> begin(
+            HttpRequest request, BodyMemory memory, EventExecutor executor, CompletionStage<?> ended) {
+        if (!request.isOpen()) {
+            return CompletableFuture.completedFuture(request);
+        }
+        long length = request.headers().contentLength();
+        BodyCollector collector =
+                new BodyCollector(request, memory, length > 0 && length <= MAX_HELD_BYTES, MAX_HELD_BYTES);
+        collector.begun = collector.whole.thenApply(AggregatedHttpRequest::toHttpRequest);
+        request.subscribe(collector, executor);
+        ended.whenComplete((ignored, failure) -> {
+            collector.memory.release();
+            collector.abort();
+        });
+        return collector.begun;
+    }
+
     /**
      * Collects the body of a request. One of known length has its room from the start, so that others cannot take it
      * away before the end, or is given up at once.
@@ -65,7 +109,7 @@
         return collect(
                 request,
                 executor,
-                new BodyCollector(request, memory, request.headers().contentLength() > 0));
+                new BodyCollector(request, memory, request.headers().contentLength() > 0, Long.MAX_VALUE));
     }
 
     /**
@@ -77,7 +121,7 @@
      * @return the collected request, and the memory that it takes
      */
     public static Collected collectGradually(HttpRequest request, BodyMemory memory, EventExecutor executor) {
-        return collect(request, executor, new BodyCollector(request, memory, false));
+        return collect(request, executor, new BodyCollector(request, memory, false, Long.MAX_VALUE));
     }
 
     private static Collected collect(HttpRequest request, EventExecutor executor, BodyCollector collector) {
@@ -97,6 +141,10 @@
 
     @Override
     public void onNext(HttpObject part) {
+        if (writer != null) {
+            pass(part);
+            return;
+        }
         if (part instanceof HttpData data) {
             if (!ahead && !memory.reserve(body.additionalBytes(data.length()))) {
                 giveUp();
@@ -106,18 +154,58 @@
         } else {
             trailers = (HttpHeaders) part;
         }
-        subscription.request(1);
+        if (body.length() > maxHeld) {
+            passOn();
+        } else {
+            subscription.request(1);
+        }
+    }
+
+    private void passOn() {
+        writer = HttpRequest.streaming(request.headers());
+        // Without trailers: nothing says that the receiver wants them.
+        writer.whenComplete().exceptionally(failure -> {
+            subscription.cancel();
+            return null;
+        });
+        memory.complete();
+        HttpData first = body.toData();
+        body.clear();
+        begun.complete(writer);
+        pass(first);
+        writer.whenConsumed().thenRun(memory::release);
+    }
+
+    private void pass(HttpObject part) {
+        if (part instanceof HttpData data && !data.isEmpty() && writer.tryWrite(data)) {
+            writer.whenConsumed().thenRun(() -> subscription.request(1));
+        } else if (writer.isOpen()) {
+            subscription.request(1);
+        }
+    }
+
+    private void abort() {
+        if (writer != null) {
+            writer.abort();
+        }
     }
 
     @Override
     public void onError(Throwable failure) {
         body.clear();
         memory.release();
+        if (writer != null) {
+            writer.close(failure);
+        }
         whole.completeExceptionally(failure);
     }
 
     @Override
     public void onComplete() {
+        if (writer != null) {
+            writer.close();
+            return;
+        }
         memory.complete();
         HttpData data = body.toData();
         body.clear();
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
@@ -76,6 +76,16 @@
         return new ForAggregatedAnswer(answer, abort);
     }
 
+    /**
+     * Creates an exchange for a request that is sent later.
+     *
+     * @param sent completes with the exchange when the request is sent
+     * @return the exchange
+     */
+    static Exchange ofDeferred(CompletableFuture<Exchange> sent) {
+        return new ForDeferredRequest(sent);
+    }
+
     /**
      * Returns the headers of the answer. The time limit applies only until they arrive.
      *
@@ -242,6 +252,46 @@
         }
     }
 
+    /**
+     * An exchange whose request is sent later.
+     *
+     * @param sent completes with the exchange that sends it
+     */
+    record ForDeferredRequest(CompletableFuture<Exchange> sent) implements Exchange {
+
+        @Override
+        public CompletableFuture<ResponseHeaders> headers() {
+            return sent.thenCompose(Exchange::headers).exceptionally(failure -> {
+                throw new MustardusherException(codeOf(failure), describe(failure));
+            });
+        }
+
+        @Override
+        public HttpResponse stream(ResponseHeaders headers) {
+            return sent.join().stream(headers);
+        }
+
+        @Override
+        public CompletableFuture<HttpResponse> aggregate(ResponseHeaders headers) {
+            return sent.thenCompose(exchange -> exchange.aggregate(headers));
+        }
+
+        @Override
+        public CompletableFuture<?> whenComplete() {
+            return sent.thenCompose(Exchange::whenComplete);
+        }
+
+        @Override
+        public void discard() {
+            sent.thenAccept(Exchange::discard);
+        }
+
+        @Override
+        public void abort() {
+            sent.thenAccept(Exchange::abort);
+        }
+    }
+
     /**
      * Returns the result code for a failure before the headers of the answer. Only a request that never left this
      * process is reported as not run.
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/Entry.java
@@ -19,6 +19,8 @@
 import com.linecorp.armeria.server.ServiceRequestContext;
 import io.mustardusher.account.Account;
 import io.mustardusher.admission.EventLoopDelay;
+import io.mustardusher.call.BodyCollector;
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.Call;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.CallerProtocol;
@@ -80,7 +82,10 @@
     /** Limits the calls of client accounts; {@code null} if nothing does. */
     private AccountAllowances allowances;
 
-    /** Bodies that have not arrived whole. */
+    /** Memory for long bodies; {@code null} if they are streamed from their first byte. */
+    private BodyMemory bodyMemory;
+
+    /** Bodies that have not arrived whole, and are not being sent to a server. */
     private final Set<IncompleteBody> incompleteBodies = ConcurrentHashMap.newKeySet();
 
     private final GraceTime graceTime = new GraceTime();
@@ -136,6 +141,15 @@
         allowances = accountAllowances;
     }
 
+    /**
+     * Sets the memory in which long bodies are collected as far as they are held. Called before the first call.
+     *
+     * @param memory the memory
+     */
+    public void collectLongBodies(BodyMemory memory) {
+        bodyMemory = memory;
+    }
+
     /** Closes each caller's connection after its next response. Calls are still accepted. */
     public void drainConnections() {
         draining = true;
@@ -248,8 +262,13 @@
             return route(exchange, call, request, CallBody.Buffered.EMPTY, trace);
         }
         if (length > MAX_BUFFERED_BODY_BYTES) {
-            limitBody(exchange, call, request);
-            return route(exchange, call, request, new CallBody.Streamed(request), trace);
+            if (bodyMemory == null) {
+                limitBody(exchange, call, request);
+                return route(exchange, call, request, new CallBody.Streamed(request), trace);
+            }
+            return HttpResponse.of(beginBody(exchange, call, request)
+                    .thenApply(body -> route(exchange, call, request, body, trace))
+                    .exceptionally(failure -> rejectAfterBody(request, failure)));
         }
         return HttpResponse.of(bufferBody(exchange, call, request)
                 .thenApply(body -> route(exchange, call, request, body, trace))
@@ -358,7 +377,28 @@
         });
     }
 
-    private void limitBody(RequestExchange exchange, Call call, HttpRequest request) {
+    // A long body is routed once its beginning has arrived, so that a sender who stalls before takes no slot of a
+    // server.
+    private CompletableFuture<CallBody> beginBody(RequestExchange exchange, Call call, HttpRequest request) {
+        IncompleteBody incomplete = limitBody(exchange, call, request);
+        return BodyCollector.begin(request, bodyMemory, exchange.executor(), exchange.ended())
+                .handle((begun, failure) -> {
+                    if (failure != null) {
+                        throw Exchange.bodyLost(failure);
+                    }
+                    return begun;
+                })
+                .thenCompose(begun -> {
+                    if (!begun.isOpen()) {
+                        return begun.aggregate(exchange.executor()).thenApply(Entry::toBody);
+                    }
+                    // Its server may be at work, so that it is not broken off when this node stops.
+                    incompleteBodies.remove(incomplete);
+                    return CompletableFuture.completedFuture(new CallBody.Streamed(begun));
+                });
+    }
+
+    private IncompleteBody limitBody(RequestExchange exchange, Call call, HttpRequest request) {
         MustardusherException late = new MustardusherException(ResultCode.DEADLINE_EXPIRED, "the body came too late");
         ScheduledFuture<?> timeout = exchange.executor()
                 .schedule(() -> request.abort(late), call.deadlineNanos() - clock.nanoTime(), TimeUnit.NANOSECONDS);
@@ -370,6 +410,7 @@
         });
         // The node may have begun to stop meanwhile.
         rejectUnlessPermitted(incomplete);
+        return incomplete;
     }
 
     // On the event loop on which the body arrives: a body whose last byte may have been passed on is complete there.
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -69,6 +70,24 @@
         }
     }
 
+    /**
+     * A link that takes long to open, which must not hold up the event loop.
+     *
+     * @param opening opens the link at the first call, and returns the same one afterwards
+     * @param loop    executor that sends the calls
+     */
+    record ForOpening(Supplier<CompletableFuture<GateLink>> opening, EventExecutor loop) implements GateLink {
+
+        @Override
+        public Exchange send(HttpRequest request, long remainingNanos, CompletionStage<?> cancelled) {
+            CompletableFuture<GateLink> opened = opening.get();
+            return opened.isDone()
+                    ? opened.join().send(request, remainingNanos, cancelled)
+                    : Exchange.ofDeferred(
+                            opened.thenApplyAsync(link -> link.send(request, remainingNanos, cancelled), loop));
+        }
+    }
+
     /**
      * A link to the gate of another node by frames. Calls whose body is of unknown length or too large for a frame use
      * another link.
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -314,6 +315,10 @@
         if (transport == null) {
             return streams;
         }
+        Supplier<CompletableFuture<GateLink>> opening = new Lazy<>(() -> CompletableFuture.supplyAsync(() -> {
+            client.get();
+            return streams;
+        }));
         InetSocketAddress address = new InetSocketAddress(member.getHost(), (int) member.getFramePort());
         return new GateLink.ForFrames(
                 transport.peers(),
@@ -325,7 +330,7 @@
                 transport.bodyMemory(),
                 clock,
                 new PartFetcher(transport.peers(), address, transferMemory, rate, clock),
-                streams);
+                new GateLink.ForOpening(opening, transport.loop()));
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -164,6 +164,7 @@
         entry = new Entry(router, null, protocol, call -> {}, core.eventLoopDelay(), clock, core.metrics());
         allowances = createAllowances(allowanceBounds);
         entry.limitAccounts(allowances);
+        entry.collectLongBodies(core.streamMemory());
         listener = new HttpListener(core.group(), core.bodyMemory(), clock, core.metrics());
         registerGauges();
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -179,7 +179,7 @@
         CompletableFuture<AggregatedHttpResponse> response = new CompletableFuture<>();
         ServerExchange exchange = ServerExchange.ofUnmodified(dialect, reports, clock, response);
         long deadlineNanos = clock.nanoTime() + remainingNanos;
-        loop.execute(() -> dispatch(exchange, request, deadlineNanos, idempotent));
+        loop.execute(() -> dispatch(exchange, request.toHttpRequest(), deadlineNanos, idempotent));
         return response;
     }
 
@@ -192,7 +192,7 @@
         if (call.isOpen()) {
             incompleteBodies.put(exchange, deadlineNanos);
         }
-        BodyCollector.aggregate(call, bodyMemory, loop, response)
+        BodyCollector.begin(call, bodyMemory, loop, response)
                 .whenComplete((request, failure) -> runOnLoop(() -> {
                     incompleteBodies.remove(exchange);
                     if (failure != null) {
@@ -328,8 +328,7 @@
         idleConnections.remove(connection);
     }
 
-    private void dispatch(
-            ServerExchange exchange, AggregatedHttpRequest request, long deadlineNanos, boolean idempotent) {
+    private void dispatch(ServerExchange exchange, HttpRequest request, long deadlineNanos, boolean idempotent) {
         long remainingNanos = deadlineNanos - clock.nanoTime();
         if (exchange.isDone() || remainingNanos <= 0) {
             exchange.fail(ResultCode.DEADLINE_EXPIRED, "no time left on dispatch");
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -8,33 +8,28 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.RunReport;
+import io.mustardusher.result.MustardusherException;
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.server.ServerDialect.ResponseKind;
 import io.mustardusher.time.Clock;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
@@ -82,6 +77,12 @@
 
     private int discardedBytes;
 
+    /** The request that was sent last; {@code null} before the first. */
+    private RequestUpload upload;
+
+    /** Why the request is at fault whose body was not sent whole; {@code null} if it is not. */
+    private MustardusherException uploadFailure;
+
     /** Whether a response was discarded since the request was sent. */
     private boolean discarded;
 
@@ -141,7 +142,7 @@
         end(ConnectionEnd.CLOSED_HERE);
     }
 
-    void send(ServerExchange next, AggregatedHttpRequest request, String instance, long remainingNanos) {
+    void send(ServerExchange next, HttpRequest request, String instance, long remainingNanos) {
         exchange = next;
         exchanges++;
         headers = null;
@@ -152,31 +153,17 @@
         discarded = false;
         RequestHeaders requestHeaders = next.assign(this, request.headers(), instance, remainingNanos);
         next.requestId().ifPresentOrElse(carried::add, () -> carriedUnnamed = true);
-        ByteBuf content = request.content().isEmpty()
-                ? Unpooled.EMPTY_BUFFER
-                : request.content().byteBuf();
-        FullHttpRequest message = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                HttpMethod.valueOf(requestHeaders.method().name()),
-                requestHeaders.path(),
-                content);
-        toHead = message.method().equals(HttpMethod.HEAD);
+        toHead = requestHeaders.method() == HttpMethod.HEAD;
         syntax.onRequest(toHead);
-        requestHeaders.forEach((name, value) -> {
-            if (name.charAt(0) != ':') {
-                message.headers().add(name, value);
-            }
-        });
-        message.headers().set(HttpHeaderNames.HOST, requestHeaders.authority());
-        boolean hasBody = content.isReadable() || requestHeaders.contains(HttpHeaderNames.CONTENT_LENGTH);
-        if (hasBody) {
-            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+        upload = RequestUpload.start(request, requestHeaders, channel, this::endUpload);
+    }
+
+    // Nothing is known of a request of which the server has received a part.
+    private void endUpload(Throwable failure) {
+        if (failure instanceof MustardusherException reason && reason.code() == ResultCode.BODY_TOO_LARGE) {
+            uploadFailure = reason;
         }
-        channel.writeAndFlush(message).addListener(write -> {
-            if (!write.isSuccess()) {
-                end(ConnectionEnd.WRITE_FAILED);
-            }
-        });
+        end(ConnectionEnd.WRITE_FAILED);
     }
 
     // In front of the codec, because the codec hands over as sound what it has forgiven.
@@ -219,6 +206,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         link.remove(this);
+        if (upload != null) {
+            upload.abort();
+        }
         completeUndecided();
         if (exchange == null) {
             releaseBody();
@@ -426,6 +416,8 @@
         ServerExchange ended = exchange;
         exchange = null;
         lastUsedNanos = clock.nanoTime();
+        // The server would take the next request for the rest of the body.
+        reusable &= upload.isComplete();
         // What is malformed behind the response would be taken for the answer to the next request.
         if (reusable && !syntax.hasFault() && !carried.isFull() && channel.isActive()) {
             link.release(this);
@@ -439,7 +431,11 @@
         ServerExchange ended = exchange;
         exchange = null;
         releaseBody();
-        ended.fail(ResultCode.CONNECTION_LOST, detail);
+        if (uploadFailure == null) {
+            ended.fail(ResultCode.CONNECTION_LOST, detail);
+        } else {
+            ended.fail(uploadFailure.code(), uploadFailure.getMessage());
+        }
     }
 
     // Closes the connection at once; what follows on it could not be matched to a request.
