Hold what callers and servers send in one divided memory

What callers saw: 60 callers who pipeline requests for answers of 300 kB and read nothing ended the node beside the called server, "Java heap space", in one of three forms also after the responses of ended calls were released. Cause: each stage had an account of its own, fixed for a heap of 64 MiB, whose sum was as large as the heap; responses that were complete and not sent were in none, and a connection got all of its requests handled whether or not it took a response. Change: NodeMemory is 0.45 of the heap (setting heldHeapShare), divided into short bodies, long bodies, responses, and transfers from other nodes. Responses are held in it while they arrive from the server, while a gate keeps them for other nodes, and at the entry until they are sent (UnsentResponses). What a gate retains only for lost connections is evicted when others need the room; then the connections with most unsent bytes are closed. Further requests of a connection wait while 64 KiB are not sent to it.

--- a/mustardusher-node/src/main/java/io/mustardusher/call/BodyCollector.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/BodyCollector.java
@@ -14,8 +14,8 @@
 import org.reactivestreams.Subscription;
 
 /**
- * Collects the body of a request within the memory that bodies share, and gives up what exceeds that memory. The rest of
- * a long body is passed on as it arrives, if that was asked for.
+ * Collects the body of a request within the memory that bodies share, and gives up what exceeds that memory. The rest
+ * of a long body is passed on as it arrives, if that was asked for.
  */
 public final class BodyCollector implements Subscriber<HttpObject> {
 
--- a/mustardusher-node/src/main/java/io/mustardusher/call/BodyMemory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/BodyMemory.java
@@ -149,6 +149,19 @@
             }
         }
 
+        /**
+         * Releases a part of the memory.
+         *
+         * @param released the part, in bytes
+         */
+        public void release(int released) {
+            synchronized (BodyMemory.this) {
+                int part = Math.min(released, bytes);
+                bytes -= part;
+                reserved -= part;
+            }
+        }
+
         /** Releases the memory. Has no effect if it was released before. */
         public void release() {
             synchronized (BodyMemory.this) {
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/ServerDirectory.java
@@ -63,7 +63,7 @@
     private final Clock clock;
 
     /** Memory for large responses that are arriving from other nodes. */
-    private final TransferMemory transferMemory = new TransferMemory();
+    private TransferMemory transferMemory = new TransferMemory();
 
     /** Present nodes by their process. */
     private Map<String, KnownNode> nodes = Map.of();
@@ -117,6 +117,15 @@
         this.clock = clock;
     }
 
+    /**
+     * Sets the size of the memory for long responses of other nodes. Applies to links created after this call.
+     *
+     * @param bytes size in bytes
+     */
+    public void limitTransfers(long bytes) {
+        transferMemory = new TransferMemory(bytes);
+    }
+
     /**
      * Sends calls to other nodes as frames. Applies to links created after this call.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/TransferMemory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/TransferMemory.java
@@ -7,13 +7,28 @@
 /** Memory of an entry for large responses that are arriving from all gates. Transfers wait for their turn. */
 final class TransferMemory {
 
-    /** Size of the memory, in bytes: an eighth of a node's heap. A longer response is transferred alone. */
+    /** Size of the memory if none is stated, in bytes: an eighth of a node's heap. */
     static final long BYTES = 8 << 20;
 
+    private final long size;
     private final Deque<Waiting> queue = new ArrayDeque<>();
     private final LongAdder transferred = new LongAdder();
     private long reserved;
 
+    /** Creates a memory of the usual size. */
+    TransferMemory() {
+        this(BYTES);
+    }
+
+    /**
+     * Creates a memory.
+     *
+     * @param size its size, in bytes; a longer response is transferred alone
+     */
+    TransferMemory(long size) {
+        this.size = size;
+    }
+
     /**
      * Reserves memory.
      *
@@ -63,7 +78,7 @@
 
     private synchronized Runnable poll() {
         Waiting first = queue.peekFirst();
-        if (first == null || reserved > 0 && reserved + first.bytes > BYTES) {
+        if (first == null || reserved > 0 && reserved + first.bytes > size) {
             return null;
         }
         reserved += first.bytes;
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
@@ -67,6 +67,11 @@
     /** Ended calls with their responses, ordered by end. */
     private final Deque<RetainedCall> withResponse = new ArrayDeque<>();
 
+    private final BodyMemory responseMemory;
+
+    /** Memory of the responses that are retained, which others may take. */
+    private BodyMemory.Share retainedMemory;
+
     /** Size of the bodies of the responses that are retained, in bytes, without the rest of large ones. */
     private long retainedBytes;
 
@@ -81,13 +86,37 @@
      * @param clock   source of time
      */
     public FramedGate(Gate gate, HeaderPacking packing, long boot, EventExecutor loop, BodyMemory memory, Clock clock) {
+        this(gate, packing, boot, loop, memory, BodyMemory.ofNode(), clock);
+    }
+
+    /**
+     * Creates a framed gate that retains no calls.
+     *
+     * @param gate      gate that handles the calls
+     * @param packing   encodes and decodes headers
+     * @param boot      start time of the process, in milliseconds since the Unix epoch
+     * @param loop      aggregates responses; the event loop that receives the frames, which avoids a change of thread
+     * @param memory    memory for the bodies of requests
+     * @param responses memory for the responses that are kept
+     * @param clock     source of time
+     */
+    public FramedGate(
+            Gate gate,
+            HeaderPacking packing,
+            long boot,
+            EventExecutor loop,
+            BodyMemory memory,
+            BodyMemory responses,
+            Clock clock) {
         this.gate = gate;
         this.packing = packing;
         this.boot = boot;
         this.loop = loop;
         this.bodyMemory = memory;
         this.clock = clock;
-        this.largeResponses = new LargeResponses(clock);
+        this.responseMemory = responses;
+        this.retainedMemory = responses.open(this::evictResponses);
+        this.largeResponses = new LargeResponses(responses, clock);
     }
 
     /**
@@ -186,18 +215,40 @@
             withResponse.addLast(call);
             call.retainedBytes = response.body().length;
             retainedBytes += call.retainedBytes;
-            while (withResponse.size() > MAX_RETAINED_RESPONSES || retainedBytes > MAX_RETAINED_BYTES) {
-                RetainedCall oldest = withResponse.removeFirst();
-                retainedBytes -= oldest.retainedBytes;
-                oldest.retainedBytes = 0;
-                oldest.response = CompletableFuture.completedFuture(responseUnavailable(oldest.number));
-                withoutResponse.addLast(oldest);
+            boolean reserved = retainedMemory.reserve(call.retainedBytes);
+            while (!withResponse.isEmpty()
+                    && (!reserved
+                            || withResponse.size() > MAX_RETAINED_RESPONSES
+                            || retainedBytes > MAX_RETAINED_BYTES)) {
+                evictOldestResponse();
+                reserved = reserved || call.retainedBytes == 0 || retainedMemory.reserve(call.retainedBytes);
             }
         }
         // Completed outside the lock, because this runs the dependent stages of the response.
         call.response.complete(response);
     }
 
+    private void evictOldestResponse() {
+        RetainedCall oldest = withResponse.removeFirst();
+        releaseResponse(oldest);
+        oldest.response = CompletableFuture.completedFuture(responseUnavailable(oldest.number));
+        withoutResponse.addLast(oldest);
+    }
+
+    // Others need the memory, which was taken from the share of this gate.
+    private synchronized void evictResponses() {
+        retainedMemory = responseMemory.open(this::evictResponses);
+        while (!withResponse.isEmpty()) {
+            evictOldestResponse();
+        }
+    }
+
+    private void releaseResponse(RetainedCall call) {
+        retainedMemory.release(call.retainedBytes);
+        retainedBytes -= call.retainedBytes;
+        call.retainedBytes = 0;
+    }
+
     private CallMessage responseUnavailable(long call) {
         ResponseHeaders lost = Problem.headers(ResultCode.CONNECTION_LOST).build();
         return new CallMessage(call, packing.pack(lost), new byte[0]);
@@ -208,7 +259,7 @@
         for (Deque<RetainedCall> ended : List.of(withoutResponse, withResponse)) {
             while (!ended.isEmpty() && now - ended.peekFirst().endedNanos > RETENTION_NANOS) {
                 RetainedCall expired = ended.removeFirst();
-                retainedBytes -= expired.retainedBytes;
+                releaseResponse(expired);
                 calls.remove(expired.number);
             }
         }
@@ -223,7 +274,7 @@
 
         private volatile CompletableFuture<CallMessage> response = new CompletableFuture<>();
         private long endedNanos;
-        private long retainedBytes;
+        private int retainedBytes;
 
         RetainedCall(long number) {
             this.number = number;
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/LargeResponses.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/LargeResponses.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
+import io.mustardusher.call.BodyMemory;
 import io.mustardusher.time.Clock;
 
 /**
@@ -27,12 +28,16 @@
 
     private final Clock clock;
 
+    /** Memory of all bodies. */
+    private final BodyMemory.Share memory;
+
     /** Bodies by number of their call, in the order of the last access. */
     private final Map<Long, Body> bodies = new LinkedHashMap<>(16, 0.75f, true);
 
     private long heldBytes;
 
-    LargeResponses(Clock clock) {
+    LargeResponses(BodyMemory memory, Clock clock) {
+        this.memory = memory.open();
         this.clock = clock;
     }
 
@@ -43,20 +48,32 @@
      * @param bytes the body
      */
     synchronized void put(long call, byte[] bytes) {
-        bodies.put(call, new Body(bytes, clock.nanoTime()));
-        heldBytes += bytes.length;
         Iterator<Body> oldest = bodies.values().iterator();
-        Body next = oldest.next();
-        while (heldBytes > MAX_BYTES || clock.nanoTime() - next.accessNanos > RETENTION_NANOS) {
-            heldBytes -= next.bytes.length;
-            oldest.remove();
-            if (!oldest.hasNext()) {
-                return;
+        boolean reserved = reserve(bytes.length);
+        while (oldest.hasNext()) {
+            Body next = oldest.next();
+            if (reserved && clock.nanoTime() - next.accessNanos <= RETENTION_NANOS) {
+                break;
             }
-            next = oldest.next();
+            oldest.remove();
+            release(next);
+            reserved = reserved || reserve(bytes.length);
+        }
+        if (reserved) {
+            bodies.put(call, new Body(bytes, clock.nanoTime()));
+            heldBytes += bytes.length;
         }
     }
 
+    private boolean reserve(int bytes) {
+        return heldBytes + bytes <= MAX_BYTES && memory.reserve(bytes);
+    }
+
+    private void release(Body body) {
+        heldBytes -= body.bytes.length;
+        memory.release(body.bytes.length);
+    }
+
     /**
      * Returns a part of a body.
      *
@@ -82,7 +99,7 @@
     synchronized void remove(long call) {
         Body removed = bodies.remove(call);
         if (removed != null) {
-            heldBytes -= removed.bytes.length;
+            release(removed);
         }
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -62,6 +62,7 @@
     private final Supplier<RequestLimits> limits;
     private final BiConsumer<HttpResponseStatus, String> rejectionListener;
     private final BodyMemory bodyMemory;
+    private final UnsentResponses unsent;
     private final ReadTurns turns;
     private final Clock clock;
 
@@ -106,6 +107,7 @@
             Supplier<RequestLimits> limits,
             BiConsumer<HttpResponseStatus, String> rejectionListener,
             BodyMemory bodyMemory,
+            BodyMemory responseMemory,
             ReadTurns turns,
             Clock clock) {
         this.channel = channel;
@@ -113,6 +115,7 @@
         this.limits = limits;
         this.rejectionListener = rejectionListener;
         this.bodyMemory = bodyMemory;
+        this.unsent = new UnsentResponses(responseMemory, () -> runOnLoop(this::close));
         this.turns = turns;
         this.headMemory = new HeadMemory(bodyMemory, () -> runOnLoop(this::giveUpHead));
         this.clock = clock;
@@ -236,6 +239,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
         endHead();
+        unsent.release();
         PendingRequest incomplete = receiving;
         receiving = null;
         while (!pending.isEmpty()) {
@@ -330,14 +334,14 @@
             FullHttpResponse response = next.toFullResponse();
             lastActiveNanos = clock.nanoTime();
             if (!next.closesAfterResponse()) {
-                channel.write(response).addListener(sent -> next.end());
+                channel.write(response).addListener(sent -> endSending(next));
                 flush = true;
                 continue;
             }
             closing = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ChannelFuture written = channel.writeAndFlush(response);
-            written.addListener(sent -> next.end());
+            written.addListener(sent -> endSending(next));
             if (next.isMalformed()) {
                 written.addListener(sent -> shutDownOutput());
                 linger();
@@ -356,6 +360,23 @@
         }
     }
 
+    private void endSending(PendingRequest sent) {
+        unsent.remove(sent.responseBytes());
+        sent.end();
+        handleWaiting();
+    }
+
+    /**
+     * Holds a response until it is sent. Without room for it, the connection is closed: its caller takes too little.
+     *
+     * @param bytes length of the response, in bytes
+     */
+    void hold(int bytes) {
+        if (!unsent.add(bytes)) {
+            channel.close();
+        }
+    }
+
     // Reads on after the last response, which has been written.
     private void linger() {
         lingering = true;
@@ -408,7 +429,8 @@
     private void handleWaiting() {
         int position = 0;
         for (PendingRequest request : List.copyOf(pending)) {
-            if (position == MAX_REQUESTS_IN_FLIGHT || closing && !request.closesAfterResponse()) {
+            boolean full = position == MAX_REQUESTS_IN_FLIGHT || position > 0 && unsent.isLarge();
+            if (full || closing && !request.closesAfterResponse()) {
                 return;
             }
             request.handleIfWaiting();
@@ -423,6 +445,12 @@
      * @return {@code false} if responses to others have to be sent before
      */
     boolean mayHandle(PendingRequest request) {
+        if (pending.peekFirst() == request) {
+            return true;
+        }
+        if (unsent.isLarge()) {
+            return false;
+        }
         if (pending.size() <= MAX_REQUESTS_IN_FLIGHT) {
             return true;
         }
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpListener.java
@@ -60,6 +60,7 @@
     private final Clock clock;
     private final MetricRegistry metrics;
     private final BodyMemory bodyMemory;
+    private final BodyMemory responseMemory;
     private final ReadTurns turns;
     private final List<Channel> listeningChannels = new ArrayList<>();
 
@@ -76,21 +77,28 @@
      * @param metrics registry of metrics
      */
     public HttpListener(EventLoopGroup group, Clock clock, MetricRegistry metrics) {
-        this(group, BodyMemory.ofNode(), clock, metrics);
+        this(group, BodyMemory.ofNode(), BodyMemory.ofNode(), clock, metrics);
     }
 
     /**
      * Creates a listener without addresses.
      *
-     * @param group      event loops, of which one is used
-     * @param bodyMemory memory for the bodies of requests
-     * @param clock      source of time
-     * @param metrics    registry of metrics
+     * @param group          event loops, of which one is used
+     * @param bodyMemory     memory for the bodies of requests
+     * @param responseMemory memory for the responses that are not sent
+     * @param clock          source of time
+     * @param metrics        registry of metrics
      */
-    public HttpListener(EventLoopGroup group, BodyMemory bodyMemory, Clock clock, MetricRegistry metrics) {
+    public HttpListener(
+            EventLoopGroup group,
+            BodyMemory bodyMemory,
+            BodyMemory responseMemory,
+            Clock clock,
+            MetricRegistry metrics) {
         this.group = group;
         this.metrics = metrics;
         this.bodyMemory = bodyMemory;
+        this.responseMemory = responseMemory;
         this.loop = group.next();
         this.turns = new ReadTurns(loop, clock);
         this.clock = clock;
@@ -146,8 +154,8 @@
     }
 
     private void initialize(Channel accepted, RequestHandler handler, Supplier<RequestLimits> limits) {
-        HttpConnection connection =
-                new HttpConnection(accepted, handler, limits, this::recordRejection, bodyMemory, turns, clock);
+        HttpConnection connection = new HttpConnection(
+                accepted, handler, limits, this::recordRejection, bodyMemory, responseMemory, turns, clock);
         connections.add(connection);
         accepted.closeFuture().addListener(closed -> connections.remove(connection));
         connection.addHandlers();
--- a/mustardusher-node/src/main/java/io/mustardusher/http/PendingRequest.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/PendingRequest.java
@@ -65,6 +65,7 @@
     private boolean expectsContinue;
 
     private AggregatedHttpResponse response;
+    private int responseBytes;
 
     /**
      * Creates a request of which only the head has arrived.
@@ -133,6 +134,10 @@
         return response != null;
     }
 
+    int responseBytes() {
+        return responseBytes;
+    }
+
     FullHttpResponse toFullResponse() {
         return HttpMessages.toFullResponse(response, toHead);
     }
@@ -272,6 +277,8 @@
 
     void respond(AggregatedHttpResponse complete) {
         response = complete;
+        responseBytes = complete.content().length();
+        connection.hold(responseBytes);
         collected.clear();
         releaseMemory();
         if (connection.isReceiving(this)) {
--- a/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/Node.java
@@ -7,6 +7,7 @@
 import io.mustardusher.admin.NodeResource;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.call.CallerProtocol;
+import io.mustardusher.call.NodeMemory;
 import io.mustardusher.catalogue.Catalogue;
 import io.mustardusher.catalogue.CatalogueEntry;
 import io.mustardusher.catalogue.ServiceName;
@@ -76,7 +77,8 @@
                 created -> ServerLink.ForStreams.factory(created.clientFactory().get()),
                 Admission::new,
                 SuspectTable.Policy.ISOLATE,
-                call -> "-");
+                call -> "-",
+                NodeMemory.DEFAULT_HEAP_SHARE);
         clock = core.clock();
         TableService table = createTableService(settings);
         CatalogueStore store = new CatalogueStore(table, clock);
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeCore.java
@@ -20,8 +20,8 @@
 import com.linecorp.armeria.common.metric.NoopMeterRegistry;
 import io.mustardusher.admission.Admission;
 import io.mustardusher.admission.EventLoopDelay;
-import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.Lazy;
+import io.mustardusher.call.NodeMemory;
 import io.mustardusher.entry.ServerDirectory;
 import io.mustardusher.evacuation.EvacuationOrders;
 import io.mustardusher.frame.Credential;
@@ -101,11 +101,7 @@
      */
     private final Lazy<ClientFactory> clientFactory = new Lazy<>(() -> createClientFactory(group, metrics));
 
-    /** For heads and short bodies, which long ones must not displace. */
-    private final BodyMemory bodyMemory = new BodyMemory(BodyMemory.NODE_BYTES / 2);
-
-    /** For bodies that arrive in parts. */
-    private final BodyMemory streamMemory = BodyMemory.ofNode();
+    private final NodeMemory memory;
 
     private final EventLoopDelay eventLoopDelay = new EventLoopDelay(clock);
     private final FrameTraffic traffic = new FrameTraffic();
@@ -129,14 +125,17 @@
      * @param admission creates the admission control of the gate
      * @param suspicion how calls that were in flight in crashes are treated
      * @param callNames returns the name of a call from its headers
+     * @param heapShare part of the heap for what the node holds for callers and servers
      */
     NodeCore(
             NodeSettings settings,
             Function<NodeCore, ServerLink.Factory> servers,
             Function<Clock, Admission> admission,
             SuspectTable.Policy suspicion,
-            Function<RequestHeaders, String> callNames) {
+            Function<RequestHeaders, String> callNames,
+            double heapShare) {
         this.settings = settings;
+        memory = NodeMemory.ofHeap(heapShare);
         credential = new Credential(settings.getCredential());
         MemberRecord self = selfRecord(settings, clock.epochMillis());
         members = new MemberTable(self, clock, random);
@@ -162,8 +161,7 @@
         frameServer
                 .on(FrameKind.GOSSIP, (Gossip request) -> gossiper.answer(request))
                 .on(FrameKind.SUSPECT, (SuspectRecord message) -> suspectReplicator.answer(message));
-        metrics.gauge("bodies.reservedBytes", () -> () -> bodyMemory.reservedBytes() + streamMemory.reservedBytes());
-        metrics.gauge("bodies.givenUp", () -> () -> bodyMemory.givenUp() + streamMemory.givenUp());
+        memory.register(metrics);
         metrics.gauge("log.dropped", () -> LogOutput::droppedEvents);
         metrics.gauge("frames.sentBytes", () -> traffic::sentBytes);
         metrics.gauge("frames.receivedBytes", () -> traffic::receivedBytes);
@@ -371,21 +369,12 @@
     }
 
     /**
-     * Returns the memory for heads and short bodies of requests.
-     *
-     * @return the memory
-     */
-    BodyMemory bodyMemory() {
-        return bodyMemory;
-    }
-
-    /**
-     * Returns the memory for bodies of requests that arrive in parts.
+     * Returns the memory for what the node holds for callers and servers.
      *
      * @return the memory
      */
-    BodyMemory streamMemory() {
-        return streamMemory;
+    NodeMemory memory() {
+        return memory;
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/NodeEnvironment.java
@@ -12,6 +12,7 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import io.mustardusher.admission.ColdPolicy;
 import io.mustardusher.call.CallerProtocol;
+import io.mustardusher.call.NodeMemory;
 import io.mustardusher.evacuation.EvacuationOrders;
 import io.mustardusher.generated.RouteDocument;
 import io.mustardusher.route.ColdStart;
@@ -74,6 +75,15 @@
      */
     default void renewWatch() {}
 
+    /**
+     * Returns which part of the heap is used for what the node holds for callers and servers.
+     *
+     * @return the part, from 0 to 1
+     */
+    default double heldHeapShare() {
+        return NodeMemory.DEFAULT_HEAP_SHARE;
+    }
+
     /**
      * Returns the number of health requests that a backend server may receive per second.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -125,11 +125,12 @@
                         created.group(),
                         environment.serverDialect(),
                         new GateReports(created::gate, created.metrics()),
-                        created.streamMemory(),
+                        created.memory(),
                         created.clock()),
                 time -> Admission.withLatencyTargets(time, SAFE_SLOT_FRACTION),
                 SuspectTable.Policy.REJECT_AFTER_THREE_CRASHES,
-                environment::callName);
+                environment::callName,
+                environment.heldHeapShare());
         clock = core.clock();
         core.gate()
                 .enableProbes(
@@ -164,8 +165,9 @@
         entry = new Entry(router, null, protocol, call -> {}, core.eventLoopDelay(), clock, core.metrics());
         allowances = createAllowances(allowanceBounds);
         entry.limitAccounts(allowances);
-        entry.collectLongBodies(core.streamMemory());
-        listener = new HttpListener(core.group(), core.bodyMemory(), clock, core.metrics());
+        entry.collectLongBodies(core.memory().longBodies());
+        listener = new HttpListener(
+                core.group(), core.memory().shortBodies(), core.memory().responses(), clock, core.metrics());
         registerGauges();
     }
 
@@ -302,8 +304,14 @@
     private void serveCalls() {
         HeaderPacking packing = new HeaderPacking(environment.frequentHeaders());
         EventExecutor loop = core.group().next();
-        FramedGate gate =
-                new FramedGate(core.gate(), packing, core.members().self().getBoot(), loop, core.bodyMemory(), clock);
+        FramedGate gate = new FramedGate(
+                core.gate(),
+                packing,
+                core.members().self().getBoot(),
+                loop,
+                core.memory().shortBodies(),
+                core.memory().responses(),
+                clock);
         core.frameServer().on(FrameKind.CALL, (CallMessage call) -> gate.call(call));
         core.frameServer().on(FrameKind.RESUME, (CallMessage request) -> gate.resume(request));
         core.frameServer().on(FrameKind.PART, (CallMessage request) -> gate.part(request));
@@ -311,9 +319,10 @@
         core.frameServer().on(FrameKind.ROUTES, (CataloguePull request) -> routes.answer(request));
         AtomicLong callNumbers = new AtomicLong(ServerDirectory.FrameTransport.firstCallNumber(
                 settings.getId(), core.members().self().getBoot(), core.random()));
+        core.directory().limitTransfers(core.memory().transferBytes());
         core.directory()
                 .useFrames(new ServerDirectory.FrameTransport(
-                        core.frames(), packing, callNumbers, loop, core.streamMemory()));
+                        core.frames(), packing, callNumbers, loop, core.memory().longBodies()));
     }
 
     private void registerGauges() {
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -19,6 +20,7 @@
 import io.mustardusher.call.BodyMemory;
 import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.Exchange;
+import io.mustardusher.call.NodeMemory;
 import io.mustardusher.frame.DeadPeerDetection;
 import io.mustardusher.http.BoundedHeaders;
 import io.mustardusher.http.Transport;
@@ -73,7 +75,7 @@
     private final BodyMemory bodyMemory;
     private final Clock clock;
     private final Deque<ServerConnection> idleConnections = new ArrayDeque<>();
-    private final ResponseBuffer.Budget bufferBudget = new ResponseBuffer.Budget();
+    private final ResponseBuffer.Budget bufferBudget;
     private final GraceTime graceTime = new GraceTime();
 
     /** Deadlines of the calls whose bodies are incomplete, in nanoseconds. */
@@ -88,6 +90,7 @@
             ServerDialect dialect,
             ServerReports reports,
             BodyMemory bodyMemory,
+            ResponseBuffer.Budget bufferBudget,
             Clock clock) {
         this.loop = group.next();
         this.address = address;
@@ -95,6 +98,7 @@
         this.dialect = dialect;
         this.reports = reports;
         this.bodyMemory = bodyMemory;
+        this.bufferBudget = bufferBudget;
         this.clock = clock;
         this.bootstrap = new Bootstrap()
                 .group(loop)
@@ -137,6 +141,37 @@
      */
     public static Factory factory(
             EventLoopGroup group, ServerDialect dialect, ServerReports reports, BodyMemory memory, Clock clock) {
+        return factory(group, dialect, reports, memory, ResponseBuffer.Budget::new, clock);
+    }
+
+    /**
+     * Returns a factory of links to backend servers that share the memory of a node.
+     *
+     * @param group   event loops of the connections
+     * @param dialect conventions for the headers of requests and responses
+     * @param reports receives what a server reports in a response
+     * @param memory  memory of the node
+     * @param clock   source of time
+     * @return factory of buffered links
+     */
+    public static Factory factory(
+            EventLoopGroup group, ServerDialect dialect, ServerReports reports, NodeMemory memory, Clock clock) {
+        return factory(
+                group,
+                dialect,
+                reports,
+                memory.longBodies(),
+                () -> new ResponseBuffer.Budget(memory.responses()),
+                clock);
+    }
+
+    private static Factory factory(
+            EventLoopGroup group,
+            ServerDialect dialect,
+            ServerReports reports,
+            BodyMemory memory,
+            Supplier<ResponseBuffer.Budget> budgets,
+            Clock clock) {
         return announcement -> new BufferedServerLink(
                 group,
                 new InetSocketAddress(announcement.getHost(), (int) announcement.getPort()),
@@ -144,6 +179,7 @@
                 dialect,
                 reports,
                 memory,
+                budgets.get(),
                 clock);
     }
 
@@ -159,7 +195,14 @@
     public static BufferedServerLink toService(
             EventLoopGroup group, InetSocketAddress address, ServerReports reports, Clock clock) {
         BufferedServerLink link = new BufferedServerLink(
-                group, address, null, ServerDialect.Plain.INSTANCE, reports, BodyMemory.ofNode(), clock);
+                group,
+                address,
+                null,
+                ServerDialect.Plain.INSTANCE,
+                reports,
+                BodyMemory.ofNode(),
+                new ResponseBuffer.Budget(),
+                clock);
         DeadPeerDetection.configureForService(
                 link.bootstrap, Transport.of(group).socketChannelType());
         return link;
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseBuffer.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseBuffer.java
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.common.HttpData;
 import io.mustardusher.call.BodyBuffer;
+import io.mustardusher.call.BodyMemory;
 import io.netty.buffer.ByteBuf;
 
 /** Body of a response that is held until it is complete, within the limits of one response and of all together. */
@@ -10,19 +11,16 @@
     /** Maximum size of one body, in bytes: an eighth of a node's heap. */
     static final int MAX_BODY_BYTES = 8 << 20;
 
-    private final Budget budget;
+    private final BodyMemory.Share memory;
     private final BodyBuffer body = new BodyBuffer();
 
-    /** Memory that is reserved for the body, in bytes. */
-    private int reserved;
-
     /**
      * Creates an empty buffer.
      *
      * @param budget memory that all buffers of a server share
      */
     ResponseBuffer(Budget budget) {
-        this.budget = budget;
+        this.memory = budget.memory.open();
     }
 
     /**
@@ -34,10 +32,9 @@
     boolean add(ByteBuf bytes) {
         int added = bytes.readableBytes();
         int additional = body.additionalBytes(added);
-        if (added > MAX_BODY_BYTES - body.length() || !budget.tryReserve(additional)) {
+        if (added > MAX_BODY_BYTES - body.length() || !memory.reserve(additional)) {
             return false;
         }
-        reserved += additional;
         body.add(bytes);
         return true;
     }
@@ -55,29 +52,30 @@
 
     /** Releases the memory. */
     void release() {
-        budget.release(reserved);
-        reserved = 0;
+        memory.release();
         body.clear();
     }
 
-    /** Memory for the bodies of all responses that are arriving from a server. Confined to an event loop. */
+    /** Memory for the bodies of all responses that are arriving from a server. */
     static final class Budget {
 
-        /** Size of the budget, in bytes: a quarter of a node's heap. */
+        /** Size of a budget of its own, in bytes: a quarter of a node's heap. */
         static final int BYTES = 16 << 20;
 
-        private int reserved;
+        private final BodyMemory memory;
 
-        private boolean tryReserve(int bytes) {
-            if (bytes > BYTES - reserved) {
-                return false;
-            }
-            reserved += bytes;
-            return true;
+        /** Creates a budget that is not used. */
+        Budget() {
+            this(new BodyMemory(BYTES));
         }
 
-        private void release(int bytes) {
-            reserved -= bytes;
+        /**
+         * Creates a budget within a memory.
+         *
+         * @param memory the memory, which others may use too
+         */
+        Budget(BodyMemory memory) {
+            this.memory = memory;
         }
 
         /**
@@ -86,7 +84,7 @@
          * @return bytes that are reserved
          */
         int reservedBytes() {
-            return reserved;
+            return memory.reservedBytes();
         }
     }
 }
--- a/mustardusher-node/src/test/java/io/mustardusher/http/CallerChannel.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/CallerChannel.java
@@ -56,6 +56,7 @@
                 limits,
                 (status, cause) -> rejections.add(cause),
                 bodyMemory,
+                BodyMemory.ofNode(),
                 new ReadTurns(channel.eventLoop(), clock),
                 clock);
         connection.addHandlers();
