Pass long responses on as they are taken

What callers saw: a single answer of more than 8 MiB got 502 in calm. Cause: each stage held a response whole, with a limit of its own; nothing told the gate that its response had nowhere to go. Change: a response of a server beyond 1 MiB is passed on as it arrives (ResponseStream). Nothing is read from the server while its receiver takes nothing; the last 32 KiB are held back, so that a second response in the body is found as before, and then the response breaks off. Its length, if stated, is passed on. An entry reads the response of another node's gate as an HTTP stream (FramedResponse, FramedCall.openStream), and sends each part when the one before has been sent (ResponseReceiver). Responses up to 1 MiB are held, retried and searched as before. A response of more than 256 MiB is given up.

--- a/mustardusher-node/src/main/java/io/mustardusher/call/BodyMemory.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/BodyMemory.java
@@ -149,6 +149,17 @@
             }
         }
 
+        /**
+         * Returns the memory of this body.
+         *
+         * @return bytes that are reserved
+         */
+        public int bytes() {
+            synchronized (BodyMemory.this) {
+                return bytes;
+            }
+        }
+
         /**
          * Releases a part of the memory.
          *
--- a/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/CallHeaders.java
@@ -96,6 +96,12 @@
     public static final String ROLE_HOME = "home";
 
     /** Headers that apply to a single connection, RFC 9110, section 7.6.1. */
+    /** Marks a response whose body goes on arriving, from gate to entry. */
+    public static final AsciiString STREAMED = AsciiString.cached("mustardusher-streamed");
+
+    /** Number of the call whose response is requested as a stream, from entry to gate. */
+    public static final AsciiString STREAM = AsciiString.cached("mustardusher-stream");
+
     private static final List<AsciiString> HOP_BY_HOP = List.of(
             HttpHeaderNames.CONNECTION,
             AsciiString.cached("keep-alive"),
@@ -119,6 +125,7 @@
             ACCOUNT,
             NESTED,
             ROUTE_PRIORITY,
+            STREAM,
             HttpHeaderNames.AUTHORIZATION,
             AsciiString.of(ServerRequest.CALLER_AUTHORIZATION));
 
@@ -127,7 +134,7 @@
 
     /** Response headers that only nodes may set. */
     private static final List<AsciiString> NODE_RESPONSE_HEADERS =
-            List.of(OUTCOME, CODE, RETRY_AFTER, LOAD, CRASH, CONDITIONS, LENGTH, RETRY_DELAY);
+            List.of(OUTCOME, CODE, RETRY_AFTER, LOAD, CRASH, CONDITIONS, LENGTH, RETRY_DELAY, STREAMED);
 
     private static final Set<AsciiString> STRIPPED_FROM_CALLER_REQUESTS = union(HOP_BY_HOP, NODE_REQUEST_HEADERS);
 
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
@@ -79,11 +79,12 @@
     /**
      * Creates an exchange for a request that is sent later.
      *
-     * @param sent completes with the exchange when the request is sent
+     * @param sent  completes with the exchange when the request is sent, or its answer has begun
+     * @param abort aborts the request
      * @return the exchange
      */
-    static Exchange ofDeferred(CompletableFuture<Exchange> sent) {
-        return new ForDeferredRequest(sent);
+    static Exchange ofDeferred(CompletableFuture<Exchange> sent, Runnable abort) {
+        return new ForDeferredRequest(sent, abort);
     }
 
     /**
@@ -255,9 +256,10 @@
     /**
      * An exchange whose request is sent later.
      *
-     * @param sent completes with the exchange that sends it
+     * @param sent     completes with the exchange that sends it
+     * @param abortion aborts the request
      */
-    record ForDeferredRequest(CompletableFuture<Exchange> sent) implements Exchange {
+    record ForDeferredRequest(CompletableFuture<Exchange> sent, Runnable abortion) implements Exchange {
 
         @Override
         public CompletableFuture<ResponseHeaders> headers() {
@@ -288,7 +290,7 @@
 
         @Override
         public void abort() {
-            sent.thenAccept(Exchange::abort);
+            abortion.run();
         }
     }
 
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/FramedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/FramedCall.java
@@ -5,10 +5,13 @@
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.mustardusher.call.CallHeaders;
+import io.mustardusher.call.Exchange;
 import io.mustardusher.call.Timeout;
 import io.mustardusher.frame.CallMessage;
 import io.mustardusher.frame.FrameClient;
@@ -37,12 +40,16 @@
     private final long startNanos;
     private final long deadlineNanos;
     private final CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
+    private final CompletableFuture<Exchange> begun = new CompletableFuture<>();
     private byte[] body;
     private boolean sentAgain;
 
     /** Transfer of a large response; {@code null} before its first part. */
     private volatile PartFetcher.Transfer transfer;
 
+    /** Exchange that reads a response too long for frames; {@code null} if there is none. */
+    private volatile Exchange stream;
+
     /** The last sending, which is the only one that may run. */
     private volatile Sending current;
 
@@ -59,6 +66,16 @@
         this.startNanos = link.clock().nanoTime();
         this.deadlineNanos = startNanos + remainingNanos;
         this.current = nextSending();
+        answer.whenComplete((whole, failure) -> begun.complete(Exchange.ofAggregated(answer, this::abort)));
+    }
+
+    /**
+     * Returns the exchange, whose answer is whole or goes on arriving.
+     *
+     * @return the exchange
+     */
+    Exchange exchange() {
+        return Exchange.ofDeferred(begun, this::abort);
     }
 
     /**
@@ -85,7 +102,9 @@
         if (answer.isDone()) {
             return;
         }
-        if (transfer == null) {
+        if (stream != null) {
+            stream.abort();
+        } else if (transfer == null) {
             CallMessage reference = CallMessage.referringTo(current.number);
             link.peers().request(link.address(), FrameKind.CANCEL, reference, CANCEL_TIMEOUT_MILLIS);
         } else {
@@ -146,6 +165,10 @@
             fail(ResultCode.CONNECTION_LOST, "the answer is malformed");
             return;
         }
+        if (received.contains(CallHeaders.STREAMED)) {
+            openStream(received);
+            return;
+        }
         byte[] bytes = response.body();
         int length = received.getInt(CallHeaders.LENGTH, bytes.length);
         if (length <= bytes.length || answer.isDone()) {
@@ -164,6 +187,19 @@
         });
     }
 
+    private void openStream(ResponseHeaders received) {
+        if (answer.isDone()) {
+            return;
+        }
+        RequestHeaders request = RequestHeaders.builder(HttpMethod.GET, "/")
+                .setLong(CallHeaders.STREAM, current.number)
+                .build();
+        long remainingNanos = deadlineNanos - link.clock().nanoTime();
+        stream = link.fallback().send(HttpRequest.of(request), remainingNanos, new CompletableFuture<>());
+        begun.complete(stream);
+        stream.whenComplete().whenComplete((ended, failure) -> answer.complete(AggregatedHttpResponse.of(received)));
+    }
+
     // The gate has just answered over a new connection, so that it is the best one to send the call to again.
     private void onNotReceived(FrameKind kind) {
         long now = link.clock().nanoTime();
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/GateLink.java
@@ -81,10 +81,12 @@
         @Override
         public Exchange send(HttpRequest request, long remainingNanos, CompletionStage<?> cancelled) {
             CompletableFuture<GateLink> opened = opening.get();
-            return opened.isDone()
-                    ? opened.join().send(request, remainingNanos, cancelled)
-                    : Exchange.ofDeferred(
-                            opened.thenApplyAsync(link -> link.send(request, remainingNanos, cancelled), loop));
+            if (opened.isDone()) {
+                return opened.join().send(request, remainingNanos, cancelled);
+            }
+            CompletableFuture<Exchange> sent =
+                    opened.thenApplyAsync(link -> link.send(request, remainingNanos, cancelled), loop);
+            return Exchange.ofDeferred(sent, () -> sent.thenAccept(Exchange::abort));
         }
     }
 
@@ -133,7 +135,7 @@
                     call.answer().completeExceptionally(Exchange.bodyLost(failure));
                 }
             });
-            Exchange exchange = Exchange.ofAggregated(call.answer(), call::abort);
+            Exchange exchange = call.exchange();
             exchange.abortOn(cancelled);
             return exchange;
         }
--- a/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/entry/RoutedCall.java
@@ -347,7 +347,8 @@
         attempt.answered(headers.status().code(), RunReport.parse(headers.get(CallHeaders.RUN)));
         server.ejection().recordCall(!serverError, now);
         shedding.recordAccepted(server.node());
-        if (headers.getLong(HttpHeaderNames.CONTENT_LENGTH, Long.MAX_VALUE) > MAX_BUFFERED_ANSWER_BYTES) {
+        boolean streamed = headers.contains(CallHeaders.STREAMED);
+        if (streamed || headers.getLong(HttpHeaderNames.CONTENT_LENGTH, Long.MAX_VALUE) > MAX_BUFFERED_ANSWER_BYTES) {
             complete(
                     new Reply(exchange.stream(callerHeaders(headers)), Outcome.RAN, attempt),
                     resultOf(headers.status()));
@@ -496,6 +497,7 @@
         builder.remove(CallHeaders.LOAD);
         builder.remove(CallHeaders.RUN);
         builder.remove(CallHeaders.CONDITIONS);
+        builder.remove(CallHeaders.STREAMED);
         builder.set(CallHeaders.CODE, Integer.toString(ResultCode.OK.number()));
         return builder.build();
     }
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/Dispatch.java
@@ -149,7 +149,11 @@
         }
         String run = link.reportsRuns() ? headers.get(CallHeaders.RUN) : null;
         ResponseHeadersBuilder forwarded = headers.toBuilder();
+        boolean streamed = headers.contains(CallHeaders.STREAMED);
         CallHeaders.stripAnswer(forwarded);
+        if (streamed) {
+            forwarded.set(CallHeaders.STREAMED, "1");
+        }
         forwarded.set(CallHeaders.OUTCOME, Outcome.RAN.token());
         if (run != null) {
             forwarded.set(CallHeaders.RUN, run);
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/FramedGate.java
@@ -4,6 +4,8 @@
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -61,6 +63,9 @@
     private final LargeResponses largeResponses;
     private final Map<Long, RetainedCall> calls = new HashMap<>();
 
+    /** Responses whose streams have not been opened, in the order of their arrival. */
+    private final Map<Long, HeldStream> streams = new LinkedHashMap<>();
+
     /** Ended calls whose responses were evicted, ordered by end; all ended before those with responses. */
     private final Deque<RetainedCall> withoutResponse = new ArrayDeque<>();
 
@@ -136,13 +141,26 @@
         HttpResponse response = memory.reserve(message.body().length)
                 ? gate.handle(HttpRequest.of(headers, HttpData.wrap(message.body())), received.cancelled)
                 : gate.reject(ResultCode.BODY_MEMORY_EXHAUSTED, headers);
-        response.aggregate(loop).whenComplete((aggregated, failure) -> {
-            memory.release();
-            end(received, failure == null ? reply(message.call(), aggregated) : responseUnavailable(message.call()));
-        });
+        response.subscribe(new FramedResponse(loop, new ResponseListener(received, memory)), loop);
         return received.response;
     }
 
+    /**
+     * Opens the stream of a response that is too long for frames.
+     *
+     * @param call number of the call
+     * @return the response; a problem document if it is not kept
+     */
+    public HttpResponse openStream(long call) {
+        HeldStream held;
+        synchronized (this) {
+            held = streams.remove(call);
+        }
+        return held == null
+                ? Problem.response(ResultCode.CONNECTION_LOST, "the response is not kept")
+                : held.response.open();
+    }
+
     // A large response is kept, and the entry requests what follows its first part.
     private CallMessage reply(long call, AggregatedHttpResponse response) {
         byte[] body = response.content().array();
@@ -198,6 +216,13 @@
             retained.cancel();
         }
         largeResponses.remove(message.call());
+        HeldStream held;
+        synchronized (this) {
+            held = streams.remove(message.call());
+        }
+        if (held != null) {
+            loop.execute(held.response::cancel);
+        }
         return CompletableFuture.completedFuture(message);
     }
 
@@ -256,6 +281,15 @@
 
     private void evictExpired() {
         long now = clock.nanoTime();
+        Iterator<HeldStream> oldest = streams.values().iterator();
+        while (oldest.hasNext()) {
+            HeldStream held = oldest.next();
+            if (now - held.beginNanos <= RETENTION_NANOS) {
+                break;
+            }
+            oldest.remove();
+            loop.execute(held.response::cancel);
+        }
         for (Deque<RetainedCall> ended : List.of(withoutResponse, withResponse)) {
             while (!ended.isEmpty() && now - ended.peekFirst().endedNanos > RETENTION_NANOS) {
                 RetainedCall expired = ended.removeFirst();
@@ -265,6 +299,47 @@
         }
     }
 
+    /**
+     * A response whose stream has not been opened.
+     *
+     * @param response   the response
+     * @param beginNanos time at which it began, in nanoseconds
+     */
+    private record HeldStream(FramedResponse response, long beginNanos) {}
+
+    /** Ends a call when its response is there. */
+    private final class ResponseListener implements FramedResponse.Listener {
+
+        private final RetainedCall call;
+        private final BodyMemory.Share memory;
+
+        ResponseListener(RetainedCall call, BodyMemory.Share memory) {
+            this.call = call;
+            this.memory = memory;
+        }
+
+        @Override
+        public void onWhole(AggregatedHttpResponse response) {
+            memory.release();
+            end(call, reply(call.number, response));
+        }
+
+        @Override
+        public void onStreamed(FramedResponse response) {
+            memory.release();
+            synchronized (FramedGate.this) {
+                streams.put(call.number, new HeldStream(response, clock.nanoTime()));
+            }
+            end(call, new CallMessage(call.number, packing.pack(response.headers()), new byte[0]));
+        }
+
+        @Override
+        public void onFailure() {
+            memory.release();
+            end(call, responseUnavailable(call.number));
+        }
+    }
+
     private static final class RetainedCall {
 
         private final long number;
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -330,6 +330,12 @@
     void sendCompleteResponses() {
         boolean flush = false;
         while (!pending.isEmpty() && pending.peekFirst().isAnswered()) {
+            if (pending.peekFirst().isAnsweredInParts()) {
+                lastActiveNanos = clock.nanoTime();
+                channel.flush();
+                pending.peekFirst().sendParts();
+                return;
+            }
             PendingRequest next = pending.removeFirst();
             FullHttpResponse response = next.toFullResponse();
             lastActiveNanos = clock.nanoTime();
@@ -338,18 +344,8 @@
                 flush = true;
                 continue;
             }
-            closing = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            ChannelFuture written = channel.writeAndFlush(response);
-            written.addListener(sent -> endSending(next));
-            if (next.isMalformed()) {
-                written.addListener(sent -> shutDownOutput());
-                linger();
-            } else if (receiving == null) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            } else {
-                linger();
-            }
+            closeAfter(next, channel.writeAndFlush(response));
             return;
         }
         if (flush) {
@@ -360,12 +356,53 @@
         }
     }
 
+    /**
+     * Ends a response that was sent in parts.
+     *
+     * @param request the request, which is the first without a response
+     * @param written completes when the end of the response has been written
+     */
+    void endResponse(PendingRequest request, ChannelFuture written) {
+        pending.remove(request);
+        lastActiveNanos = clock.nanoTime();
+        if (request.closesAfterResponse()) {
+            closeAfter(request, written);
+            return;
+        }
+        written.addListener(sent -> endSending(request));
+        askForExpectedBody();
+        handleWaiting();
+        updateReading();
+        sendCompleteResponses();
+    }
+
+    private void closeAfter(PendingRequest last, ChannelFuture written) {
+        closing = true;
+        written.addListener(sent -> endSending(last));
+        if (last.isMalformed()) {
+            written.addListener(sent -> shutDownOutput());
+            linger();
+        } else if (receiving == null) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        } else {
+            linger();
+        }
+    }
+
     private void endSending(PendingRequest sent) {
-        unsent.remove(sent.responseBytes());
         sent.end();
         handleWaiting();
     }
 
+    /**
+     * Releases a response, or a part of one, that was sent.
+     *
+     * @param bytes memory that it took, in bytes
+     */
+    void release(int bytes) {
+        unsent.remove(bytes);
+    }
+
     /**
      * Holds a response until it is sent. Without room for it, the connection is closed: its caller takes too little.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpMessages.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpMessages.java
@@ -9,13 +9,18 @@
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.ResponseHeaders;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
 /** Conversion between the messages of Netty's codec and those of the node. */
@@ -92,6 +97,29 @@
         return written;
     }
 
+    /**
+     * Converts the head of a response whose content follows in parts, in chunks unless its length is stated.
+     *
+     * @param headers headers of the response
+     * @param closes  whether the connection closes after the response
+     * @return the head to write
+     */
+    static HttpResponse toHead(ResponseHeaders headers, boolean closes) {
+        HttpResponse head = new DefaultHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(headers.status().code()));
+        headers.forEach((name, value) -> {
+            if (name.charAt(0) != ':') {
+                head.headers().add(name, value);
+            }
+        });
+        HttpUtil.setTransferEncodingChunked(head, headers.contentLength() < 0);
+        if (closes) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        return head;
+    }
+
     // The usual values name nothing, and most requests have none.
     private static Set<String> namedByConnection(HttpRequest head) {
         String connection = head.headers().get(HttpHeaderNames.CONNECTION);
--- a/mustardusher-node/src/main/java/io/mustardusher/http/PendingRequest.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/PendingRequest.java
@@ -65,6 +65,9 @@
     private boolean expectsContinue;
 
     private AggregatedHttpResponse response;
+    private ResponseReceiver receiver;
+
+    /** Memory that the response takes, in bytes. */
     private int responseBytes;
 
     /**
@@ -131,11 +134,28 @@
     }
 
     boolean isAnswered() {
-        return response != null;
+        return response != null || isAnsweredInParts();
+    }
+
+    boolean isAnsweredInParts() {
+        return receiver != null && receiver.isInParts();
+    }
+
+    /** Sends the response in parts, now that it is its turn. */
+    void sendParts() {
+        receiver.begin();
+    }
+
+    // Holds a part of the response until it is sent.
+    void hold(int bytes) {
+        responseBytes += bytes;
+        connection.hold(bytes);
     }
 
-    int responseBytes() {
-        return responseBytes;
+    // Releases a part of the response that was sent.
+    void release(int bytes) {
+        responseBytes -= bytes;
+        connection.release(bytes);
     }
 
     FullHttpResponse toFullResponse() {
@@ -159,7 +179,7 @@
     }
 
     void append(ByteBuf bytes) {
-        boolean discarded = response != null || writer != null && !writer.isOpen();
+        boolean discarded = isAnswered() || writer != null && !writer.isOpen();
         if (!bytes.isReadable() || discarded) {
             return;
         }
@@ -170,7 +190,7 @@
             giveUpBody(new MustardusherException(ResultCode.BODY_TOO_LARGE, "the body exceeds the limit"));
             return;
         }
-        if (!hold(bytes.readableBytes())) {
+        if (!holdBody(bytes.readableBytes())) {
             giveUpBody(BodyMemory.exhausted());
             return;
         }
@@ -188,7 +208,7 @@
     // Chunks that arrive together are passed on together, since each part takes memory of its own.
     void streamCollected() {
         // The request may have been answered at once; nobody reads the body then.
-        if (writer != null && collected.length() > 0 && response == null) {
+        if (writer != null && collected.length() > 0 && !isAnswered()) {
             byte[] part = collected.toArray();
             collected.clear();
             stream(part);
@@ -196,7 +216,7 @@
     }
 
     // What follows behind these bytes is only read once it has been consumed.
-    private boolean hold(int added) {
+    private boolean holdBody(int added) {
         int held = Math.min(added, MAX_COLLECTED_BYTES - heldBytes);
         if (memory == null) {
             memory = connection.bodyMemory().open(() -> connection.runOnLoop(() -> giveUpBody(BodyMemory.exhausted())));
@@ -215,7 +235,7 @@
     }
 
     private void giveUpBody(MustardusherException reason) {
-        if (connection.isReceiving(this) && response == null) {
+        if (connection.isReceiving(this) && !isAnswered()) {
             handOver();
             writer.close(reason);
         }
@@ -267,18 +287,30 @@
     // Ends the exchange because the sender has disconnected.
     void endUnanswered() {
         releaseMemory();
+        if (receiver != null) {
+            receiver.cancel();
+        }
         cancelled.complete(null);
         ended.complete(null);
     }
 
     void end() {
+        release(responseBytes);
         ended.complete(null);
     }
 
     void respond(AggregatedHttpResponse complete) {
         response = complete;
-        responseBytes = complete.content().length();
-        connection.hold(responseBytes);
+        endRequest();
+        connection.sendCompleteResponses();
+    }
+
+    void respondInParts() {
+        endRequest();
+        connection.sendCompleteResponses();
+    }
+
+    private void endRequest() {
         collected.clear();
         releaseMemory();
         if (connection.isReceiving(this)) {
@@ -288,7 +320,6 @@
         }
         // A body that has not been read by now may never be.
         connection.unblock(this);
-        connection.sendCompleteResponses();
     }
 
     private void stream(byte[] bytes) {
@@ -313,17 +344,8 @@
     private void handle(HttpRequest request) {
         handedOver = true;
         try {
-            connection
-                    .handler()
-                    .handle(request, this)
-                    .aggregate(executor())
-                    .whenComplete((complete, failure) -> connection.runOnLoop(() -> {
-                        if (failure == null) {
-                            respond(complete);
-                        } else {
-                            connection.close();
-                        }
-                    }));
+            receiver = new ResponseReceiver(this, connection);
+            connection.handler().handle(request, this).subscribe(receiver, executor());
         } catch (RuntimeException e) {
             NodeLog.LOG.warn("request failed", e);
             connection.close();
--- a/mustardusher-node/src/main/java/io/mustardusher/http/UnsentResponses.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/UnsentResponses.java
@@ -5,9 +5,6 @@
 /** Responses of a connection that are complete and not sent. Confined to the event loop of the connection. */
 final class UnsentResponses {
 
-    /** Memory that a response takes beside its content, in bytes. */
-    private static final int OVERHEAD_BYTES = 1 << 10;
-
     /** Size of the responses from which no further request is handled, in bytes. */
     private static final int LARGE_BYTES = 64 << 10;
 
@@ -25,24 +22,24 @@
     }
 
     /**
-     * Adds a response.
+     * Adds a response, or a part of one.
      *
-     * @param length length of its content, in bytes
+     * @param length memory that it takes, in bytes
      * @return {@code false} if there is no room for it
      */
     boolean add(int length) {
-        bytes += length + OVERHEAD_BYTES;
-        return memory.reserve(length + OVERHEAD_BYTES);
+        bytes += length;
+        return memory.reserve(length);
     }
 
     /**
-     * Removes a response that was sent.
+     * Removes a response that was sent, or a part of one.
      *
-     * @param length length of its content, in bytes
+     * @param length memory that it took, in bytes
      */
     void remove(int length) {
-        bytes -= length + OVERHEAD_BYTES;
-        memory.release(length + OVERHEAD_BYTES);
+        bytes -= length;
+        memory.release(length);
     }
 
     /**
--- a/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/node/RoutedNode.java
@@ -16,6 +16,7 @@
 import io.mustardusher.admission.ColdPolicy;
 import io.mustardusher.allowance.AllowanceBounds;
 import io.mustardusher.budget.SharedAllowance;
+import io.mustardusher.call.CallHeaders;
 import io.mustardusher.call.CallerProtocol;
 import io.mustardusher.call.HeaderPacking;
 import io.mustardusher.call.Lazy;
@@ -93,6 +94,7 @@
     private final Optional<RouteFreshness> freshness;
 
     private final AccountAllowances allowances;
+    private FramedGate framedGate;
     private volatile boolean stopping;
 
     /**
@@ -273,11 +275,13 @@
         return entry.inFlight() + core.gate().inFlight();
     }
 
-    // Calls whose body is too large for a frame arrive as requests.
+    // Calls whose body is too large for a frame arrive as requests, and so do those for responses that are too large.
     private HttpResponse handleStreamedCall(HttpRequest request, RequestExchange exchange) {
-        return core.credential().matches(request.headers().get(HttpHeaderNames.AUTHORIZATION))
-                ? core.gate().handle(request, exchange.cancelled())
-                : Problem.response(ResultCode.UNAUTHORIZED, "send the shared credential as a bearer token");
+        if (!core.credential().matches(request.headers().get(HttpHeaderNames.AUTHORIZATION))) {
+            return Problem.response(ResultCode.UNAUTHORIZED, "send the shared credential as a bearer token");
+        }
+        long stream = request.headers().getLong(CallHeaders.STREAM, 0);
+        return stream == 0 ? core.gate().handle(request, exchange.cancelled()) : framedGate.openStream(stream);
     }
 
     private InetSocketAddress address(long port) {
@@ -312,6 +316,7 @@
                 core.memory().shortBodies(),
                 core.memory().responses(),
                 clock);
+        framedGate = gate;
         core.frameServer().on(FrameKind.CALL, (CallMessage call) -> gate.call(call));
         core.frameServer().on(FrameKind.RESUME, (CallMessage request) -> gate.resume(request));
         core.frameServer().on(FrameKind.PART, (CallMessage request) -> gate.part(request));
--- a/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/BufferedServerLink.java
@@ -81,6 +81,9 @@
     /** Deadlines of the calls whose bodies are incomplete, in nanoseconds. */
     private final Map<ServerExchange, Long> incompleteBodies = new ConcurrentHashMap<>();
 
+    /** Whether long responses are passed on as they arrive. */
+    private final boolean passesOn;
+
     private boolean closed;
 
     private BufferedServerLink(
@@ -91,6 +94,7 @@
             ServerReports reports,
             BodyMemory bodyMemory,
             ResponseBuffer.Budget bufferBudget,
+            boolean passesOn,
             Clock clock) {
         this.loop = group.next();
         this.address = address;
@@ -99,6 +103,7 @@
         this.reports = reports;
         this.bodyMemory = bodyMemory;
         this.bufferBudget = bufferBudget;
+        this.passesOn = passesOn;
         this.clock = clock;
         this.bootstrap = new Bootstrap()
                 .group(loop)
@@ -141,11 +146,12 @@
      */
     public static Factory factory(
             EventLoopGroup group, ServerDialect dialect, ServerReports reports, BodyMemory memory, Clock clock) {
-        return factory(group, dialect, reports, memory, ResponseBuffer.Budget::new, clock);
+        return factory(group, dialect, reports, memory, ResponseBuffer.Budget::new, false, clock);
     }
 
     /**
-     * Returns a factory of links to backend servers that share the memory of a node.
+     * Returns a factory of links to backend servers that share the memory of a node and pass long responses on as they
+     * arrive.
      *
      * @param group   event loops of the connections
      * @param dialect conventions for the headers of requests and responses
@@ -161,7 +167,8 @@
                 dialect,
                 reports,
                 memory.longBodies(),
-                () -> new ResponseBuffer.Budget(memory.responses()),
+                () -> new ResponseBuffer.Budget(memory.responses(), BodyCollector.MAX_HELD_BYTES),
+                true,
                 clock);
     }
 
@@ -171,6 +178,7 @@
             ServerReports reports,
             BodyMemory memory,
             Supplier<ResponseBuffer.Budget> budgets,
+            boolean passesOn,
             Clock clock) {
         return announcement -> new BufferedServerLink(
                 group,
@@ -180,6 +188,7 @@
                 reports,
                 memory,
                 budgets.get(),
+                passesOn,
                 clock);
     }
 
@@ -202,6 +211,7 @@
                 reports,
                 BodyMemory.ofNode(),
                 new ResponseBuffer.Budget(),
+                false,
                 clock);
         DeadPeerDetection.configureForService(
                 link.bootstrap, Transport.of(group).socketChannelType());
@@ -245,7 +255,16 @@
                         dispatch(exchange, request, deadlineNanos, idempotent);
                     }
                 }));
-        return Exchange.ofAggregated(response, () -> loop.execute(exchange::cancel));
+        Runnable cancel = () -> loop.execute(exchange::cancel);
+        return passesOn ? passOnLong(exchange, response, cancel) : Exchange.ofAggregated(response, cancel);
+    }
+
+    private Exchange passOnLong(
+            ServerExchange exchange, CompletableFuture<AggregatedHttpResponse> response, Runnable cancel) {
+        CompletableFuture<Exchange> begun = new CompletableFuture<>();
+        exchange.onPassedOn(streamed -> begun.complete(Exchange.ofLocal(streamed, loop)));
+        response.whenComplete((whole, failure) -> begun.complete(Exchange.ofAggregated(response, cancel)));
+        return Exchange.ofDeferred(begun, cancel);
     }
 
     // Exchanges and connections are confined to the event loop. A body that is complete is aggregated at once, on the
@@ -310,6 +329,15 @@
         return new HttpClientCodec(BoundedHeaders.configure(config), true, false);
     }
 
+    /**
+     * Returns whether a response that is too long to be held is passed on as it arrives.
+     *
+     * @return {@code true} if it is, {@code false} if it is given up
+     */
+    boolean passesOnLongResponses() {
+        return passesOn;
+    }
+
     /**
      * Returns the memory that the responses of all connections share.
      *
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseBuffer.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseBuffer.java
@@ -12,6 +12,7 @@
     static final int MAX_BODY_BYTES = 8 << 20;
 
     private final BodyMemory.Share memory;
+    private final int maxBytes;
     private final BodyBuffer body = new BodyBuffer();
 
     /**
@@ -21,6 +22,7 @@
      */
     ResponseBuffer(Budget budget) {
         this.memory = budget.memory.open();
+        this.maxBytes = budget.maxBytes;
     }
 
     /**
@@ -32,13 +34,43 @@
     boolean add(ByteBuf bytes) {
         int added = bytes.readableBytes();
         int additional = body.additionalBytes(added);
-        if (added > MAX_BODY_BYTES - body.length() || !memory.reserve(additional)) {
+        if (added > maxBytes - body.length() || !memory.reserve(additional)) {
             return false;
         }
         body.add(bytes);
         return true;
     }
 
+    /**
+     * Returns whether a part would make the body longer than one may be that is held.
+     *
+     * @param added length of the part, in bytes
+     * @return {@code true} if it would, {@code false} if there may only be no memory for it
+     */
+    boolean isExceededBy(int added) {
+        return added > maxBytes - body.length();
+    }
+
+    /**
+     * Returns the body so far, which keeps its memory.
+     *
+     * @return the body
+     */
+    HttpData take() {
+        byte[] taken = body.toArray();
+        body.clear();
+        return HttpData.wrap(taken);
+    }
+
+    /**
+     * Releases the memory beyond what a stream needs.
+     *
+     * @param needed memory that the stream needs, in bytes
+     */
+    void shrinkTo(int needed) {
+        memory.release(Math.max(0, memory.bytes() - needed));
+    }
+
     /**
      * Returns the body and releases the memory.
      *
@@ -63,19 +95,22 @@
         static final int BYTES = 16 << 20;
 
         private final BodyMemory memory;
+        private final int maxBytes;
 
         /** Creates a budget that is not used. */
         Budget() {
-            this(new BodyMemory(BYTES));
+            this(new BodyMemory(BYTES), MAX_BODY_BYTES);
         }
 
         /**
          * Creates a budget within a memory.
          *
-         * @param memory the memory, which others may use too
+         * @param memory   the memory, which others may use too
+         * @param maxBytes maximum size of one body, in bytes
          */
-        Budget(BodyMemory memory) {
+        Budget(BodyMemory memory, int maxBytes) {
             this.memory = memory;
+            this.maxBytes = maxBytes;
         }
 
         /**
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerConnection.java
@@ -21,6 +21,7 @@
 import io.mustardusher.result.ResultCode;
 import io.mustardusher.server.ServerDialect.ResponseKind;
 import io.mustardusher.time.Clock;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -66,6 +67,12 @@
     private ResponseHeaders headers;
     private ResponseKind kind;
     private ResponseBuffer body;
+
+    /** The response, if it is so long that it is passed on as it arrives; {@code null} if it is not. */
+    private ResponseStream stream;
+    /** Length of the body that the server has stated, in bytes; negative if it has not. */
+    private long statedLength;
+
     private int exchanges;
     private int interimResponses;
 
@@ -147,6 +154,7 @@
         exchanges++;
         headers = null;
         body = null;
+        stream = null;
         closeDelimited = false;
         interimResponses = 0;
         discardedBytes = 0;
@@ -283,6 +291,7 @@
         }
         headers = received;
         kind = receivedKind;
+        statedLength = HttpUtil.isTransferEncodingChunked(response) ? -1 : HttpUtil.getContentLength(response, -1L);
         body = new ResponseBuffer(link.bufferBudget());
         closeDelimited = !toHead
                 && !HttpUtil.isContentLengthSet(response)
@@ -338,8 +347,7 @@
         if (exchange == null || headers == null || undecidedBody != null) {
             return;
         }
-        if (!body.add(content.content())) {
-            giveUp(ResponseFault.BODY_TOO_LONG);
+        if (!receive(content.content())) {
             return;
         }
         if (last && isContinuedByAnother(((LastHttpContent) content).trailingHeaders())) {
@@ -351,6 +359,48 @@
         }
     }
 
+    private boolean receive(ByteBuf content) {
+        if (stream == null && body.add(content)) {
+            return true;
+        }
+        boolean passedOn = link.passesOnLongResponses()
+                && exchange.mayPassOn(kind)
+                && (stream != null || body.isExceededBy(content.readableBytes()));
+        if (!passedOn) {
+            giveUp(ResponseFault.BODY_TOO_LONG);
+            return false;
+        }
+        if (stream == null) {
+            startStream();
+        }
+        boolean sound = stream.add(content);
+        if (!sound || stream.isTooLong()) {
+            giveUp(sound ? ResponseFault.BODY_TOO_LONG : ResponseFault.MIXED_CONTENT);
+            return false;
+        }
+        return true;
+    }
+
+    private void startStream() {
+        ServerExchange started = exchange;
+        ResponseBuffer buffer = body;
+        HttpData received = buffer.take();
+        stream = new ResponseStream(started.streamedHeaders(headers, statedLength), channel, this::findEmbedded, () -> {
+            if (isCarrying(started)) {
+                close();
+            }
+        });
+        stream.add(received.byteBuf());
+        stream.whenConsumed(() -> buffer.shrinkTo(ResponseStream.MEMORY_BYTES));
+        started.passOn(stream.response());
+    }
+
+    private EmbeddedResponse findEmbedded(byte[] bytes) {
+        return EmbeddedResponse.find(
+                bytes,
+                header -> exchange.isLate(header, carried) || carriedUnnamed && exchange.isInstanceNamed(header));
+    }
+
     // If the last chunk or the trailers are cut, the codec takes the head of the next response for trailers.
     private boolean isContinuedByAnother(HttpHeaders trailers) {
         return !trailers.isEmpty()
@@ -371,11 +421,10 @@
     }
 
     private void finish() {
-        HttpData completeBody = body.complete();
+        HttpData held = body.complete();
+        HttpData completeBody = stream == null ? held : HttpData.wrap(stream.heldBytes());
         body = null;
-        EmbeddedResponse found = EmbeddedResponse.find(
-                completeBody.array(),
-                header -> exchange.isLate(header, carried) || carriedUnnamed && exchange.isInstanceNamed(header));
+        EmbeddedResponse found = findEmbedded(completeBody.array());
         switch (found) {
             case ABSENT -> complete(completeBody);
             case PRESENT -> rejectMixed();
@@ -424,13 +473,21 @@
         } else {
             close();
         }
-        ended.complete(kind, headers, completeBody);
+        if (stream == null) {
+            ended.complete(kind, headers, completeBody);
+        } else {
+            stream.complete(completeBody);
+            ended.completePassedOn(headers);
+        }
     }
 
     private void fail(String detail) {
         ServerExchange ended = exchange;
         exchange = null;
         releaseBody();
+        if (stream != null) {
+            stream.fail(new MustardusherException(ResultCode.CONNECTION_LOST, detail));
+        }
         if (uploadFailure == null) {
             ended.fail(ResultCode.CONNECTION_LOST, detail);
         } else {
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ServerExchange.java
@@ -3,10 +3,12 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
+import java.util.function.Consumer;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpHeaders;
+import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
@@ -32,6 +34,10 @@
     private long sentNanos;
     private ServerConnection connection;
     private ScheduledFuture<?> timeout;
+
+    /** Receives a response that is passed on as it arrives; {@code null} if none may be. */
+    private Consumer<HttpResponse> passedOn;
+
     private boolean unmodified;
 
     ServerExchange(
@@ -162,6 +168,29 @@
         return ran.build();
     }
 
+    // Returns whether a response may be passed on before it is complete.
+    boolean mayPassOn(ServerDialect.ResponseKind kind) {
+        return passedOn != null && kind == ServerDialect.ResponseKind.RAN;
+    }
+
+    // Sets the receiver of a response that is passed on as it arrives.
+    void onPassedOn(Consumer<HttpResponse> receiver) {
+        passedOn = receiver;
+    }
+
+    ResponseHeaders streamedHeaders(ResponseHeaders received, long length) {
+        ResponseHeadersBuilder headers = withRanOutcome(received).toBuilder().set(CallHeaders.STREAMED, "1");
+        return length < 0 ? headers.build() : headers.contentLength(length).build();
+    }
+
+    void passOn(HttpResponse streamed) {
+        passedOn.accept(streamed);
+    }
+
+    void completePassedOn(ResponseHeaders received) {
+        end(() -> response.complete(AggregatedHttpResponse.of(received)));
+    }
+
     void fail(ResultCode code, String detail) {
         end(() -> response.completeExceptionally(new MustardusherException(code, detail)));
     }
--- a/mustardusher-node/src/test/java/io/mustardusher/http/UnsentResponsesTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/UnsentResponsesTest.java
@@ -13,7 +13,7 @@
 
     private static final int LENGTH = 100_000;
 
-    private final BodyMemory memory = new BodyMemory(5 * LENGTH);
+    private final BodyMemory memory = new BodyMemory(5 * LENGTH - 1);
     private final List<String> closed = new ArrayList<>();
 
     @Test
