Answer the requests that wait before the last one of a connection

What callers saw: nothing yet; found in review. A caller who sends more than sixteen requests in one write, the last with Connection: close, would get no answer to those beyond sixteen. Cause: waiting requests were passed over once the connection was closing, which it is from the head of its last request on, not from there in order. Change: only what stands behind the closing request is passed over. Evidence: waitingRequestsBeforeLastOneOfConnectionAreAnswered failed on (16 of 30 handled).

--- a/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/HttpConnection.java
@@ -466,11 +466,13 @@
     private void handleWaiting() {
         int position = 0;
         for (PendingRequest request : List.copyOf(pending)) {
-            boolean full = position == MAX_REQUESTS_IN_FLIGHT || position > 0 && unsent.isLarge();
-            if (full || closing && !request.closesAfterResponse()) {
+            if (position == MAX_REQUESTS_IN_FLIGHT || position > 0 && unsent.isLarge()) {
                 return;
             }
             request.handleIfWaiting();
+            if (request.closesAfterResponse()) {
+                return;
+            }
             position++;
         }
     }
--- a/mustardusher-node/src/test/java/io/mustardusher/http/LaboriousRequestsTest.java
+++ b/mustardusher-node/src/test/java/io/mustardusher/http/LaboriousRequestsTest.java
@@ -67,6 +67,17 @@
         assertThat(caller.isReading()).isTrue();
     }
 
+    @Test
+    void waitingRequestsBeforeLastOneOfConnectionAreAnswered() {
+        caller.send("GET / HTTP/1.1\r\nHost: s\r\n\r\n".repeat(29)
+                + "GET / HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n");
+        for (int i = 0; i < 30; i++) {
+            responses.get(i).complete(HttpResponse.of("answer " + i));
+        }
+        assertThat(caller.answers()).endsWith("answer 29");
+        assertThat(caller.isOpen()).isFalse();
+    }
+
     @Test
     void turnsLeaveHalfOfTimeToOthers() {
         EmbeddedChannel channel = new EmbeddedChannel();
