Read on behind a long response that is not taken

What callers saw: nothing yet; found in review. A call could wait on a connection to its server until the caller of the response before took it. Cause: reading stops while the receiver has parts to take, and the connection was released in that state if the end of the response had arrived with them. Change: reading starts again at the end of the response.

--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseStream.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseStream.java
@@ -125,6 +125,8 @@
             writer.tryWrite(rest);
         }
         writer.close();
+        // The next response on the connection does not wait for the receiver of this one.
+        channel.config().setAutoRead(true);
     }
 
     /**
