Join the parts of a body in one place

Cause: FramedResponse and ResponseReceiver had each written again the loop that Exchange has. ResponseReceiver had a constant of its own for the size up to which a body is held, ResponseBuffer checked the length twice in different words, and BodyCollector kept a limit that follows from whether a streamed request is wanted. Change: BodyParts.join serves all three, BodyCollector.MAX_HELD_BYTES both sizes, ResponseBuffer.isExceededBy both checks; the field and its parameter are gone. No behaviour changes, but that a single part of an answer is no longer copied. Evidence: format and lint of the module, and its tests of exchanges, gates, listeners, long, endless and large bodies pass; the whole script has not run on it yet.

--- a/mustardusher-node/src/main/java/io/mustardusher/call/BodyCollector.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/BodyCollector.java
@@ -28,23 +28,21 @@
     /** Whether the memory for the whole body is reserved before any of it arrives. */
     private final boolean ahead;
 
-    /** Length from which the body is passed on as it arrives, in bytes. */
-    private final long maxHeld;
-
     private final BodyBuffer body = new BodyBuffer();
     private final CompletableFuture<AggregatedHttpRequest> whole = new CompletableFuture<>();
 
     /** The request with a body that goes on arriving; {@code null} while the body is collected. */
     private HttpRequestWriter writer;
 
+    /** The request, whole or with a body that goes on arriving; {@code null} if only a whole one is wanted. */
     private CompletableFuture<HttpRequest> begun;
+
     private HttpHeaders trailers = HttpHeaders.of();
     private Subscription subscription;
 
-    private BodyCollector(HttpRequest request, BodyMemory memory, boolean ahead, long maxHeld) {
+    private BodyCollector(HttpRequest request, BodyMemory memory, boolean ahead) {
         this.request = request;
         this.ahead = ahead;
-        this.maxHeld = maxHeld;
         this.memory = memory.open(() -> request.abort(BodyMemory.exhausted()));
     }
 
@@ -85,8 +83,7 @@
             return CompletableFuture.completedFuture(request);
         }
         long length = request.headers().contentLength();
-        BodyCollector collector =
-                new BodyCollector(request, memory, length > 0 && length <= MAX_HELD_BYTES, MAX_HELD_BYTES);
+        BodyCollector collector = new BodyCollector(request, memory, length > 0 && length <= MAX_HELD_BYTES);
         collector.begun = collector.whole.thenApply(AggregatedHttpRequest::toHttpRequest);
         request.subscribe(collector, executor);
         ended.whenComplete((ignored, failure) -> {
@@ -109,7 +106,7 @@
         return collect(
                 request,
                 executor,
-                new BodyCollector(request, memory, request.headers().contentLength() > 0, Long.MAX_VALUE));
+                new BodyCollector(request, memory, request.headers().contentLength() > 0));
     }
 
     /**
@@ -121,7 +118,7 @@
      * @return the collected request, and the memory that it takes
      */
     public static Collected collectGradually(HttpRequest request, BodyMemory memory, EventExecutor executor) {
-        return collect(request, executor, new BodyCollector(request, memory, false, Long.MAX_VALUE));
+        return collect(request, executor, new BodyCollector(request, memory, false));
     }
 
     private static Collected collect(HttpRequest request, EventExecutor executor, BodyCollector collector) {
@@ -154,7 +151,7 @@
         } else {
             trailers = (HttpHeaders) part;
         }
-        if (body.length() > maxHeld) {
+        if (begun != null && body.length() > MAX_HELD_BYTES) {
             passOn();
         } else {
             subscription.request(1);
--- a/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/call/Exchange.java
@@ -12,7 +12,6 @@
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
-import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.ResponseHeaders;
@@ -177,16 +176,7 @@
 
         @Override
         public CompletableFuture<HttpResponse> aggregate(ResponseHeaders headers) {
-            return split.body().collect(executor).thenApply(parts -> {
-                int length = parts.stream().mapToInt(HttpData::length).sum();
-                byte[] bytes = new byte[length];
-                int offset = 0;
-                for (HttpData part : parts) {
-                    System.arraycopy(part.array(), 0, bytes, offset, part.length());
-                    offset += part.length();
-                }
-                return HttpResponse.of(headers, HttpData.wrap(bytes));
-            });
+            return split.body().collect(executor).thenApply(parts -> HttpResponse.of(headers, BodyParts.join(parts)));
         }
 
         @Override
--- a/mustardusher-node/src/main/java/io/mustardusher/gate/FramedResponse.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/gate/FramedResponse.java
@@ -8,6 +8,7 @@
 import com.linecorp.armeria.common.HttpObject;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.BodyParts;
 import io.mustardusher.call.CallHeaders;
 import io.netty.util.concurrent.EventExecutor;
 import org.reactivestreams.Subscriber;
@@ -22,7 +23,6 @@
     private final EventExecutor executor;
     private final Listener listener;
     private final List<HttpData> parts = new ArrayList<>();
-    private int length;
     private ResponseHeaders headers;
     private Subscription subscription;
     private boolean streamed;
@@ -75,7 +75,6 @@
                 reader.onNext(data);
             } else {
                 parts.add(data);
-                length += data.length();
             }
         } else if (headers == null && next instanceof ResponseHeaders head) {
             begin(head);
@@ -114,23 +113,10 @@
         } else if (headers == null) {
             listener.onFailure();
         } else {
-            listener.onWhole(AggregatedHttpResponse.of(headers, whole()));
+            listener.onWhole(AggregatedHttpResponse.of(headers, BodyParts.join(parts)));
         }
     }
 
-    private HttpData whole() {
-        if (parts.size() == 1) {
-            return parts.get(0);
-        }
-        byte[] bytes = new byte[length];
-        int offset = 0;
-        for (HttpData part : parts) {
-            System.arraycopy(part.array(), 0, bytes, offset, part.length());
-            offset += part.length();
-        }
-        return HttpData.wrap(bytes);
-    }
-
     private void subscribe(Subscriber<? super HttpData> opened) {
         executor.execute(() -> {
             reader = opened;
--- a/mustardusher-node/src/main/java/io/mustardusher/http/ResponseReceiver.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/http/ResponseReceiver.java
@@ -7,6 +7,8 @@
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpObject;
 import com.linecorp.armeria.common.ResponseHeaders;
+import io.mustardusher.call.BodyCollector;
+import io.mustardusher.call.BodyParts;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -20,9 +22,6 @@
  */
 final class ResponseReceiver implements Subscriber<HttpObject> {
 
-    /** Largest response that is received whole before it is sent, in bytes. */
-    private static final int MAX_WHOLE_BYTES = 1 << 20;
-
     /** Memory that a response takes beside its content, in bytes. */
     private static final int OVERHEAD_BYTES = 1 << 10;
 
@@ -93,7 +92,9 @@
         } else if (headers == null) {
             connection.close();
         } else {
-            request.respond(AggregatedHttpResponse.of(headers, whole()));
+            HttpData whole = BodyParts.join(parts);
+            parts.clear();
+            request.respond(AggregatedHttpResponse.of(headers, whole));
         }
     }
 
@@ -107,12 +108,12 @@
     }
 
     private void addPart(HttpData data) {
-        receivedBytes += Math.min(data.length(), MAX_WHOLE_BYTES);
+        receivedBytes += Math.min(data.length(), BodyCollector.MAX_HELD_BYTES);
         request.hold(data.length());
         parts.addLast(data);
         if (inParts) {
             sendNext();
-        } else if (receivedBytes > MAX_WHOLE_BYTES) {
+        } else if (receivedBytes > BodyCollector.MAX_HELD_BYTES) {
             inParts = true;
             request.respondInParts();
         } else {
@@ -147,18 +148,4 @@
         }
         sendNext();
     }
-
-    private HttpData whole() {
-        if (parts.size() <= 1) {
-            return parts.isEmpty() ? HttpData.empty() : parts.removeFirst();
-        }
-        byte[] bytes = new byte[receivedBytes];
-        int offset = 0;
-        for (HttpData part : parts) {
-            System.arraycopy(part.array(), 0, bytes, offset, part.length());
-            offset += part.length();
-        }
-        parts.clear();
-        return HttpData.wrap(bytes);
-    }
 }
--- a/mustardusher-node/src/main/java/io/mustardusher/server/ResponseBuffer.java
+++ b/mustardusher-node/src/main/java/io/mustardusher/server/ResponseBuffer.java
@@ -34,7 +34,7 @@
     boolean add(ByteBuf bytes) {
         int added = bytes.readableBytes();
         int additional = body.additionalBytes(added);
-        if (added > maxBytes - body.length() || !memory.reserve(additional)) {
+        if (isExceededBy(added) || !memory.reserve(additional)) {
             return false;
         }
         body.add(bytes);
