--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and the cases 12 to 15 of the third review. The nodes are built by the command of the deploy file.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+mkdir -p target/review-3
+javac -d target/review-3 review/rig-12/src/*.java
