--- a/review/rig-12/src/ForeignCheckIn.java
+++ b/review/rig-12/src/ForeignCheckIn.java
@@ -68,6 +68,7 @@
         late.forEach(run -> rig.record("late: " + run));
         rig.record("requests sent " + answers.size() + ", run " + upstreams.stream().mapToInt(u -> u.runs.size()).sum()
                 + ", at the leaving upstream later than drainTimeout after the confirmation: " + late.size());
+        Upstream.recordRuns(rig, upstreams);
         answers.forEach(rig::record);
         return late.isEmpty();
     }
--- a/review/rig-12/src/FrozenUpload.java
+++ b/review/rig-12/src/FrozenUpload.java
@@ -88,6 +88,7 @@
                 .flatMap(upstream -> upstream.runs.stream())
                 .map(Upstream.Run::attempt)
                 .collect(Collectors.toSet());
+        Upstream.recordRuns(rig, upstreams);
         Map<Integer, Integer> counts = new TreeMap<>();
         statuses.values().forEach(status -> counts.merge(status, 1, Integer::sum));
         rig.record("answers by status (0: none): " + counts + ", requests run: " + ran.size());
--- a/review/rig-12/src/LostChange.java
+++ b/review/rig-12/src/LostChange.java
@@ -98,6 +98,7 @@
             rig.record(String.format("the last of them was sent %.1f s after the confirmation",
                     stale.get(stale.size() - 1).second() - confirmed));
         }
+        Upstream.recordRuns(rig, upstreams);
         answers.forEach(rig::record);
         return stale.isEmpty();
     }
--- a/review/rig-12/src/Machine.java
+++ b/review/rig-12/src/Machine.java
@@ -2,7 +2,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -66,7 +65,7 @@
     /** Sends a signal to the node. */
     void signal(String signal) throws IOException, InterruptedException {
         rig.record(name + ": SIG" + signal);
-        new ProcessBuilder("kill", "-" + signal, Long.toString(node.pid())).start().waitFor(5, TimeUnit.SECONDS);
+        new ProcessBuilder("sh", "-c", "kill -" + signal + " " + node.pid()).start().waitFor(5, TimeUnit.SECONDS);
     }
 
     private String settings(boolean bootstrap) {
--- a/review/rig-12/src/Rig.java
+++ b/review/rig-12/src/Rig.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /** Starts nodes and stand-ins on loopback addresses, keeps the record, and ends all processes. */
 final class Rig {
@@ -40,6 +41,9 @@
 
     /** Signals that a case could not judge anything. */
     static final class NotRun extends Exception {
+
+        private static final long serialVersionUID = 1L;
+
         NotRun(String reason) {
             super(reason);
         }
@@ -76,15 +80,27 @@
         rig.finish(code);
     }
 
-    private void finish(int code) throws IOException {
+    private synchronized void finish(int code) throws IOException {
         record("exit " + code + (code == HELD ? ": the rule held" : code == BROKEN ? ": the rule was broken" : ""));
         synchronized (lines) {
             Files.write(recordFile, lines);
         }
         endProcesses();
+        deleteFolder();
         Runtime.getRuntime().halt(code);
     }
 
+    private void deleteFolder() {
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+            Files.delete(folder);
+        } catch (IOException e) {
+            System.err.println("cannot delete " + folder + ": " + e);
+        }
+    }
+
     private static int freeRange(String ip, int from) throws IOException {
         for (int base = from; base < 60_000; base += 30) {
             boolean free = true;
--- a/review/rig-12/src/Upstream.java
+++ b/review/rig-12/src/Upstream.java
@@ -6,9 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Stand-in for an application upstream, with its check-ins. */
@@ -30,19 +28,15 @@
     private final AtomicInteger sequence = new AtomicInteger();
     volatile String state = "ready";
     volatile boolean leaving;
-    volatile boolean checksIn = true;
     volatile long workMillis = 20;
 
-    /** Share of the requests that are run and never answered, in percent. */
-    volatile int hangPercent;
-
     /** Time for which a piece of a long body is worked on, in milliseconds. */
     volatile long pieceMillis = 1;
 
     /** Requests that this upstream has run. */
     final List<Run> runs = new CopyOnWriteArrayList<>();
 
-    record Run(String attempt, String method, String path, String upstream, String service, double second, int bytes) {}
+    record Run(String attempt, String method, String path, String upstream, String service, double second) {}
 
     Upstream(Rig rig, Machine machine, String id, int capacity) throws IOException {
         this.rig = rig;
@@ -65,11 +59,19 @@
         }
     }
 
+    /** Adds the requests that upstreams have run to the record. */
+    static void recordRuns(Rig rig, List<Upstream> upstreams) {
+        for (Upstream upstream : upstreams) {
+            for (Run run : upstream.runs) {
+                rig.record(String.format("%s (%s) ran %s %s %s, begun at %.3f",
+                        run.upstream(), run.service(), run.attempt(), run.method(), run.path(), run.second()));
+            }
+        }
+    }
+
     private void checkIn() throws InterruptedException {
         while (true) {
-            if (checksIn) {
-                sendCheckIn();
-            }
+            sendCheckIn();
             Thread.sleep(HEARTBEAT_MILLIS);
         }
     }
@@ -79,10 +81,6 @@
         return post("/mustardusher/Instances.Heartbeat/" + id, checkIn(sequence.incrementAndGet()));
     }
 
-    boolean sendDeregistration() {
-        return post("/mustardusher/Instances.Deregister/" + id, "");
-    }
-
     String checkIn(long number) {
         return "{\"service\":" + Json.quote(machine.service) + ",\"address\":\"" + machine.ip + ":" + machine.appPort()
                 + "\",\"zone\":" + Json.quote(machine.zone) + ",\"version\":\"v1\",\"capacity\":" + capacity + ",\"state\":"
@@ -93,23 +91,10 @@
         Client.Answer answer = Client.send(
                 machine.ip, machine.controlPort(), "POST", path, "control", "Content-Type: application/json\r\n",
                 body.getBytes(StandardCharsets.UTF_8), 1_000);
-        if (!body.equals("") && answer.status() != 200 || path.contains("Deregister") || !state.equals("ready")) {
-            rig.record(id + ": " + path + " " + body + " -> " + answer);
-        }
+        rig.record(id + ": " + path + " " + body + " -> " + answer);
         return answer.status() == 200;
     }
 
-    /** Returns the body of an answer: a short text, or as many bytes as the path asks for, which depend on the attempt. */
-    static byte[] answerTo(String path, String attempt) {
-        int big = path.indexOf("/big/");
-        if (big < 0) {
-            return ("answer to " + attempt).getBytes(StandardCharsets.UTF_8);
-        }
-        byte[] bytes = new byte[Integer.parseInt(path.substring(big + 5))];
-        new Random(attempt.hashCode()).nextBytes(bytes);
-        return bytes;
-    }
-
     private static boolean isLong(Http.Message request) {
         String length = request.header("content-length");
         return !length.isEmpty() && Integer.parseInt(length) > LONG_BODY_BYTES;
@@ -158,13 +143,9 @@
                 } else {
                     running.incrementAndGet();
                     try {
-                        runs.add(new Run(attempt, request.method(), request.path(), id, machine.service, rig.seconds(), request.body().length));
+                        runs.add(new Run(attempt, request.method(), request.path(), id, machine.service, rig.seconds()));
                         if (longBody) {
                             workOnLongBody(in, request, attempt);
-                        } else if (ThreadLocalRandom.current().nextInt(100) < hangPercent) {
-                            // Ends when the node closes the connection.
-                            in.read();
-                            return;
                         } else {
                             Thread.sleep(workMillis);
                         }
@@ -173,7 +154,7 @@
                     } finally {
                         running.decrementAndGet();
                     }
-                    body = answerTo(request.path(), attempt);
+                    body = ("answer to " + attempt).getBytes(StandardCharsets.UTF_8);
                     head = "200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Signature: " + id + "." + attempt + "\r\n";
                 }
                 head += "X-Server-Load: " + running.get() + ",0," + capacity + "\r\nContent-Length: " + body.length + "\r\n";
