--- a/review/rig-12/src/Rig.java
+++ b/review/rig-12/src/Rig.java
@@ -60,7 +60,14 @@
 
     static void main(String[] args, Case reviewed) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Rig rig = new Rig(Path.of(args[0]));
+        Rig rig;
+        try {
+            rig = new Rig(Path.of(args[0]));
+        } catch (IOException e) {
+            e.printStackTrace();
+            System.exit(NOT_RUN);
+            return;
+        }
         int code = NOT_RUN;
         Thread end = new Thread(rig::endProcesses);
         Runtime.getRuntime().addShutdownHook(end);
@@ -73,7 +80,7 @@
             code = reviewed.run(rig, trouble) ? HELD : BROKEN;
         } catch (NotRun e) {
             rig.record("not run: " + e.getMessage());
-        } catch (Exception e) {
+        } catch (Exception | Error e) {
             rig.record("not run: " + e);
             e.printStackTrace();
         }
