--- a/review/rig-12/src/LostChange.java
+++ b/review/rig-12/src/LostChange.java
@@ -54,10 +54,11 @@
             rig.run("clients of " + machine.name, () -> {
                 for (int i = 0; true; i++) {
                     String attempt = machine.name + "-" + i;
-                    sent.add(new Sent(attempt, rig.seconds()));
+                    double second = rig.seconds();
+                    sent.add(new Sent(attempt, second));
                     Client.Answer answer =
                             Client.request(machine, "GET", "/price/x", Manifest.HOST, attempt, TIMEOUT_MILLIS);
-                    answers.add(attempt + " -> " + answer);
+                    answers.add(String.format("%s sent at %.3f -> %s", attempt, second, answer));
                     Thread.sleep(50);
                 }
             });
